--- /dev/null
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -0,0 +1,321 @@
+package org.cornelchute.agent;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cornelchute.core.duty.Duty;
+import org.cornelchute.core.duty.Overflow;
+import org.cornelchute.core.kernel.Service;
+import org.cornelchute.core.log.DecisionLog;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.net.frame.FrameClient;
+import org.cornelchute.net.frame.MessageCodec;
+import org.cornelchute.net.platform.OriginClient;
+import org.cornelchute.net.util.LinkLimiter;
+import org.cornelchute.policy.weights.Manifest;
+import org.cornelchute.policy.weights.SwarmDecider;
+import org.cornelchute.policy.weights.SwarmEffect;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * The duty that fetches, verifies, keeps and hands on weights.
+ *
+ * <p>Chunks are verified before they are kept, so that a version counts as held only when every
+ * chunk matches its digest. The newest two versions are kept: the one being fetched, and the one
+ * before, from which unchanged chunks are reused and which others may still be fetching.
+ */
+final class WeightsDuty implements Service {
+
+  private static final int RING = 1 << 14;
+  private static final long TICK_MILLIS = 50;
+  private static final int VERSIONS_KEPT = 2;
+
+  private final AgentSettings settings;
+  private final OriginClient origin;
+  private final LongSupplier clock;
+  private final long seed;
+  private final Listener listener;
+  private final FrameClient client;
+  private final Duty<Runnable> duty;
+  private final LinkLimiter up;
+  private final LinkLimiter down;
+  private final Scheduler timer = Schedulers.newSingle("link", true);
+  private final Map<String, HeldVersion> versions = new LinkedHashMap<>();
+  private final Map<String, String> peerByAddress = new ConcurrentHashMap<>();
+  private final Meter fromOrigin;
+  private final Meter fromPeers;
+  private final Meter corrupt;
+  private volatile int heldChunks;
+  private volatile int allChunks;
+  private Collection<Member> members = List.of();
+
+  WeightsDuty(
+      AgentSettings settings,
+      MessageCodec codec,
+      OriginClient origin,
+      LongSupplier clock,
+      long seed,
+      Listener listener,
+      MetricRegistry metrics,
+      Duty.FatalHandler fatal) {
+    this.settings = settings;
+    this.origin = origin;
+    this.clock = clock;
+    this.seed = seed;
+    this.listener = listener;
+    this.client = new FrameClient(settings.member().id(), codec, new PeerAnswers());
+    this.up = new LinkLimiter(settings.linkBytesPerSecond());
+    this.down = new LinkLimiter(settings.linkBytesPerSecond());
+    this.fromOrigin = metrics.meter("weights.origin.bytes");
+    this.fromPeers = metrics.meter("weights.peer.bytes");
+    this.corrupt = metrics.meter("weights.corrupt.chunks");
+    metrics.register("weights.chunks.held", (Gauge<Integer>) () -> heldChunks);
+    metrics.register("weights.chunks.all", (Gauge<Integer>) () -> allChunks);
+    this.duty =
+        new Duty<>(
+            "weights",
+            RING,
+            Overflow.WAIT,
+            TICK_MILLIS,
+            new Duty.Handler<>() {
+              @Override
+              public void handle(Runnable message) {
+                message.run();
+              }
+
+              @Override
+              public void tick() {
+                WeightsDuty.this.tick();
+              }
+            },
+            metrics,
+            fatal);
+  }
+
+  @Override
+  public void start() {
+    duty.start();
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+    client.close();
+    timer.dispose();
+  }
+
+  /** Starts to fetch a version. */
+  void begin(Manifest manifest) {
+    duty.offer(() -> beginVersion(manifest));
+  }
+
+  /** Takes the members, of which those count that want the same version. */
+  void viewed(Collection<Member> view) {
+    duty.offer(
+        () -> {
+          members = view;
+          for (HeldVersion v : new ArrayList<>(versions.values())) {
+            execute(v, v.swarm.members(clock.getAsLong(), wanting(v.manifest.digest())));
+          }
+        });
+  }
+
+  /** Hands a whole, verified version to a consumer; nothing happens if it is not whole. */
+  void withWhole(String digest, Consumer<List<byte[]>> consumer) {
+    duty.offer(
+        () -> {
+          HeldVersion v = versions.get(digest);
+          if (v != null && v.swarm.isComplete()) {
+            consumer.accept(v.all());
+          }
+        });
+  }
+
+  /** Handles a message from another agent. */
+  void received(String from, SwarmMessage message) {
+    if (message instanceof SwarmMessage.ChunkData c) {
+      // The link's limit is kept by taking a chunk only when its bytes would have come through.
+      after(down.reserve(c.bytes().length), () -> takeChunk(from, c));
+      return;
+    }
+    duty.offer(
+        () -> {
+          HeldVersion v = versions.get(message.manifest());
+          if (v != null) {
+            execute(v, v.swarm.received(clock.getAsLong(), from, message));
+          }
+        });
+  }
+
+  private void beginVersion(Manifest manifest) {
+    if (versions.containsKey(manifest.digest())) {
+      HeldVersion v = versions.remove(manifest.digest());
+      versions.put(manifest.digest(), v);
+      if (v.swarm.isComplete()) {
+        listener.complete(manifest);
+      }
+      return;
+    }
+    HeldVersion v = new HeldVersion(manifest);
+    BitSet held = new BitSet();
+    for (HeldVersion old : versions.values()) {
+      held = v.reuse(old);
+    }
+    v.swarm =
+        new SwarmDecider(
+            settings.member().id(),
+            settings.member().region(),
+            settings.originRegion(),
+            manifest,
+            held,
+            settings.swarm(),
+            seed,
+            clock.getAsLong());
+    versions.put(manifest.digest(), v);
+    while (versions.size() > VERSIONS_KEPT) {
+      Iterator<String> oldest = versions.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+    }
+    execute(v, v.swarm.members(clock.getAsLong(), wanting(manifest.digest())));
+  }
+
+  private List<Member> wanting(String digest) {
+    List<Member> wanting = new ArrayList<>();
+    for (Member m : members) {
+      if (m.wants().equals(digest)) {
+        wanting.add(m);
+      }
+    }
+    return wanting;
+  }
+
+  private void tick() {
+    for (HeldVersion v : new ArrayList<>(versions.values())) {
+      execute(v, v.swarm.tick(clock.getAsLong()));
+      heldChunks = v.swarm.held();
+      allChunks = v.chunks.length;
+    }
+  }
+
+  private void execute(HeldVersion v, List<SwarmEffect> effects) {
+    for (SwarmEffect e : effects) {
+      if (e instanceof SwarmEffect.Send s) {
+        send(s.peer(), s.address(), s.message());
+      } else if (e instanceof SwarmEffect.Upload u) {
+        upload(v, u);
+      } else if (e instanceof SwarmEffect.FetchOrigin f) {
+        fetch(v, f.chunk());
+      } else if (e instanceof SwarmEffect.Complete) {
+        listener.complete(v.manifest);
+      } else if (e instanceof SwarmEffect.Log l) {
+        DecisionLog.write(l.decision());
+      }
+    }
+  }
+
+  private void send(String peer, String address, Message message) {
+    peerByAddress.put(address, peer);
+    client.send(address, message);
+  }
+
+  private void upload(HeldVersion v, SwarmEffect.Upload u) {
+    byte[] bytes = v.chunks[u.chunk()];
+    after(
+        up.reserve(bytes.length),
+        () -> {
+          int queued = v.swarm.uploadsWaiting();
+          send(
+              u.peer(),
+              u.address(),
+              new SwarmMessage.ChunkData(v.manifest.digest(), u.chunk(), queued, bytes));
+          execute(v, v.swarm.uploaded(clock.getAsLong()));
+        });
+  }
+
+  private void fetch(HeldVersion v, int chunk) {
+    origin
+        .chunk(v.manifest.chunks().get(chunk))
+        .subscribe(
+            r -> {
+              if (r.isLeft()) {
+                duty.offer(() -> execute(v, v.swarm.originFailed(clock.getAsLong(), chunk)));
+                return;
+              }
+              byte[] bytes = r.get();
+              fromOrigin.mark(bytes.length);
+              after(down.reserve(bytes.length), () -> keep(v, "", chunk, 0, bytes));
+            });
+  }
+
+  private void takeChunk(String from, SwarmMessage.ChunkData c) {
+    HeldVersion v = versions.get(c.manifest());
+    if (v != null) {
+      fromPeers.mark(c.bytes().length);
+      keep(v, from, c.chunk(), c.queued(), c.bytes());
+    }
+  }
+
+  private void keep(HeldVersion v, String from, int chunk, int queued, byte[] bytes) {
+    boolean valid = v.manifest.verifies(chunk, bytes);
+    if (!valid) {
+      corrupt.mark();
+    } else if (v.chunks[chunk] == null) {
+      v.chunks[chunk] = bytes;
+    }
+    execute(v, v.swarm.chunk(clock.getAsLong(), from, chunk, queued, valid));
+  }
+
+  /** Runs a step on the duty after some nanoseconds. */
+  private void after(long nanos, Runnable step) {
+    if (nanos <= 0) {
+      duty.offer(step);
+    } else {
+      timer.schedule(() -> duty.offer(step), nanos, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** Learns of whole versions; called on the duty's thread, must not block. */
+  interface Listener {
+
+    /** Handles a version of which every chunk is held and verified. */
+    void complete(Manifest manifest);
+  }
+
+  /** Handles losses; agents answer over their own connections. */
+  private final class PeerAnswers implements FrameClient.Listener {
+
+    @Override
+    public void received(String address, Message message) {}
+
+    @Override
+    public void lost(String address) {
+      String peer = peerByAddress.getOrDefault(address, "");
+      duty.offer(
+          () -> {
+            for (HeldVersion v : new ArrayList<>(versions.values())) {
+              execute(v, v.swarm.peerLost(clock.getAsLong(), peer));
+            }
+          });
+    }
+
+    @Override
+    public void undelivered(String address, Message message) {
+      lost(address);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelchute/core/cfg/Checks.java
@@ -0,0 +1,30 @@
+package org.cornelchute.core.cfg;
+
+/** Range checks for settings records; each message names the key and the accepted form. */
+public final class Checks {
+
+  private Checks() {}
+
+  /** Requires {@code low <= value <= high}. */
+  public static void range(String key, long value, long low, long high, String unit) {
+    if (value < low || value > high) {
+      throw new IllegalArgumentException(
+          "'" + key + "' is " + value + "; accepted: " + low + " to " + high + " " + unit);
+    }
+  }
+
+  /** Requires text that is neither null nor blank. */
+  public static void text(String key, String value) {
+    if (value == null || value.isBlank()) {
+      throw new IllegalArgumentException("'" + key + "' is missing; give a non-empty text");
+    }
+  }
+
+  /** Requires {@code ip:port}. */
+  public static void address(String key, String value) {
+    if (value == null || !value.matches("[0-9.]+:[0-9]{1,5}")) {
+      throw new IllegalArgumentException(
+          "'" + key + "' is '" + value + "'; accepted: an IP number and a port, as 10.0.0.7:4100");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonCommand.java
@@ -0,0 +1,103 @@
+package org.cornelchute.core.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.cornelchute.core.Version;
+import org.cornelchute.core.cfg.Settings;
+import org.cornelchute.core.cfg.SettingsReader;
+import org.cornelchute.core.outcome.Failure;
+
+/**
+ * Command line shared by the daemons: settings file, check, defaults, help and version.
+ *
+ * @param <T> type of the daemon's settings
+ */
+public final class DaemonCommand<T extends Settings> {
+
+  private final String name;
+  private final String purpose;
+  private final T defaults;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  /** Creates the command line of one daemon. */
+  public DaemonCommand(String name, String purpose, T defaults, PrintStream out, PrintStream err) {
+    this.name = name;
+    this.purpose = purpose;
+    this.defaults = defaults;
+    this.out = out;
+    this.err = err;
+  }
+
+  /**
+   * Reads the arguments.
+   *
+   * @return the settings to run with, or the exit code to end with
+   */
+  public Either<Integer, T> parse(String... args) {
+    OptionParser parser = new OptionParser();
+    parser.accepts("check-settings", "check the settings, say so and end");
+    parser.accepts("print-defaults", "print the default settings and end");
+    parser.accepts("help", "print this help and end").forHelp();
+    parser.accepts("version", "print the version and end").forHelp();
+    OptionSpec<String> settings =
+        parser
+            .accepts("settings", "file of settings, JSON with comments")
+            .withRequiredArg()
+            .describedAs("FILE");
+    OptionSet given;
+    try {
+      given = parser.parse(args);
+    } catch (OptionException e) {
+      err.println(name + ": " + e.getMessage() + "; see " + name + " --help");
+      return Either.left(ExitCode.USAGE);
+    }
+    Optional<Integer> ended = answerQuestions(parser, given);
+    if (ended.isPresent()) {
+      return Either.left(ended.get());
+    }
+    if (!given.has(settings)) {
+      err.println(name + ": --settings FILE is required; --print-defaults shows its form");
+      return Either.left(ExitCode.USAGE);
+    }
+    Path file = Path.of(given.valueOf(settings));
+    Either<Failure, T> read = new SettingsReader().read(file, defaults);
+    if (read.isLeft()) {
+      err.println(name + ": " + read.getLeft().message());
+      return Either.left(ExitCode.USAGE);
+    }
+    if (given.has("check-settings")) {
+      out.println(name + ": " + file + ": settings are valid");
+      return Either.left(ExitCode.OK);
+    }
+    return Either.right(read.get());
+  }
+
+  private Optional<Integer> answerQuestions(OptionParser parser, OptionSet given) {
+    if (given.has("version")) {
+      out.println(name + " " + Version.PRODUCT + " (protocol " + Version.PROTOCOL + ")");
+      return Optional.of(ExitCode.OK);
+    }
+    if (given.has("help")) {
+      out.println(name + " - " + purpose);
+      try {
+        parser.printHelpOn(out);
+      } catch (IOException e) {
+        return Optional.of(ExitCode.FAILED);
+      }
+      return Optional.of(ExitCode.OK);
+    }
+    if (given.has("print-defaults")) {
+      out.println(new SettingsReader().print(defaults));
+      return Optional.of(ExitCode.OK);
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -0,0 +1,55 @@
+package org.cornelchute.core.message;
+
+import java.util.List;
+import org.cornelchute.core.model.Load;
+import org.cornelchute.core.model.Member;
+
+/** Messages about members, rules and load. */
+public sealed interface ControlMessage extends Message {
+
+  /** State of a member in somebody's view. */
+  enum Health {
+    /** Answers probes, directly or through others. */
+    ALIVE,
+    /** Did not answer; declared dead unless it objects in time. */
+    SUSPECT,
+    /** Did not object in time, or said goodbye. */
+    DEAD
+  }
+
+  /** Names the sender of all that follows on a connection; always the first frame. */
+  record Hello(String from) implements ControlMessage {}
+
+  /** One rumour about a member. */
+  record Rumour(Member member, Health health) {}
+
+  /** Probes the receiver; carries rumours and the highest rules version the sender knows of. */
+  record Ping(long sequence, String from, long configuration, List<Rumour> rumours)
+      implements ControlMessage {}
+
+  /** Answers a probe. */
+  record Ack(long sequence, String from, long configuration, List<Rumour> rumours)
+      implements ControlMessage {}
+
+  /** Asks the receiver to probe {@code address} and to pass the answer on. */
+  record PingRequest(long sequence, String from, String address, List<Rumour> rumours)
+      implements ControlMessage {}
+
+  /** Asks for all members the receiver knows, sent by a process that has just started. */
+  record MembersRequest(Member sender) implements ControlMessage {}
+
+  /** Lists all members the sender knows. */
+  record Members(List<Rumour> rumours) implements ControlMessage {}
+
+  /** Asks a peer for the rules above a version. */
+  record RulesRequest(long above) implements ControlMessage {}
+
+  /** Answers with a version of the rules and their full text. */
+  record RulesText(long version, String digest, String text) implements ControlMessage {}
+
+  /** Asks an agent for its load, sent when an entry connects. */
+  record LoadRequest() implements ControlMessage {}
+
+  /** Tells an entry the load of an agent's endpoint. */
+  record LoadReport(String member, Load load) implements ControlMessage {}
+}
--- /dev/null
+++ b/ctl/src/main/java/org/cornelchute/ctl/DigestCommand.java
@@ -0,0 +1,32 @@
+package org.cornelchute.ctl;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.cornelchute.core.cli.ExitCode;
+import org.cornelchute.policy.weights.Digests;
+
+/** Prints the digest of a workspace's key, as a {@code key} rule wants it. */
+final class DigestCommand implements Command {
+
+  @Override
+  public String name() {
+    return "digest";
+  }
+
+  @Override
+  public String arguments() {
+    return "KEY";
+  }
+
+  @Override
+  public String summary() {
+    return "print the SHA-256 of a workspace's key, for a 'key' rule";
+  }
+
+  @Override
+  public int run(Context c, List<String> arguments) {
+    String digest = Digests.sha256(arguments.get(0).getBytes(StandardCharsets.UTF_8));
+    c.print(digest, digest);
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/cornelchute/ctl/FileCommands.java
@@ -0,0 +1,75 @@
+package org.cornelchute.ctl;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.cornelchute.core.cli.ExitCode;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.rules.Rules;
+
+/** Commands on a rules file that change nothing. */
+final class FileCommands {
+
+  private FileCommands() {}
+
+  /** Checks a file. */
+  static final class Check implements Command {
+
+    @Override
+    public String name() {
+      return "check";
+    }
+
+    @Override
+    public String arguments() {
+      return "FILE";
+    }
+
+    @Override
+    public String summary() {
+      return "check a rules file; report every fault with line, column and what to write";
+    }
+
+    @Override
+    public int run(Context c, List<String> arguments) {
+      String file = arguments.get(0);
+      Either<Failure, Rules> checked =
+          RulesText.read(file).flatMap(text -> RulesText.check(file, 1, text));
+      if (checked.isLeft()) {
+        return c.fail(checked.getLeft());
+      }
+      c.print(checked.get().lines(), file + ": " + checked.get().lines().size() + " rules, valid");
+      return ExitCode.OK;
+    }
+  }
+
+  /** Compares a file with the rules in force. */
+  static final class Diff implements Command {
+
+    @Override
+    public String name() {
+      return "diff";
+    }
+
+    @Override
+    public String arguments() {
+      return "FILE";
+    }
+
+    @Override
+    public String summary() {
+      return "show what applying a file would remove (-) and add (+)";
+    }
+
+    @Override
+    public int run(Context c, List<String> arguments) {
+      Either<Failure, String> text = RulesText.read(arguments.get(0));
+      Either<Failure, String> current = c.log().head().flatMap(c.log()::text);
+      if (text.isLeft() || current.isLeft()) {
+        return c.fail(text.isLeft() ? text.getLeft() : current.getLeft());
+      }
+      List<String> changes = RulesText.diff(current.get(), text.get());
+      c.print(changes, changes.isEmpty() ? "no difference" : String.join("\n", changes));
+      return ExitCode.OK;
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/cornelchute/ctl/LogCommands.java
@@ -0,0 +1,152 @@
+package org.cornelchute.ctl;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelchute.core.cli.ExitCode;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.platform.ConfigurationRecord;
+import org.cornelchute.policy.rules.RuleLine;
+import org.cornelchute.policy.rules.Rules;
+
+/** Commands that read the log of accepted rules. */
+final class LogCommands {
+
+  private static final int HISTORY = 20;
+
+  private LogCommands() {}
+
+  /** Shows the text in force. */
+  static final class Show implements Command {
+
+    @Override
+    public String name() {
+      return "show";
+    }
+
+    @Override
+    public String arguments() {
+      return "[VERSION]";
+    }
+
+    @Override
+    public String summary() {
+      return "show the newest accepted rules, or those of a version";
+    }
+
+    @Override
+    public int run(Context c, List<String> arguments) {
+      Either<Failure, Long> version =
+          arguments.isEmpty()
+              ? c.log().head().map(RulesLog.Head::version)
+              : parse(arguments.get(0));
+      Either<Failure, ConfigurationRecord> record = version.flatMap(c.log()::version);
+      if (record.isLeft()) {
+        return c.fail(record.getLeft());
+      }
+      c.print(record.get(), record.get().text());
+      return ExitCode.OK;
+    }
+
+    private static Either<Failure, Long> parse(String text) {
+      return text.matches("[0-9]{1,18}")
+          ? Either.right(Long.parseLong(text))
+          : Either.left(Failure.invalid("'" + text + "' is not a version; write its number"));
+    }
+  }
+
+  /** Lists the newest versions. */
+  static final class History implements Command {
+
+    @Override
+    public String name() {
+      return "history";
+    }
+
+    @Override
+    public String arguments() {
+      return "";
+    }
+
+    @Override
+    public String summary() {
+      return "list the newest accepted versions: who, when and what changed";
+    }
+
+    @Override
+    public int run(Context c, List<String> arguments) {
+      Either<Failure, RulesLog.Head> head = c.log().head();
+      if (head.isLeft()) {
+        return c.fail(head.getLeft());
+      }
+      List<ConfigurationRecord> records = new ArrayList<>();
+      long newest = head.get().version();
+      for (long v = newest; v > 0 && v > newest - HISTORY; v--) {
+        Either<Failure, ConfigurationRecord> r = c.log().version(v);
+        if (r.isLeft()) {
+          return c.fail(r.getLeft());
+        }
+        records.add(r.get());
+      }
+      StringBuilder text = new StringBuilder();
+      for (int i = 0; i < records.size(); i++) {
+        ConfigurationRecord r = records.get(i);
+        text.append(r.version()).append("  ").append(Instant.ofEpochMilli(r.atMillis()));
+        text.append("  ").append(r.author()).append('\n');
+        boolean known = i + 1 < records.size() || r.version() == 1;
+        String before = i + 1 < records.size() ? records.get(i + 1).text() : "";
+        if (known) {
+          RulesText.diff(before, r.text()).forEach(d -> text.append("    ").append(d).append('\n'));
+        }
+      }
+      c.print(records, text.toString().stripTrailing());
+      return ExitCode.OK;
+    }
+  }
+
+  /** Explains what the rules say of a name. */
+  static final class Explain implements Command {
+
+    @Override
+    public String name() {
+      return "explain";
+    }
+
+    @Override
+    public String arguments() {
+      return "NAME";
+    }
+
+    @Override
+    public String summary() {
+      return "show what a name stands for and every rule that concerns it, with who asked";
+    }
+
+    @Override
+    public int run(Context c, List<String> arguments) {
+      Either<Failure, RulesLog.Head> head = c.log().head();
+      Either<Failure, String> text = head.flatMap(c.log()::text);
+      Either<Failure, Rules> rules =
+          text.flatMap(t -> RulesText.check("rules", head.get().version(), t));
+      if (rules.isLeft()) {
+        return c.fail(rules.getLeft());
+      }
+      String name = arguments.get(0);
+      String resolved = rules.get().resolve(name);
+      List<String> lines = text.get().lines().toList();
+      List<RuleLine> found = new ArrayList<>();
+      StringBuilder answer = new StringBuilder(name);
+      answer.append(resolved.equals(name) ? " is no alias" : " stands for " + resolved);
+      for (RuleLine l : rules.get().lines()) {
+        String line = lines.get(l.line() - 1);
+        if (line.contains(name) || line.contains(resolved)) {
+          found.add(l);
+          answer.append("\n  line ").append(l.line()).append(": ").append(line);
+        }
+      }
+      c.print(found, answer.toString());
+      return found.isEmpty() ? ExitCode.FAILED : ExitCode.OK;
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/cornelchute/ctl/StatusCommand.java
@@ -0,0 +1,94 @@
+package org.cornelchute.ctl;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.cornelchute.core.cli.ExitCode;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.outcome.Failure;
+
+/** Shows members, what they serve and which version of the rules is in force there. */
+final class StatusCommand implements Command {
+
+  private static final int DIGEST_CHARS = 8;
+  private static final long WATCH_MILLIS = 1_000;
+
+  private final boolean watch;
+
+  StatusCommand(boolean watch) {
+    this.watch = watch;
+  }
+
+  @Override
+  public String name() {
+    return watch ? "watch" : "status";
+  }
+
+  @Override
+  public String arguments() {
+    return "";
+  }
+
+  @Override
+  public String summary() {
+    return watch ? "show the status every second until stopped" : "show members and progress";
+  }
+
+  @Override
+  public int run(Context c, List<String> arguments) {
+    int code;
+    do {
+      code = show(c);
+      if (watch) {
+        try {
+          Thread.sleep(WATCH_MILLIS);
+        } catch (InterruptedException e) {
+          return code;
+        }
+      }
+    } while (watch && code == ExitCode.OK);
+    return code;
+  }
+
+  private int show(Context c) {
+    Either<Failure, List<Member>> members = c.members().list();
+    if (members.isLeft()) {
+      return c.fail(members.getLeft());
+    }
+    List<Member> sorted = new ArrayList<>(members.get());
+    sorted.sort((a, b) -> a.id().compareTo(b.id()));
+    StringBuilder text =
+        new StringBuilder(
+            String.format(
+                "%-20s %-6s %-16s %-7s %-30s %s",
+                "MEMBER", "ROLE", "DOMAIN", "RULES", "SERVES", "FETCHING"));
+    int ready = 0;
+    int wanting = 0;
+    for (Member m : sorted) {
+      String serves =
+          m.generation().model().isEmpty()
+              ? m.service()
+              : m.generation().model() + "@" + brief(m.generation().manifest());
+      boolean fetching = !m.wants().isEmpty() && !m.wants().equals(m.generation().manifest());
+      wanting += m.wants().isEmpty() ? 0 : 1;
+      ready += m.wants().isEmpty() || fetching ? 0 : 1;
+      text.append(
+          String.format(
+              "%n%-20s %-6s %-16s %-7d %-30s %s",
+              m.id() + (m.leaving() ? " (leaving)" : ""),
+              m.role().name().toLowerCase(Locale.ROOT),
+              m.domain(),
+              m.configuration(),
+              serves,
+              fetching ? brief(m.wants()) : ""));
+    }
+    text.append(String.format("%nreplicas on the wanted version: %d of %d", ready, wanting));
+    c.print(sorted, text.toString());
+    return ExitCode.OK;
+  }
+
+  private static String brief(String digest) {
+    return digest.substring(0, Math.min(DIGEST_CHARS, digest.length()));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/cornelchute/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operator command line. */
+package org.cornelchute.ctl;
--- /dev/null
+++ b/entry/src/main/java/org/cornelchute/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon: HTTP towards callers, routing towards agents. */
+package org.cornelchute.entry;
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/frame/Datagrams.java
@@ -0,0 +1,97 @@
+package org.cornelchute.net.frame;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.socket.DatagramPacket;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import org.cornelchute.core.kernel.Service;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.outcome.Failure;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.udp.UdpServer;
+
+/**
+ * Sends and receives one message a datagram, for probes that go to a different member each time.
+ *
+ * <p>A connection for each probe would cost more packets than the probe itself.
+ */
+public final class Datagrams implements Service {
+
+  private final String host;
+  private final int port;
+  private final MessageCodec codec;
+  private final Listener listener;
+  private final Meter received;
+  private final Meter sent;
+  private final Meter broken;
+  private Connection connection;
+
+  /** Creates an endpoint on {@code host:port}. */
+  public Datagrams(
+      String host, int port, MessageCodec codec, Listener listener, MetricRegistry metrics) {
+    this.host = host;
+    this.port = port;
+    this.codec = codec;
+    this.listener = listener;
+    this.received = metrics.meter("datagrams.received.bytes");
+    this.sent = metrics.meter("datagrams.sent.bytes");
+    this.broken = metrics.meter("datagrams.broken");
+  }
+
+  @Override
+  public void start() {
+    connection =
+        UdpServer.create()
+            .host(host)
+            .port(port)
+            .handle(
+                (in, out) ->
+                    in.receiveObject()
+                        .ofType(DatagramPacket.class)
+                        .doOnNext(this::handle)
+                        .then(Mono.never()))
+            .bindNow();
+  }
+
+  /** Sends a message; it may be lost. */
+  public void send(String address, Message message) {
+    byte[] bytes = codec.encode(message);
+    int colon = address.lastIndexOf(':');
+    InetSocketAddress to =
+        new InetSocketAddress(
+            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    sent.mark(bytes.length);
+    connection.channel().writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+  }
+
+  @Override
+  public void close() {
+    if (connection != null) {
+      connection.disposeNow();
+    }
+  }
+
+  private void handle(DatagramPacket packet) {
+    byte[] bytes = new byte[packet.content().readableBytes()];
+    packet.content().readBytes(bytes);
+    received.mark(bytes.length);
+    Either<Failure, Message> m = codec.decode(bytes);
+    if (m.isLeft()) {
+      broken.mark();
+      return;
+    }
+    InetSocketAddress from = packet.sender();
+    listener.received(from.getAddress().getHostAddress() + ":" + from.getPort(), m.get());
+  }
+
+  /** Receives messages; called on a network thread, must not block. */
+  @FunctionalInterface
+  public interface Listener {
+
+    /** Handles a message from an address. */
+    void received(String address, Message message);
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/frame/FrameClient.java
@@ -0,0 +1,169 @@
+package org.cornelchute.net.frame;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cornelchute.core.kernel.Service;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.outcome.Failure;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.tcp.TcpClient;
+
+/**
+ * Connections to other processes, one for each address, opened when first needed.
+ *
+ * <p>A message that could certainly not be sent is handed back as undelivered. A message written to
+ * a connection that then ends may or may not have arrived, which {@link Listener#lost} reports.
+ */
+public final class FrameClient implements Service {
+
+  private static final Logger LOG = LoggerFactory.getLogger(FrameClient.class);
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_WAITING = 4_096;
+
+  private final String self;
+  private final MessageCodec codec;
+  private final Listener listener;
+  private final Map<String, Link> links = new HashMap<>();
+  private boolean closed;
+
+  /**
+   * Creates a client.
+   *
+   * @param self member id that it gives in its greeting
+   * @param codec binds messages
+   * @param listener receives answers and losses
+   */
+  public FrameClient(String self, MessageCodec codec, Listener listener) {
+    this.self = self;
+    this.codec = codec;
+    this.listener = listener;
+  }
+
+  /** Sends a message; a connection is opened if there is none. */
+  public void send(String address, Message message) {
+    Channel channel = null;
+    boolean full = false;
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      Link link = links.get(address);
+      if (link == null) {
+        link = new Link();
+        links.put(address, link);
+        connect(address, link);
+      }
+      if (link.channel != null) {
+        channel = link.channel;
+      } else if (link.waiting.size() < MAX_WAITING) {
+        link.waiting.add(message);
+      } else {
+        full = true;
+      }
+    }
+    if (full) {
+      listener.undelivered(address, message);
+    } else if (channel != null) {
+      Framing.write(channel, codec.encode(message));
+    }
+  }
+
+  @Override
+  public synchronized void close() {
+    closed = true;
+    for (Link l : links.values()) {
+      if (l.channel != null) {
+        l.channel.close();
+      }
+    }
+    links.clear();
+  }
+
+  private void connect(String address, Link link) {
+    int colon = address.lastIndexOf(':');
+    TcpClient.newConnection()
+        .host(address.substring(0, colon))
+        .port(Integer.parseInt(address.substring(colon + 1)))
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .doOnConnected(c -> connected(address, link, c))
+        .handle((in, out) -> Mono.never())
+        .connect()
+        .subscribe(c -> {}, e -> failed(address, link));
+  }
+
+  private void connected(String address, Link link, Connection connection) {
+    Framing.install(connection);
+    connection
+        .inbound()
+        .receive()
+        .asByteArray()
+        .subscribe(
+            frame -> {
+              Either<Failure, Message> m = codec.decode(frame);
+              if (m.isLeft()) {
+                LOG.warn("closing connection to {}: {}", address, m.getLeft().message());
+                connection.dispose();
+              } else {
+                listener.received(address, m.get());
+              }
+            },
+            e -> connection.dispose());
+    connection.onDispose(() -> lost(address, link));
+    Channel channel = connection.channel();
+    synchronized (this) {
+      Framing.write(channel, codec.encode(new ControlMessage.Hello(self)));
+      for (Message m : link.waiting) {
+        Framing.write(channel, codec.encode(m));
+      }
+      link.waiting.clear();
+      link.channel = channel;
+    }
+  }
+
+  private void failed(String address, Link link) {
+    List<Message> undelivered;
+    synchronized (this) {
+      links.remove(address, link);
+      undelivered = new ArrayList<>(link.waiting);
+      link.waiting.clear();
+    }
+    for (Message m : undelivered) {
+      listener.undelivered(address, m);
+    }
+  }
+
+  private void lost(String address, Link link) {
+    synchronized (this) {
+      links.remove(address, link);
+    }
+    listener.lost(address);
+  }
+
+  /** Receives answers and losses; called on network threads, must not block. */
+  public interface Listener {
+
+    /** Handles a message that came back on a connection. */
+    void received(String address, Message message);
+
+    /** Handles the end of a connection; what was written on it may not have arrived. */
+    void lost(String address);
+
+    /** Handles a message that was certainly not sent. */
+    void undelivered(String address, Message message);
+  }
+
+  private static final class Link {
+    private final List<Message> waiting = new ArrayList<>();
+    private Channel channel;
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/frame/FrameListener.java
@@ -0,0 +1,19 @@
+package org.cornelchute.net.frame;
+
+import org.cornelchute.core.message.Message;
+
+/** Receives what comes in on frame connections; called on network threads, must not block. */
+public interface FrameListener {
+
+  /**
+   * Handles a message.
+   *
+   * @param connection number of the connection, unique within the process
+   * @param from member id that the peer gave in its greeting, or empty
+   * @param message the message
+   */
+  void received(long connection, String from, Message message);
+
+  /** Handles the end of a connection. */
+  void closed(long connection, String from);
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/frame/FrameServer.java
@@ -0,0 +1,115 @@
+package org.cornelchute.net.frame;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cornelchute.core.kernel.Service;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.outcome.Failure;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpServer;
+
+/** Accepts frame connections from other processes of the system. */
+public final class FrameServer implements Service {
+
+  private static final Logger LOG = LoggerFactory.getLogger(FrameServer.class);
+
+  private final String host;
+  private final int port;
+  private final MessageCodec codec;
+  private final FrameListener listener;
+  private final Meter broken;
+  private final AtomicLong numbers = new AtomicLong();
+  private final Map<Long, Channel> channels = new ConcurrentHashMap<>();
+  private DisposableServer server;
+
+  /** Creates a server that listens on {@code host:port} once started. */
+  public FrameServer(
+      String host, int port, MessageCodec codec, FrameListener listener, MetricRegistry metrics) {
+    this.host = host;
+    this.port = port;
+    this.codec = codec;
+    this.listener = listener;
+    this.broken = metrics.meter("frames.broken");
+  }
+
+  @Override
+  public void start() {
+    server =
+        TcpServer.create()
+            .host(host)
+            .port(port)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .doOnConnection(this::accept)
+            .handle((in, out) -> Mono.never())
+            .bindNow();
+  }
+
+  /** Sends a message on a connection; it is lost if the connection is gone. */
+  public void send(long connection, Message message) {
+    Channel c = channels.get(connection);
+    if (c != null) {
+      Framing.write(c, codec.encode(message));
+    }
+  }
+
+  /** Sends a message to every connection. */
+  public void broadcast(Message message) {
+    byte[] frame = codec.encode(message);
+    for (Channel c : channels.values()) {
+      Framing.write(c, frame);
+    }
+  }
+
+  @Override
+  public void close() {
+    if (server != null) {
+      server.disposeNow();
+    }
+    channels.values().forEach(Channel::close);
+  }
+
+  private void accept(Connection connection) {
+    long number = numbers.incrementAndGet();
+    String[] from = {""};
+    channels.put(number, connection.channel());
+    connection.onDispose(
+        () -> {
+          channels.remove(number);
+          listener.closed(number, from[0]);
+        });
+    Framing.install(connection);
+    connection
+        .inbound()
+        .receive()
+        .asByteArray()
+        .subscribe(
+            frame -> {
+              Either<Failure, Message> m = codec.decode(frame);
+              if (m.isLeft()) {
+                refuse(connection, m.getLeft());
+              } else if (m.get() instanceof ControlMessage.Hello h) {
+                from[0] = h.from();
+              } else {
+                listener.received(number, from[0], m.get());
+              }
+            },
+            e -> refuse(connection, Failure.invalid(String.valueOf(e.getMessage()))));
+  }
+
+  private void refuse(Connection connection, Failure failure) {
+    broken.mark();
+    LOG.warn("closing connection from {}: {}", connection.channel().remoteAddress(), failure);
+    connection.dispose();
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -0,0 +1,126 @@
+package org.cornelchute.net.frame;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cornelchute.core.Version;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.message.ServingMessage;
+import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.outcome.Failure;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Binds messages to MessagePack.
+ *
+ * <p>Layout: one byte protocol version, one byte message type, then the record's components as a
+ * MessagePack array in the order of their declaration. New types are added at the end of the list;
+ * any other change raises {@link Version#PROTOCOL}.
+ */
+public final class MessageCodec {
+
+  private static final int HEADER_BYTES = 2;
+
+  private static final List<Class<? extends Message>> TYPES =
+      List.of(
+          ControlMessage.Hello.class,
+          ControlMessage.Ping.class,
+          ControlMessage.Ack.class,
+          ControlMessage.PingRequest.class,
+          ControlMessage.MembersRequest.class,
+          ControlMessage.Members.class,
+          ControlMessage.RulesRequest.class,
+          ControlMessage.RulesText.class,
+          ControlMessage.LoadRequest.class,
+          ControlMessage.LoadReport.class,
+          ServingMessage.Dispatch.class,
+          ServingMessage.Cancel.class,
+          ServingMessage.Seal.class,
+          ServingMessage.NotRun.class,
+          ServingMessage.FateUnknown.class,
+          ServingMessage.Running.class,
+          ServingMessage.AnswerHead.class,
+          ServingMessage.AnswerPart.class,
+          ServingMessage.AnswerEnd.class,
+          SwarmMessage.Holding.class,
+          SwarmMessage.Have.class,
+          SwarmMessage.ChunkRequest.class,
+          SwarmMessage.ChunkData.class,
+          SwarmMessage.ChunkRefused.class);
+
+  private final List<ObjectReader> readers = new ArrayList<>();
+  private final Map<Class<?>, Integer> codes = new HashMap<>();
+  private final ObjectWriter writer;
+
+  /** Creates a codec; it is immutable and shared between threads. */
+  public MessageCodec() {
+    ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+    mapper.setAnnotationIntrospector(new RecordsAsArrays());
+    this.writer = mapper.writer();
+    for (Class<? extends Message> type : TYPES) {
+      codes.put(type, readers.size());
+      readers.add(mapper.readerFor(type));
+    }
+  }
+
+  /** Encodes a message. */
+  public byte[] encode(Message message) {
+    try {
+      byte[] body = writer.writeValueAsBytes(message);
+      byte[] frame = new byte[HEADER_BYTES + body.length];
+      frame[0] = (byte) Version.PROTOCOL;
+      frame[1] = codes.get(message.getClass()).byteValue();
+      System.arraycopy(body, 0, frame, HEADER_BYTES, body.length);
+      return frame;
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("message cannot be encoded: " + message.getClass(), e);
+    }
+  }
+
+  /** Decodes a frame; a broken one or one of another protocol version becomes a failure. */
+  public Either<Failure, Message> decode(byte[] frame) {
+    if (frame.length < HEADER_BYTES) {
+      return Either.left(Failure.invalid("frame is too short"));
+    }
+    if (frame[0] != Version.PROTOCOL) {
+      return Either.left(
+          Failure.invalid(
+              "peer speaks protocol " + frame[0] + ", this process " + Version.PROTOCOL));
+    }
+    int code = frame[1];
+    if (code < 0 || code >= readers.size()) {
+      return Either.left(Failure.invalid("unknown message type " + code));
+    }
+    try {
+      return Either.right(
+          readers.get(code).readValue(frame, HEADER_BYTES, frame.length - HEADER_BYTES));
+    } catch (IOException | IllegalArgumentException e) {
+      return Either.left(Failure.invalid("broken frame of type " + code));
+    }
+  }
+
+  /** Writes every record as an array, which spares the names of its components. */
+  private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
+
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    public JsonFormat.Value findFormat(Annotated annotated) {
+      if (annotated.getRawType().isRecord()) {
+        return JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+      }
+      return super.findFormat(annotated);
+    }
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/platform/OriginClient.java
@@ -0,0 +1,56 @@
+package org.cornelchute.net.platform;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.weights.Manifest;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
+import reactor.netty.http.client.HttpClient;
+
+/** Client of the origin of weights: manifests by label, chunks by digest. */
+public final class OriginClient {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int OK = 200;
+
+  private final HttpClient http;
+
+  /** Creates a client of the origin at {@code http://host:port}. */
+  public OriginClient(String baseUrl) {
+    this.http = HttpClient.create().baseUrl(baseUrl).responseTimeout(TIMEOUT);
+  }
+
+  /** Reads the manifest of a version. */
+  public Mono<Either<Failure, Manifest>> manifest(String model, String version) {
+    return get("/weights/" + model + "/" + version + "/manifest")
+        .map(r -> r.flatMap(b -> Manifest.parse(new String(b, StandardCharsets.UTF_8))));
+  }
+
+  /** Reads a chunk; the caller verifies it. */
+  public Mono<Either<Failure, byte[]>> chunk(String digest) {
+    return get("/chunks/" + digest);
+  }
+
+  private Mono<Either<Failure, byte[]>> get(String uri) {
+    return http.get()
+        .uri(uri)
+        .responseSingle(
+            (response, body) ->
+                read(body).map(bytes -> check(response.status().code(), uri, bytes)))
+        .timeout(TIMEOUT)
+        .onErrorResume(
+            e -> Mono.just(Either.left(Failure.unavailable("origin: " + e.getMessage()))));
+  }
+
+  private static Mono<byte[]> read(ByteBufMono body) {
+    return body.asByteArray().defaultIfEmpty(new byte[0]);
+  }
+
+  private static Either<Failure, byte[]> check(int status, String uri, byte[] bytes) {
+    return status == OK
+        ? Either.right(bytes)
+        : Either.left(Failure.unavailable("origin answered " + status + " to " + uri));
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -0,0 +1,140 @@
+package org.cornelchute.net.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ConnectTimeoutException;
+import io.vavr.control.Either;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelchute.core.outcome.Failure;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Client of the platform's table service and its list of VMs.
+ *
+ * <p>Every outcome is a value. A failure is {@code UNAVAILABLE} only if the service certainly did
+ * not act: the connection was refused, or the service itself said so. A lost answer is {@code
+ * UNKNOWN} and is resolved by reading the row.
+ */
+public final class TableClient {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+
+  private final HttpClient http;
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  /** Creates a client of the service at {@code http://host:port}. */
+  public TableClient(String baseUrl) {
+    this.http = HttpClient.create().baseUrl(baseUrl).responseTimeout(TIMEOUT);
+  }
+
+  /** Reads a row; an empty value means that there is none. */
+  public Mono<Either<Failure, Optional<TableRow>>> read(String key) {
+    return http.get()
+        .uri("/table/" + key)
+        .responseSingle(
+            (response, body) ->
+                body.asString(StandardCharsets.UTF_8)
+                    .defaultIfEmpty("")
+                    .map(text -> parseRow(response.status().code(), text)))
+        .timeout(TIMEOUT)
+        .onErrorResume(e -> Mono.just(Either.left(describe(e))));
+  }
+
+  /** Writes one row by compare-and-set; returns its new version. */
+  public Mono<Either<Failure, Long>> write(TableWrite write) {
+    return commit(List.of(write)).map(r -> r.map(versions -> versions.get(0)));
+  }
+
+  /** Writes several rows in one transaction; returns their new versions. */
+  public Mono<Either<Failure, List<Long>>> commit(List<TableWrite> writes) {
+    byte[] body;
+    try {
+      body = mapper.writeValueAsBytes(Map.of("writes", writes));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("writes cannot be encoded", e);
+    }
+    return http.headers(h -> h.set("Content-Type", "application/json"))
+        .post()
+        .uri("/table")
+        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+        .responseSingle(
+            (response, content) ->
+                content
+                    .asString(StandardCharsets.UTF_8)
+                    .defaultIfEmpty("")
+                    .map(text -> parseCommit(response.status().code(), text)))
+        .timeout(TIMEOUT)
+        .onErrorResume(e -> Mono.just(Either.left(describe(e))));
+  }
+
+  /** Reads the platform's list of VMs: addresses of the processes on them. */
+  public Mono<Either<Failure, List<String>>> listAddresses() {
+    return http.get()
+        .uri("/vms")
+        .responseSingle(
+            (response, body) -> body.asString(StandardCharsets.UTF_8).map(this::parseAddresses))
+        .timeout(TIMEOUT)
+        .onErrorResume(e -> Mono.just(Either.left(describe(e))));
+  }
+
+  private Either<Failure, Optional<TableRow>> parseRow(int status, String text) {
+    if (status == NOT_FOUND) {
+      return Either.right(Optional.empty());
+    }
+    if (status != OK) {
+      return Either.left(Failure.unavailable("table service answered " + status));
+    }
+    try {
+      JsonNode row = mapper.readTree(text);
+      return Either.right(
+          Optional.of(new TableRow(row.path("value").asText(), row.path("version").asLong())));
+    } catch (JsonProcessingException e) {
+      return Either.left(Failure.unknown("table service answered something else than JSON"));
+    }
+  }
+
+  private Either<Failure, List<Long>> parseCommit(int status, String text) {
+    if (status == CONFLICT) {
+      return Either.left(new Failure(Failure.Code.CONFLICT, "another writer was first"));
+    }
+    if (status != OK) {
+      return Either.left(Failure.unavailable("table service answered " + status));
+    }
+    try {
+      List<Long> versions = new ArrayList<>();
+      mapper.readTree(text).path("versions").forEach(v -> versions.add(v.asLong()));
+      return Either.right(versions);
+    } catch (JsonProcessingException e) {
+      return Either.left(Failure.unknown("table service answered something else than JSON"));
+    }
+  }
+
+  private Either<Failure, List<String>> parseAddresses(String text) {
+    try {
+      List<String> addresses = new ArrayList<>();
+      mapper.readTree(text).forEach(v -> addresses.add(v.path("address").asText()));
+      return Either.right(addresses);
+    } catch (JsonProcessingException e) {
+      return Either.left(Failure.unknown("VM list is not JSON"));
+    }
+  }
+
+  private static Failure describe(Throwable e) {
+    if (e instanceof ConnectException || e instanceof ConnectTimeoutException) {
+      return Failure.unavailable("table service cannot be reached");
+    }
+    return Failure.unknown("no answer from the table service: " + e.getClass().getSimpleName());
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/util/ProcessGauges.java
@@ -0,0 +1,48 @@
+package org.cornelchute.net.util;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Metrics of the process itself: processor time, resident memory, heap and threads. */
+public final class ProcessGauges {
+
+  private static final long PAGE_BYTES = 4_096;
+  private static final long MILLIS = 1_000_000;
+
+  private ProcessGauges() {}
+
+  /** Registers the gauges under {@code process}. */
+  public static void register(MetricRegistry metrics) {
+    metrics.register("process.cpu.millis", (Gauge<Long>) ProcessGauges::cpuMillis);
+    metrics.register("process.resident.bytes", (Gauge<Long>) ProcessGauges::residentBytes);
+    metrics.register(
+        "process.heap.bytes",
+        (Gauge<Long>) () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+    metrics.register(
+        "process.threads",
+        (Gauge<Integer>) () -> ManagementFactory.getThreadMXBean().getThreadCount());
+  }
+
+  /** Returns the processor time that this process has used, in milliseconds. */
+  public static long cpuMillis() {
+    if (ManagementFactory.getOperatingSystemMXBean()
+        instanceof com.sun.management.OperatingSystemMXBean os) {
+      return os.getProcessCpuTime() / MILLIS;
+    }
+    return -1;
+  }
+
+  /** Returns the resident memory in bytes, or -1 where the system does not tell. */
+  public static long residentBytes() {
+    try {
+      String[] fields = Files.readString(Path.of("/proc/self/statm")).split(" ");
+      return Long.parseLong(fields[1]) * PAGE_BYTES;
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/admission/AttemptKey.java
@@ -0,0 +1,4 @@
+package org.cornelchute.policy.admission;
+
+/** Identity of one attempt at one request. */
+public record AttemptKey(String request, int attempt) {}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/fairness/FairQueue.java
@@ -0,0 +1,156 @@
+package org.cornelchute.policy.fairness;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * A bounded queue that shares service between workspaces by weight.
+ *
+ * <p>Start-time fair queueing; source: Goyal, Vin and Cheng, 1996. The workspace with the smallest
+ * start tag goes first and its tag grows by cost over weight. Costs are tokens; an estimate is
+ * corrected by {@link #charge} when the true cost is known. Priorities order requests inside one
+ * workspace only.
+ *
+ * @param <T> type of the items
+ */
+public final class FairQueue<T> {
+
+  /** A lane idle for so long, counted in other lanes' service, is forgotten. */
+  private static final int MAX_LANES = 4_096;
+
+  private final int capacity;
+  private final Map<String, Lane<T>> lanes = new HashMap<>();
+  private double virtualTime;
+  private long arrivals;
+  private int size;
+
+  /** Creates an empty queue for at most {@code capacity} items. */
+  public FairQueue(int capacity) {
+    this.capacity = capacity;
+  }
+
+  /** Returns the number of items waiting. */
+  public int size() {
+    return size;
+  }
+
+  /** Returns the number of items that a workspace has waiting. */
+  public int size(String workspace) {
+    Lane<T> lane = lanes.get(workspace);
+    return lane == null ? 0 : lane.items.size();
+  }
+
+  /**
+   * Adds an item.
+   *
+   * <p>When the queue is full, the workspace that has most waiting in relation to its weight gives
+   * up its newest item, so that a flood displaces only itself.
+   *
+   * @return the item that found no room, which may be the one offered; empty if all have room
+   */
+  public Optional<T> offer(String workspace, int weight, int priority, int cost, T item) {
+    Lane<T> lane = lane(workspace, weight);
+    if (lane.items.isEmpty()) {
+      lane.start = Math.max(lane.start, virtualTime);
+    }
+    lane.items.put(new Position(-priority, arrivals++), new Item<>(item, cost));
+    size++;
+    if (size <= capacity) {
+      return Optional.empty();
+    }
+    Lane<T> longest = lane;
+    for (Lane<T> l : lanes.values()) {
+      if ((double) l.items.size() / l.weight > (double) longest.items.size() / longest.weight) {
+        longest = l;
+      }
+    }
+    size--;
+    return Optional.of(longest.items.pollLastEntry().getValue().item);
+  }
+
+  /** Puts an item back that was polled but could not be served, ahead of its workspace's others. */
+  public void putBack(String workspace, int weight, int priority, int cost, T item) {
+    Lane<T> lane = lane(workspace, weight);
+    lane.start -= (double) cost / lane.weight;
+    lane.items.put(new Position(-priority, -arrivals++), new Item<>(item, cost));
+    size++;
+  }
+
+  /** Takes the next item for which {@code servable} holds, in fair order. */
+  public Optional<T> poll(Predicate<T> servable) {
+    List<Lane<T>> ordered = new ArrayList<>();
+    for (Lane<T> l : lanes.values()) {
+      if (!l.items.isEmpty()) {
+        ordered.add(l);
+      }
+    }
+    ordered.sort((a, b) -> Double.compare(a.start, b.start));
+    for (Lane<T> l : ordered) {
+      Item<T> first = l.items.firstEntry().getValue();
+      if (!servable.test(first.item)) {
+        continue;
+      }
+      l.items.pollFirstEntry();
+      size--;
+      virtualTime = Math.max(virtualTime, l.start);
+      l.start += (double) first.cost / l.weight;
+      return Optional.of(first.item);
+    }
+    return Optional.empty();
+  }
+
+  /** Corrects what a workspace was charged; {@code cost} is negative if the estimate was high. */
+  public void charge(String workspace, int cost) {
+    Lane<T> lane = lanes.get(workspace);
+    if (lane != null) {
+      lane.start += (double) cost / lane.weight;
+    }
+  }
+
+  /** Removes and returns every item for which {@code gone} holds. */
+  public List<T> removeIf(Predicate<T> gone) {
+    List<T> removed = new ArrayList<>();
+    for (Lane<T> l : lanes.values()) {
+      Iterator<Item<T>> items = l.items.values().iterator();
+      while (items.hasNext()) {
+        Item<T> each = items.next();
+        if (gone.test(each.item)) {
+          items.remove();
+          removed.add(each.item);
+          size--;
+        }
+      }
+    }
+    return removed;
+  }
+
+  private Lane<T> lane(String workspace, int weight) {
+    if (lanes.size() >= MAX_LANES) {
+      lanes.values().removeIf(l -> l.items.isEmpty() && l.start <= virtualTime);
+    }
+    Lane<T> lane = lanes.computeIfAbsent(workspace, w -> new Lane<>());
+    lane.weight = Math.max(1, weight);
+    return lane;
+  }
+
+  private static final class Lane<T> {
+    private final TreeMap<Position, Item<T>> items = new TreeMap<>();
+    private double start;
+    private int weight = 1;
+  }
+
+  private record Item<T>(T item, int cost) {}
+
+  private record Position(int rank, long arrival) implements Comparable<Position> {
+    @Override
+    public int compareTo(Position o) {
+      return rank != o.rank ? Integer.compare(rank, o.rank) : Long.compare(arrival, o.arrival);
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipEffect.java
@@ -0,0 +1,20 @@
+package org.cornelchute.policy.membership;
+
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.model.Member;
+
+/** What a {@link MembershipDecider} asks its duty to do. */
+public sealed interface MembershipEffect {
+
+  /** Send a datagram; it may be lost. */
+  record Datagram(String address, ControlMessage message) implements MembershipEffect {}
+
+  /** Ask the process at an address for all members it knows, over a connection. */
+  record AskMembers(String address) implements MembershipEffect {}
+
+  /** The view of a member has changed. */
+  record Changed(Member member, ControlMessage.Health health) implements MembershipEffect {}
+
+  /** A region's members vanished together, or came back. */
+  record RegionReachable(String region, boolean reachable) implements MembershipEffect {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -0,0 +1,827 @@
+package org.cornelchute.policy.routing;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.cornelchute.core.log.Decision;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.ControlMessage.Health;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.message.ServingMessage;
+import org.cornelchute.core.message.ServingMessage.Reason;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Load;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.fairness.FairQueue;
+import org.cornelchute.policy.rules.Rule;
+import org.cornelchute.policy.rules.Rules;
+import org.cornelchute.policy.util.TokenBucket;
+
+/**
+ * Brings every request of one entry to exactly one outcome: a whole answer, a refusal that is true,
+ * an answer visibly cut off, or the word that the outcome is unknown.
+ *
+ * <p>A request that may not be repeated goes to one agent under one identity. If that agent's
+ * answer is lost, the entry does not send it again but asks the agent to seal it: either it ran and
+ * the agent replays the answer, or it never will run. The rule that only work certain not to have
+ * run, or marked as repeatable, is retried follows the reading on automatic retries of durable
+ * objects; the seal goes beyond it, since there the caller gets the error of the first attempt.
+ */
+public final class RequestDecider {
+
+  private static final long SEAL_INTERVAL_MILLIS = 250;
+  private static final long SILENCE_MILLIS = 2_000;
+  private static final long BACKOFF_BASE_MILLIS = 10;
+  private static final long BACKOFF_MAX_MILLIS = 1_000;
+  private static final long AVOID_MILLIS = 500;
+  private static final int RETRY_BURST = 10;
+  private static final double RETRIES_PER_SECOND = 1;
+  private static final int RETRY_AFTER_SECONDS = 1;
+
+  private final RoutingOptions options;
+  private final EndpointTable table;
+  private final Random random;
+  private final Map<String, Live> requests = new LinkedHashMap<>();
+  private final Map<String, List<Live>> byWire = new HashMap<>();
+  private final Map<Target, FairQueue<Live>> queues = new HashMap<>();
+  private final Map<Target, TokenBucket> retryBudgets = new HashMap<>();
+  private final Map<String, TokenBucket> rates = new HashMap<>();
+  private final Map<String, Member> entries = new HashMap<>();
+  private Rules rules = Rules.NONE;
+  private boolean leaving;
+
+  /**
+   * Creates a decider that knows no rules and no endpoints.
+   *
+   * @param self member id of this entry
+   * @param region region it stands in
+   * @param options limits
+   * @param seed seed of the random choices
+   */
+  public RequestDecider(String self, String region, RoutingOptions options, long seed) {
+    this.options = options;
+    this.table = new EndpointTable(self, region, options, seed);
+    this.random = new Random(seed);
+  }
+
+  // Accessors
+
+  /** Returns the number of requests without an outcome. */
+  public int size() {
+    return requests.size();
+  }
+
+  /** Returns the number of requests waiting for an endpoint. */
+  public int waiting() {
+    int n = 0;
+    for (FairQueue<Live> q : queues.values()) {
+      n += q.size();
+    }
+    return n;
+  }
+
+  /** Returns whether the entry knows any rules. */
+  public boolean ready() {
+    return rules.version() > 0 && !leaving;
+  }
+
+  // Inputs from callers
+
+  /** Handles a new request. */
+  public List<RoutingEffect> arrive(long now, RequestSpec spec) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    if (!ready()) {
+      refuse(effects, spec, Refusal.NOT_RUN, leaving ? "entry is leaving" : "no rules known yet");
+      return effects;
+    }
+    if (!withinRate(now, spec.workspace())) {
+      refuse(effects, spec, Refusal.RATE_LIMITED, "workspace is above its rate limit");
+      return effects;
+    }
+    Live r = new Live(spec, now);
+    requests.put(spec.id(), r);
+    budget(spec.target(), now).add(options.retryShare());
+    if (spec.claim().isEmpty()) {
+      bind(r, spec.id());
+      enqueue(now, effects, r);
+    } else {
+      r.stage = Live.Stage.CLAIM_READ;
+      effects.add(new RoutingEffect.ReadClaim(spec.id(), spec.claim()));
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Handles a caller that went away: nobody waits for the answer any more. */
+  public List<RoutingEffect> callerGone(long now, String id) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    Live r = requests.get(id);
+    if (r == null) {
+      return effects;
+    }
+    if (r.stage == Live.Stage.SENT && r.spec.repeatable()) {
+      send(effects, r, new ServingMessage.Cancel(r.wire, r.attempt));
+    }
+    forget(r);
+    serve(now, effects);
+    return effects;
+  }
+
+  // Inputs from agents
+
+  /** Handles a message from an agent. */
+  public List<RoutingEffect> received(long now, String agent, Message message) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    if (message instanceof ControlMessage.LoadReport m) {
+      report(m.member(), m.load());
+    } else if (message instanceof ServingMessage.NotRun m) {
+      report(agent, m.load());
+      if (m.reason() == Reason.BUSY) {
+        // The agent says when it has room again; until then only a short pause helps.
+        table.find(agent).ifPresent(e -> e.avoidUntil = now + BACKOFF_BASE_MILLIS);
+      }
+      for (Live r : current(m, agent)) {
+        notRun(now, effects, r, m.reason());
+      }
+    } else if (message instanceof ServingMessage.FateUnknown m) {
+      for (Live r : current(m, agent)) {
+        refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "the agent cannot tell whether it ran");
+      }
+    } else if (message instanceof ServingMessage.Running m) {
+      for (Live r : current(m, agent)) {
+        r.since = now;
+        r.lastFrame = now;
+      }
+    } else if (message instanceof ServingMessage.AnswerHead m) {
+      for (Live r : current(m, agent)) {
+        head(now, effects, r, m);
+      }
+    } else if (message instanceof ServingMessage.AnswerPart m) {
+      for (Live r : current(m, agent)) {
+        part(now, effects, r, m);
+      }
+    } else if (message instanceof ServingMessage.AnswerEnd m) {
+      report(agent, m.load());
+      for (Live r : current(m, agent)) {
+        end(now, effects, r, m);
+      }
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Handles the loss of the connection to an agent: what became of its requests is not known. */
+  public List<RoutingEffect> agentLost(long now, String agent) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    avoid(now, agent);
+    for (Live r : on(agent)) {
+      lost(now, effects, r, false);
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Handles a message that was certainly never sent, as no connection could be made. */
+  public List<RoutingEffect> undelivered(long now, String agent, Message message) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    avoid(now, agent);
+    if (message instanceof ServingMessage.Dispatch d) {
+      for (Live r : current(d, agent)) {
+        notRun(now, effects, r, Reason.ENDPOINT_DOWN);
+      }
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  // Inputs from control
+
+  /** Takes a change of a member. */
+  public List<RoutingEffect> memberChanged(long now, Member m, Health health) {
+    if (m.role() == Role.ENTRY) {
+      entries.put(m.id(), m);
+      if (health == Health.DEAD || m.leaving()) {
+        entries.remove(m.id());
+      }
+      return List.of();
+    }
+    final List<RoutingEffect> effects = new ArrayList<>();
+    boolean known = table.find(m.id()).isPresent();
+    table.changed(m, health, rules);
+    if (!known && health != Health.DEAD) {
+      effects.add(new RoutingEffect.Send(m.id(), m.address(), new ControlMessage.LoadRequest()));
+    }
+    for (Live r : on(m.id())) {
+      boolean gone = health == Health.DEAD || r.boot != m.boot();
+      if (gone && r.spec.repeatable()) {
+        lost(now, effects, r, false);
+      } else if (gone) {
+        refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "the agent died with the request");
+      }
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Takes new rules. */
+  public List<RoutingEffect> rules(long now, Rules adopted) {
+    rules = adopted;
+    rates.clear();
+    table.rules(adopted);
+    List<RoutingEffect> effects = new ArrayList<>();
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Stops taking new requests for good; what is here goes on to its outcome. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Advances deadlines, seals and retries. */
+  public List<RoutingEffect> tick(long now) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    for (Live r : new ArrayList<>(requests.values())) {
+      if (!requests.containsKey(r.spec.id())) {
+        continue;
+      }
+      expire(now, effects, r);
+    }
+    for (Endpoint e : table.all()) {
+      if (e.load == null || e.load.boot() != e.member.boot()) {
+        askLoad(now, effects, e);
+      }
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  // Inputs from the table service
+
+  /** Takes a claim row, or its absence. */
+  public List<RoutingEffect> claimRead(long now, String id, Optional<Claim> claim, long version) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    Live r = requests.get(id);
+    if (r == null) {
+      return effects;
+    }
+    r.claimVersion = version;
+    if (claim.isEmpty()) {
+      r.attempt = 0;
+      bind(r, r.spec.claim());
+      enqueue(now, effects, r);
+    } else if (!claim.get().fingerprint().equals(r.spec.fingerprint())) {
+      refuse(effects, r, Refusal.KEY_REUSED, "the idempotency key was used for another request");
+    } else if (r.stage == Live.Stage.CLAIM_WRITE && claim.get().equals(claimOf(r))) {
+      // The write took effect although its answer was lost.
+      dispatch(now, effects, r);
+    } else {
+      follow(now, effects, r, claim.get());
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Takes the result of writing a claim row: its new version, or why there is none. */
+  public List<RoutingEffect> claimWritten(long now, String id, Either<Failure, Long> written) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    Live r = requests.get(id);
+    if (r == null || r.stage != Live.Stage.CLAIM_WRITE) {
+      return effects;
+    }
+    if (written.isRight()) {
+      r.claimVersion = written.get();
+      dispatch(now, effects, r);
+    } else if (written.getLeft().code() == Failure.Code.UNAVAILABLE) {
+      storeOut(effects, r);
+    } else {
+      effects.add(new RoutingEffect.ReadClaim(id, r.spec.claim()));
+    }
+    serve(now, effects);
+    return effects;
+  }
+
+  /** Handles a claim row that could not be read: nothing was sent, so the request did not run. */
+  public List<RoutingEffect> claimFailed(long now, String id) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    Live r = requests.get(id);
+    if (r != null) {
+      storeOut(effects, r);
+      serve(now, effects);
+    }
+    return effects;
+  }
+
+  // Answers
+
+  private void head(long now, List<RoutingEffect> effects, Live r, ServingMessage.AnswerHead m) {
+    r.lastFrame = now;
+    if (r.headReceived) {
+      return;
+    }
+    r.headReceived = true;
+    r.status = m.status();
+    r.contentType = m.contentType();
+    r.manifest = m.generation().manifest();
+    boolean continues = r.headDelivered && m.status() != 200;
+    if (continues) {
+      cut(effects, r, "the endpoint did not resume the stream");
+    }
+  }
+
+  private void part(long now, List<RoutingEffect> effects, Live r, ServingMessage.AnswerPart m) {
+    r.lastFrame = now;
+    if (m.index() != r.nextPart || !r.headReceived) {
+      // A replay brings parts again that came before; a gap shows at the end by the count.
+      return;
+    }
+    r.nextPart++;
+    r.receivedBytes += m.bytes().length;
+    if (!r.spec.stream() || r.status != 200) {
+      r.held.add(m.bytes());
+      r.heldBytes += m.bytes().length;
+      if (r.heldBytes > options.bufferedBytes()) {
+        release(effects, r);
+      }
+      return;
+    }
+    deliverEvents(effects, r, m.bytes());
+  }
+
+  /** Delivers whole events only, so that a resumed stream continues at an event's boundary. */
+  private static void deliverEvents(List<RoutingEffect> effects, Live r, byte[] bytes) {
+    byte[] all = bytes;
+    if (r.tail.length > 0) {
+      all = Arrays.copyOf(r.tail, r.tail.length + bytes.length);
+      System.arraycopy(bytes, 0, all, r.tail.length, bytes.length);
+    }
+    int end = 0;
+    int events = 0;
+    for (int i = 0; i + 1 < all.length; i++) {
+      if (all[i] == '\n' && all[i + 1] == '\n') {
+        events++;
+        end = i + 2;
+        i++;
+      }
+    }
+    r.tail = Arrays.copyOfRange(all, end, all.length);
+    if (end == 0) {
+      return;
+    }
+    deliverHead(effects, r);
+    r.eventsDelivered += events;
+    byte[] whole = end == all.length ? all : Arrays.copyOf(all, end);
+    effects.add(new RoutingEffect.Part(r.spec.id(), whole));
+  }
+
+  private void end(long now, List<RoutingEffect> effects, Live r, ServingMessage.AnswerEnd m) {
+    boolean whole =
+        m.whole() && r.headReceived && m.parts() == r.nextPart && m.bytes() == r.receivedBytes;
+    if (whole) {
+      release(effects, r);
+      if (r.tail.length > 0) {
+        effects.add(new RoutingEffect.Part(r.spec.id(), r.tail));
+      }
+      effects.add(new RoutingEffect.Finish(r.spec.id()));
+      charge(r, m.tokens());
+      forget(r);
+      return;
+    }
+    if (m.whole() && r.stage == Live.Stage.SEALING) {
+      // The end of the first listener's copy; the replay for this one is still to come.
+      return;
+    }
+    lost(now, effects, r, true);
+  }
+
+  private static void deliverHead(List<RoutingEffect> effects, Live r) {
+    if (!r.headDelivered) {
+      r.headDelivered = true;
+      effects.add(new RoutingEffect.Head(r.spec.id(), r.status, r.contentType, r.manifest));
+    }
+  }
+
+  private static void release(List<RoutingEffect> effects, Live r) {
+    deliverHead(effects, r);
+    for (byte[] b : r.held) {
+      effects.add(new RoutingEffect.Part(r.spec.id(), b));
+    }
+    r.held.clear();
+    r.heldBytes = 0;
+  }
+
+  // Attempts
+
+  private void notRun(long now, List<RoutingEffect> effects, Live r, Reason reason) {
+    boolean sealedByOther = reason == Reason.SEALED && r.stage == Live.Stage.SENT;
+    settle(r);
+    if (sealedByOther) {
+      // Another caller with the same key sealed it; that one carries on.
+      refuse(effects, r, Refusal.NOT_RUN, "the attempt was sealed by a later caller");
+      return;
+    }
+    if (reason == Reason.DEADLINE) {
+      refuse(effects, r, Refusal.NOT_RUN, "deadline passed while waiting");
+      return;
+    }
+    r.retrying = reason == Reason.ENDPOINT_DOWN;
+    if (reason != Reason.BUSY && reason != Reason.SEALED) {
+      r.failed.add(r.agent);
+    }
+    requeue(now, r, reason != Reason.BUSY);
+  }
+
+  /**
+   * Handles an attempt whose answer will not come on this connection.
+   *
+   * @param broken whether the endpoint itself broke the answer off, so that asking has no use
+   */
+  private void lost(long now, List<RoutingEffect> effects, Live r, boolean broken) {
+    settle(r);
+    if (!r.spec.repeatable()) {
+      if (broken || r.headDelivered) {
+        r.mayHaveRun = true;
+        refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "the endpoint broke the answer off");
+      } else if (r.stage == Live.Stage.SEALING) {
+        r.resetAnswer();
+        r.nextSeal = now + SEAL_INTERVAL_MILLIS;
+      } else {
+        beginSeal(now, effects, r);
+      }
+      return;
+    }
+    r.mayHaveRun = true;
+    if (r.headDelivered && !r.spec.stream()) {
+      cut(effects, r, "the answer was lost after its beginning had been delivered");
+      return;
+    }
+    if (r.reached >= options.maxAttempts()) {
+      refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "the answer was lost and retries are spent");
+      return;
+    }
+    r.failed.add(r.agent);
+    r.retrying = true;
+    requeue(now, r, true);
+  }
+
+  private void beginSeal(long now, List<RoutingEffect> effects, Live r) {
+    settle(r);
+    if (r.stage != Live.Stage.SEALING) {
+      r.stage = Live.Stage.SEALING;
+      r.since = now;
+      r.resetAnswer();
+    }
+    r.nextSeal = now + SEAL_INTERVAL_MILLIS;
+    send(effects, r, new ServingMessage.Seal(r.wire, r.attempt, r.boot));
+  }
+
+  /** Attaches a request to the attempt that an earlier request made under the same key. */
+  private void follow(long now, List<RoutingEffect> effects, Live r, Claim c) {
+    r.agent = c.agent();
+    r.address = c.address();
+    r.boot = c.boot();
+    r.attempt = c.attempt();
+    bind(r, c.request());
+    log(effects, "follow", r, List.of(c.agent()), c.agent(), "idempotency key is claimed");
+    Optional<Endpoint> e = table.find(c.agent());
+    if (e.isEmpty() || e.get().member.boot() != c.boot()) {
+      refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "the agent that had the request is gone");
+      return;
+    }
+    beginSeal(now, effects, r);
+  }
+
+  private void requeue(long now, Live r, boolean backOff) {
+    if (backOff) {
+      long limit = Math.min(BACKOFF_MAX_MILLIS, BACKOFF_BASE_MILLIS << Math.min(r.attempt, 7));
+      r.notBefore = now + random.nextLong(limit);
+    }
+    r.resetAnswer();
+    r.stage = Live.Stage.QUEUED;
+    r.since = now;
+    queue(r.spec.target())
+        .putBack(r.spec.workspace(), weight(r), r.spec.priority(), r.spec.cost(), r);
+  }
+
+  private void enqueue(long now, List<RoutingEffect> effects, Live r) {
+    r.stage = Live.Stage.QUEUED;
+    r.since = now;
+    Optional<Live> displaced =
+        queue(r.spec.target())
+            .offer(r.spec.workspace(), weight(r), r.spec.priority(), r.spec.cost(), r);
+    displaced.ifPresent(
+        x -> refuse(effects, x, Refusal.NOT_RUN, "the queue of its target is full"));
+  }
+
+  /** Sends waiting requests while endpoints have room, in fair order. */
+  private void serve(long now, List<RoutingEffect> effects) {
+    for (Map.Entry<Target, FairQueue<Live>> each : queues.entrySet()) {
+      FairQueue<Live> q = each.getValue();
+      while (q.size() > 0 && table.hasRoom(each.getKey(), now)) {
+        Optional<Live> next = q.poll(r -> isServable(r, now));
+        if (next.isEmpty()) {
+          break;
+        }
+        route(now, effects, next.get());
+      }
+    }
+  }
+
+  private boolean isServable(Live r, long now) {
+    return now >= r.notBefore
+        && (!r.retrying || budget(r.spec.target(), now).has(1, now))
+        && !choices(r, now).isEmpty();
+  }
+
+  private List<Endpoint> choices(Live r, long now) {
+    Generation must = r.eventsDelivered > 0 ? r.generation : Generation.NONE;
+    return table.candidates(r.spec.target(), must, r.failed, now);
+  }
+
+  private void route(long now, List<RoutingEffect> effects, Live r) {
+    List<Endpoint> candidates = choices(r, now);
+    Endpoint e = table.choose(r.spec.target(), candidates, r.spec.prefix(), now);
+    r.agent = e.member.id();
+    r.address = e.member.address();
+    r.boot = e.member.boot();
+    r.generation = e.load.generation();
+    r.attempt++;
+    if (r.retrying) {
+      r.retrying = false;
+      budget(r.spec.target(), now).tryTake(1, now);
+    }
+    table.sent(e, r.spec.prefix(), now);
+    r.counted = true;
+    List<String> names = new ArrayList<>();
+    for (Endpoint c : candidates) {
+      names.add(c.member.id() + ":" + c.held() + "/" + c.load.limit());
+    }
+    log(effects, "route", r, names, r.agent, options.strategy().name());
+    if (r.spec.claim().isEmpty()) {
+      dispatch(now, effects, r);
+      return;
+    }
+    r.stage = Live.Stage.CLAIM_WRITE;
+    effects.add(
+        new RoutingEffect.WriteClaim(r.spec.id(), r.spec.claim(), r.claimVersion, claimOf(r)));
+  }
+
+  private static Claim claimOf(Live r) {
+    return new Claim(
+        r.wire, r.attempt, r.agent, r.address, r.boot, r.spec.id(), r.spec.fingerprint());
+  }
+
+  private void dispatch(long now, List<RoutingEffect> effects, Live r) {
+    r.stage = Live.Stage.SENT;
+    r.since = now;
+    r.lastFrame = now;
+    r.reached++;
+    RequestSpec s = r.spec;
+    send(
+        effects,
+        r,
+        new ServingMessage.Dispatch(
+            r.wire,
+            r.attempt,
+            r.boot,
+            r.generation,
+            s.workspace(),
+            weight(r),
+            s.priority(),
+            s.cost(),
+            s.repeatable(),
+            s.stream(),
+            r.eventsDelivered,
+            Math.max(1, s.deadline() - now),
+            s.method(),
+            s.path(),
+            s.contentType(),
+            s.body()));
+  }
+
+  // Time
+
+  private void expire(long now, List<RoutingEffect> effects, Live r) {
+    switch (r.stage) {
+      case QUEUED:
+        boolean hopeless =
+            now - r.since >= options.patienceMillis() && !table.serves(r.spec.target());
+        if (now >= r.spec.deadline() || hopeless) {
+          refuse(
+              effects,
+              r,
+              Refusal.NOT_RUN,
+              hopeless ? "no endpoint serves its target" : "deadline passed while waiting");
+        }
+        break;
+      case SEALING:
+        if (now - r.since >= options.sealMillis() && !r.headReceived) {
+          refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "the agent does not answer");
+        } else if (now >= r.nextSeal && !r.headReceived) {
+          beginSeal(now, effects, r);
+        } else if (now >= r.spec.deadline()) {
+          refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "deadline passed");
+        }
+        break;
+      case SENT:
+        if (now >= r.spec.deadline()) {
+          send(effects, r, new ServingMessage.Cancel(r.wire, r.attempt));
+          refuse(effects, r, Refusal.OUTCOME_UNKNOWN, "deadline passed while it ran");
+        } else if (now - r.lastFrame >= SILENCE_MILLIS && suspected(r)) {
+          if (r.spec.repeatable()) {
+            send(effects, r, new ServingMessage.Cancel(r.wire, r.attempt));
+          }
+          lost(now, effects, r, false);
+        }
+        break;
+      default:
+        if (now >= r.spec.deadline()) {
+          // A claim may be written, but the request was not sent to anybody.
+          refuse(effects, r, Refusal.NOT_RUN, "deadline passed before it was sent");
+        }
+        break;
+    }
+  }
+
+  private boolean suspected(Live r) {
+    Optional<Endpoint> e = table.find(r.agent);
+    return e.isEmpty() || e.get().health != Health.ALIVE;
+  }
+
+  private void askLoad(long now, List<RoutingEffect> effects, Endpoint e) {
+    if (now >= e.avoidUntil) {
+      e.avoidUntil = now + AVOID_MILLIS;
+      effects.add(
+          new RoutingEffect.Send(
+              e.member.id(), e.member.address(), new ControlMessage.LoadRequest()));
+    }
+  }
+
+  // Outcomes
+
+  private void cut(List<RoutingEffect> effects, Live r, String reason) {
+    effects.add(new RoutingEffect.Cut(r.spec.id(), reason));
+    log(effects, "cut", r, List.of(r.agent), "", reason);
+    forget(r);
+  }
+
+  private void refuse(List<RoutingEffect> effects, Live r, Refusal refusal, String reason) {
+    if (r.headDelivered) {
+      cut(effects, r, reason);
+      return;
+    }
+    forget(r);
+    boolean untrue = refusal == Refusal.NOT_RUN && r.mayHaveRun;
+    refuse(effects, r.spec, untrue ? Refusal.OUTCOME_UNKNOWN : refusal, reason);
+  }
+
+  private void refuse(
+      List<RoutingEffect> effects, RequestSpec spec, Refusal refusal, String reason) {
+    effects.add(new RoutingEffect.Refuse(spec.id(), refusal, reason, RETRY_AFTER_SECONDS));
+    effects.add(
+        new RoutingEffect.Log(
+            new Decision(
+                "refuse",
+                spec.id(),
+                spec.workspace(),
+                List.of(),
+                refusal.name(),
+                reason,
+                rules.version())));
+  }
+
+  private void storeOut(List<RoutingEffect> effects, Live r) {
+    refuse(effects, r, Refusal.NOT_RUN, "the table service is out, so the key cannot be claimed");
+  }
+
+  // Helpers
+
+  private boolean withinRate(long now, String workspace) {
+    Optional<Rule.Limit> limit = rules.findLimit(workspace);
+    if (limit.isEmpty()) {
+      return true;
+    }
+    // Each entry grants an equal share; the balancer spreads callers evenly.
+    int share = Math.max(1, entries.size());
+    TokenBucket bucket =
+        rates.computeIfAbsent(
+            workspace,
+            w -> new TokenBucket(limit.get().perSecond(), limit.get().burst() / share, now));
+    bucket.resize(limit.get().perSecond() / share, Math.max(1, limit.get().burst() / share));
+    return bucket.tryTake(1, now);
+  }
+
+  private void avoid(long now, String agent) {
+    Optional<Endpoint> e = table.find(agent);
+    if (e.isPresent()) {
+      e.get().avoidUntil = now + AVOID_MILLIS;
+      e.get().load = null;
+    }
+  }
+
+  private TokenBucket budget(Target target, long now) {
+    return retryBudgets.computeIfAbsent(
+        target, t -> new TokenBucket(RETRIES_PER_SECOND, RETRY_BURST, now));
+  }
+
+  private FairQueue<Live> queue(Target target) {
+    return queues.computeIfAbsent(target, t -> new FairQueue<>(options.queueCapacity()));
+  }
+
+  private int weight(Live r) {
+    return rules.weight(r.spec.workspace());
+  }
+
+  private void charge(Live r, int tokens) {
+    queue(r.spec.target()).charge(r.spec.workspace(), tokens - r.spec.cost());
+  }
+
+  private void report(String agent, Load load) {
+    table.find(agent).ifPresent(e -> e.report(load));
+  }
+
+  private void bind(Live r, String wire) {
+    unbind(r);
+    r.wire = wire;
+    byWire.computeIfAbsent(wire, w -> new ArrayList<>()).add(r);
+  }
+
+  private void unbind(Live r) {
+    List<Live> same = byWire.get(r.wire);
+    if (same != null && same.remove(r) && same.isEmpty()) {
+      byWire.remove(r.wire);
+    }
+  }
+
+  /** Finds the requests that a message is about; those of an older attempt are passed over. */
+  private List<Live> current(ServingMessage m, String agent) {
+    List<Live> found = new ArrayList<>();
+    for (Live r : byWire.getOrDefault(m.request(), List.of())) {
+      boolean waits = r.stage == Live.Stage.SENT || r.stage == Live.Stage.SEALING;
+      if (waits && r.attempt == m.attempt() && r.agent.equals(agent)) {
+        found.add(r);
+      }
+    }
+    return found;
+  }
+
+  private List<Live> on(String agent) {
+    List<Live> found = new ArrayList<>();
+    for (Live r : requests.values()) {
+      boolean waits = r.stage == Live.Stage.SENT || r.stage == Live.Stage.SEALING;
+      if (waits && r.agent.equals(agent)) {
+        found.add(r);
+      }
+    }
+    return found;
+  }
+
+  private void settle(Live r) {
+    if (r.counted) {
+      r.counted = false;
+      table.find(r.agent).ifPresent(e -> e.outstanding = Math.max(0, e.outstanding - 1));
+    }
+  }
+
+  private void forget(Live r) {
+    if (requests.remove(r.spec.id()) == null) {
+      return;
+    }
+    if (r.stage == Live.Stage.QUEUED) {
+      queue(r.spec.target()).removeIf(x -> x == r);
+    }
+    settle(r);
+    unbind(r);
+  }
+
+  private static void send(List<RoutingEffect> effects, Live r, Message m) {
+    effects.add(new RoutingEffect.Send(r.agent, r.address, m));
+  }
+
+  private void log(
+      List<RoutingEffect> effects,
+      String kind,
+      Live r,
+      List<String> candidates,
+      String choice,
+      String reason) {
+    effects.add(
+        new RoutingEffect.Log(
+            new Decision(
+                kind,
+                r.spec.id(),
+                r.spec.workspace(),
+                candidates,
+                choice,
+                reason,
+                rules.version())));
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RoutingOptions.java
@@ -0,0 +1,52 @@
+package org.cornelchute.policy.routing;
+
+/**
+ * Limits of an entry's routing; immutable.
+ *
+ * @param queueCapacity requests that may wait in the entry for one target
+ * @param patienceMillis time that a request waits for an endpoint when none serves its target
+ * @param subset endpoints of one target that an entry uses
+ * @param retryShare retries that reach an endpoint, as a share of fresh requests
+ * @param maxAttempts attempts at one request that reach an endpoint
+ * @param sealMillis time that an entry tries to learn the fate of a request
+ * @param bufferedBytes answers that are not streams are held back up to this size, so that a retry
+ *     stays invisible
+ * @param strategy how one of the endpoints with room is chosen
+ */
+public record RoutingOptions(
+    int queueCapacity,
+    long patienceMillis,
+    int subset,
+    double retryShare,
+    int maxAttempts,
+    long sealMillis,
+    int bufferedBytes,
+    Strategy strategy) {
+
+  /** Values for a small installation. */
+  public static final RoutingOptions DEFAULTS =
+      new RoutingOptions(512, 2_000, 32, 0.1, 4, 5_000, 1 << 20, Strategy.AFFINITY);
+
+  /** Ways to choose one of the endpoints with room. */
+  public enum Strategy {
+    /** One after the other. */
+    ROUND_ROBIN,
+    /** The one with the least outstanding work. */
+    LEAST_OUTSTANDING,
+    /** The better of two random ones and the one that last served the same prefix. */
+    AFFINITY
+  }
+
+  /** Returns a copy with another strategy. */
+  public RoutingOptions withStrategy(Strategy s) {
+    return new RoutingOptions(
+        queueCapacity,
+        patienceMillis,
+        subset,
+        retryShare,
+        maxAttempts,
+        sealMillis,
+        bufferedBytes,
+        s);
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/util/TokenBucket.java
@@ -0,0 +1,48 @@
+package org.cornelchute.policy.util;
+
+/** A rate limit with a burst; times are milliseconds on the caller's clock. */
+public final class TokenBucket {
+
+  private static final double MILLIS_PER_SECOND = 1000.0;
+
+  private double perSecond;
+  private double burst;
+  private double tokens;
+  private long last;
+
+  /** Creates a full bucket. */
+  public TokenBucket(double perSecond, double burst, long now) {
+    this.perSecond = perSecond;
+    this.burst = burst;
+    this.tokens = burst;
+    this.last = now;
+  }
+
+  /** Changes rate and burst; tokens in hand above the new burst are lost. */
+  public void resize(double newPerSecond, double newBurst) {
+    perSecond = newPerSecond;
+    burst = newBurst;
+    tokens = Math.min(tokens, burst);
+  }
+
+  /** Adds tokens, up to the burst. */
+  public void add(double amount) {
+    tokens = Math.min(burst, tokens + amount);
+  }
+
+  /** Returns whether {@code amount} tokens are there. */
+  public boolean has(double amount, long now) {
+    tokens = Math.min(burst, tokens + Math.max(0, now - last) * perSecond / MILLIS_PER_SECOND);
+    last = Math.max(last, now);
+    return tokens >= amount;
+  }
+
+  /** Takes {@code amount} tokens if they are there. */
+  public boolean tryTake(double amount, long now) {
+    if (!has(amount, now)) {
+      return false;
+    }
+    tokens -= amount;
+    return true;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/StandinProgram.java
@@ -0,0 +1,68 @@
+package org.cornelchute.standin;
+
+import java.io.IOException;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.cornelchute.core.Version;
+import org.cornelchute.core.cli.ExitCode;
+import org.cornelchute.standin.server.EngineStandin;
+import org.cornelchute.standin.server.OriginStandin;
+import org.cornelchute.standin.server.PlatformStandin;
+import org.cornelchute.standin.server.ServiceStandin;
+import reactor.core.publisher.Mono;
+
+/** The program {@code standin}: runs one stand-in until it is told to stop. */
+public final class StandinProgram {
+
+  /** Speeds and sizes of an engine that answers quickly. */
+  public static final EngineStandin.Options ENGINE =
+      new EngineStandin.Options(10_000, 50, 2, 16, 2, 200, 500, true, true);
+
+  private StandinProgram() {}
+
+  /** Runs the stand-in named by the first argument. */
+  public static void main(String[] args) throws IOException {
+    OptionParser parser = new OptionParser();
+    parser.accepts("help", "print this help and end").forHelp();
+    parser.accepts("version", "print the version and end").forHelp();
+    final OptionSpec<Integer> port =
+        parser.accepts("port").withRequiredArg().ofType(Integer.class).defaultsTo(4_000);
+    final OptionSpec<Long> rate =
+        parser
+            .accepts("bytes-per-second", "rate of the origin's link, 0 for no limit")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(0L);
+    OptionSet given;
+    try {
+      given = parser.parse(args);
+    } catch (OptionException e) {
+      System.err.println("standin: " + e.getMessage() + "; see standin --help");
+      System.exit(ExitCode.USAGE);
+      return;
+    }
+    if (given.has("version")) {
+      System.out.println("standin " + Version.PRODUCT);
+      return;
+    }
+    List<?> words = given.nonOptionArguments();
+    if (given.has("help") || words.size() != 1) {
+      System.out.println("standin platform|origin|engine|service [--port N]");
+      parser.printHelpOn(System.out);
+      System.exit(given.has("help") ? ExitCode.OK : ExitCode.USAGE);
+    }
+    int at = given.valueOf(port);
+    Mono<Void> end =
+        switch (words.get(0).toString()) {
+          case "platform" -> new PlatformStandin(at).onClose();
+          case "origin" -> new OriginStandin(at, given.valueOf(rate)).onClose();
+          case "engine" -> new EngineStandin(at, ENGINE).onClose();
+          case "service" -> new ServiceStandin(at).onClose();
+          default -> Mono.error(new IllegalArgumentException("no stand-in " + words.get(0)));
+        };
+    end.block();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/harness/Caller.java
@@ -0,0 +1,209 @@
+package org.cornelchute.standin.harness;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cornelchute.standin.server.TokenText;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Sends requests as callers do and checks every answer against what the engine must have said. */
+public final class Caller {
+
+  private static final int MAX_CONNECTIONS = 4_096;
+  private static final Duration TIMEOUT = Duration.ofSeconds(60);
+  private static final int OK = 200;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpClient http;
+
+  /** Creates a caller with a pool of its own. */
+  public Caller() {
+    this.http =
+        HttpClient.create(
+                ConnectionProvider.builder("callers")
+                    .maxConnections(MAX_CONNECTIONS)
+                    .pendingAcquireMaxCount(-1)
+                    .build())
+            .disableRetry(true);
+  }
+
+  /** Sends a prompt to a model. */
+  public Mono<CallResult> complete(
+      int port, String key, String model, String prompt, int tokens, boolean stream) {
+    byte[] body =
+        encode(Map.of("model", model, "prompt", prompt, "max_tokens", tokens, "stream", stream));
+    Progress p = new Progress(key);
+    return http.headers(
+            h -> h.set("Authorization", "Bearer " + key).set("Content-Type", "application/json"))
+        .post()
+        .uri("http://127.0.0.1:" + port + "/v1/completions")
+        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+        .response(
+            (r, content) -> {
+              p.status = r.status().code();
+              p.manifest = r.responseHeaders().get("X-Manifest", "");
+              return content.asString(StandardCharsets.UTF_8).doOnNext(p::add);
+            })
+        .then(Mono.fromSupplier(() -> p.judge(prompt, tokens, stream)))
+        .timeout(TIMEOUT)
+        .onErrorResume(e -> Mono.just(p.broken(e)));
+  }
+
+  /** Calls a plain service; the answer must contain {@code expected}. */
+  public Mono<CallResult> call(
+      int port,
+      String key,
+      String method,
+      String path,
+      String body,
+      String idempotency,
+      String expected) {
+    Progress p = new Progress(key);
+    return http.headers(
+            h -> {
+              h.set("Authorization", "Bearer " + key);
+              if (!idempotency.isEmpty()) {
+                h.set("Idempotency-Key", idempotency);
+              }
+            })
+        .request(HttpMethod.valueOf(method))
+        .uri("http://127.0.0.1:" + port + path)
+        .send(Mono.fromSupplier(() -> Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)))
+        .response(
+            (r, content) -> {
+              p.status = r.status().code();
+              return content.asString(StandardCharsets.UTF_8).doOnNext(p::add);
+            })
+        .then(Mono.fromSupplier(() -> p.judgePlain(expected)))
+        .timeout(TIMEOUT)
+        .onErrorResume(e -> Mono.just(p.broken(e)));
+  }
+
+  private static byte[] encode(Map<String, Object> value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("request cannot be encoded", e);
+    }
+  }
+
+  /** Collects one answer. */
+  private static final class Progress {
+
+    private final String workspace;
+    private final long begun = System.nanoTime();
+    private final StringBuilder text = new StringBuilder();
+    private final List<Long> gaps = new ArrayList<>();
+    private int status;
+    private String manifest = "";
+    private long first;
+    private long last;
+
+    Progress(String workspace) {
+      this.workspace = workspace;
+    }
+
+    void add(String part) {
+      long now = System.nanoTime();
+      if (first == 0) {
+        first = now;
+      } else {
+        gaps.add((now - last) / 1_000);
+      }
+      last = now;
+      text.append(part);
+    }
+
+    CallResult judge(String prompt, int tokens, boolean stream) {
+      if (status != OK) {
+        return refused();
+      }
+      String expected = TokenText.text(prompt, manifest, tokens);
+      String got = stream ? streamed() : field("text");
+      return result(
+          got.equals(expected) ? CallResult.Outcome.WHOLE : CallResult.Outcome.BAD,
+          got.equals(expected) ? "" : "expected " + expected + " got " + got);
+    }
+
+    CallResult judgePlain(String expected) {
+      if (status != OK) {
+        return refused();
+      }
+      boolean whole = text.indexOf(expected) >= 0;
+      return result(
+          whole ? CallResult.Outcome.WHOLE : CallResult.Outcome.BAD, whole ? "" : text.toString());
+    }
+
+    CallResult broken(Throwable e) {
+      boolean begunAnswer = status == OK;
+      return result(
+          begunAnswer ? CallResult.Outcome.CUT : CallResult.Outcome.UNKNOWN, e.toString());
+    }
+
+    private CallResult refused() {
+      try {
+        JsonNode error = MAPPER.readTree(text.toString()).path("error");
+        CallResult.Outcome outcome =
+            switch (error.path("code").asText()) {
+              case "not_run", "rate_limited" -> CallResult.Outcome.NOT_RUN;
+              case "outcome_unknown" -> CallResult.Outcome.UNKNOWN;
+              default -> CallResult.Outcome.OTHER;
+            };
+        return result(outcome, error.path("message").asText());
+      } catch (JsonProcessingException e) {
+        return result(CallResult.Outcome.OTHER, text.toString());
+      }
+    }
+
+    private String streamed() {
+      StringBuilder tokens = new StringBuilder();
+      boolean done = false;
+      for (String event : text.toString().split("\n\n")) {
+        String data = event.startsWith("data: ") ? event.substring(6) : event;
+        if (data.equals("[DONE]")) {
+          done = true;
+          continue;
+        }
+        tokens.append(token(data));
+      }
+      return done ? tokens.toString() : tokens + "(no end)";
+    }
+
+    private static String token(String data) {
+      try {
+        return MAPPER.readTree(data).path("text").asText();
+      } catch (JsonProcessingException e) {
+        return "(broken event)";
+      }
+    }
+
+    private String field(String name) {
+      try {
+        return MAPPER.readTree(text.toString()).path(name).asText();
+      } catch (JsonProcessingException e) {
+        return "(broken JSON)";
+      }
+    }
+
+    private CallResult result(CallResult.Outcome outcome, String detail) {
+      long now = System.nanoTime();
+      return new CallResult(
+          outcome,
+          status,
+          first == 0 ? 0 : (first - begun) / 1_000,
+          List.copyOf(gaps),
+          (now - begun) / 1_000,
+          workspace,
+          detail);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/harness/Fleet.java
@@ -0,0 +1,343 @@
+package org.cornelchute.standin.harness;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.cornelchute.standin.server.EngineStandin;
+import org.cornelchute.standin.server.OriginStandin;
+import org.cornelchute.standin.server.PlatformStandin;
+import org.cornelchute.standin.server.ServiceStandin;
+
+/**
+ * Stand-ins in this process, entries and agents as processes of their own, all on the loopback
+ * interface. Closing it, also by an interrupt from the keyboard, ends every process it started.
+ */
+public final class Fleet implements AutoCloseable {
+
+  private static final String ENTRY_MAIN = "org.cornelchute.entry.EntryProgram";
+  private static final String AGENT_MAIN = "org.cornelchute.agent.AgentProgram";
+  private static final String CTL_MAIN = "org.cornelchute.ctl.CtlProgram";
+  private static final long POLL_MILLIS = 50;
+  private static final int STOP_SECONDS = 10;
+
+  private final Ports ports = new Ports();
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final Path directory;
+  private final int platformPort;
+  private final int originPort;
+  private final PlatformStandin platform;
+  private final OriginStandin origin;
+  private final Map<String, EngineStandin> engines = new TreeMap<>();
+  private final Map<String, ServiceStandin> services = new TreeMap<>();
+  private final Map<String, Integer> endpointPorts = new TreeMap<>();
+  private final Map<String, Child> children = new LinkedHashMap<>();
+  private final Map<String, Map<String, Object>> settingsById = new TreeMap<>();
+  private final List<String> seeds = new ArrayList<>();
+  private final List<String> addresses = new ArrayList<>();
+  private final Thread hook = new Thread(this::killAll, "end-processes");
+  private String logLevel = "INFO";
+
+  /** Starts platform and origin; the origin's rate is in bytes/s, 0 for no limit. */
+  public Fleet(long originBytesPerSecond) throws IOException {
+    this.directory = Files.createTempDirectory("cornelchute");
+    this.platformPort = ports.next();
+    this.originPort = ports.next();
+    this.platform = new PlatformStandin(platformPort);
+    this.origin = new OriginStandin(originPort, originBytesPerSecond);
+    Runtime.getRuntime().addShutdownHook(hook);
+  }
+
+  // Accessors
+
+  /** Returns the port of the platform stand-in. */
+  public int platformPort() {
+    return platformPort;
+  }
+
+  /** Returns the port of the origin stand-in. */
+  public int originPort() {
+    return originPort;
+  }
+
+  /** Returns the port of the endpoint beside an agent. */
+  public int endpointPort(String agent) {
+    return endpointPorts.get(agent);
+  }
+
+  /** Returns the ids of all agents that have an engine. */
+  public List<String> engineIds() {
+    return List.copyOf(engines.keySet());
+  }
+
+  /** Returns a process by its id. */
+  public Child child(String id) {
+    return children.get(id);
+  }
+
+  /** Returns all processes. */
+  public List<Child> children() {
+    return List.copyOf(children.values());
+  }
+
+  /** Sets the log level of processes started from now on. */
+  public void logLevel(String level) {
+    logLevel = level;
+  }
+
+  // Starting and stopping
+
+  /** Publishes a version at the origin. */
+  public JsonNode publish(String query) throws IOException {
+    return Http.post(originPort, "/publish?" + query, Map.of());
+  }
+
+  /** Starts an entry. */
+  public Child startEntry(String id, String region, String domain, Map<String, Object> more)
+      throws IOException {
+    Map<String, Object> settings = new LinkedHashMap<>(more);
+    settings.put("member", member(id, region, domain));
+    settings.put("callerPort", ports.next());
+    return start(id, ENTRY_MAIN, settings, "64m");
+  }
+
+  /** Starts an agent beside a new engine stand-in. */
+  public Child startEngine(
+      String id,
+      String region,
+      String domain,
+      EngineStandin.Options options,
+      Map<String, Object> more)
+      throws IOException {
+    int port = ports.next();
+    endpointPorts.put(id, port);
+    engines.put(id, new EngineStandin(port, options));
+    Map<String, Object> settings = new LinkedHashMap<>(more);
+    settings.put("member", member(id, region, domain));
+    settings.put("endpoint", "http://127.0.0.1:" + port);
+    settings.put("origin", "http://127.0.0.1:" + originPort);
+    String heap = (String) settings.remove("heap");
+    return start(id, AGENT_MAIN, settings, heap == null ? "96m" : heap);
+  }
+
+  /** Starts an agent beside a new plain service. */
+  public Child startService(String id, String region, String domain, String service)
+      throws IOException {
+    int port = ports.next();
+    endpointPorts.put(id, port);
+    services.put(id, new ServiceStandin(port));
+    Map<String, Object> settings = new LinkedHashMap<>();
+    settings.put("member", member(id, region, domain));
+    settings.put("endpoint", "http://127.0.0.1:" + port);
+    settings.put("service", service);
+    return start(id, AGENT_MAIN, settings, "64m");
+  }
+
+  /** Starts a process again with the settings it had, as a platform replaces a VM. */
+  public Child restart(String id) throws IOException {
+    Map<String, Object> settings = settingsById.get(id);
+    boolean entry = settings.containsKey("callerPort");
+    return launch(id, entry ? ENTRY_MAIN : AGENT_MAIN, settings, entry ? "64m" : "96m");
+  }
+
+  /** Runs cornelctl and returns its exit code; its output goes to {@code output}. */
+  public int ctl(StringBuilder output, String... arguments) throws IOException {
+    List<String> command = java("64m", CTL_MAIN);
+    command.addAll(List.of(arguments));
+    command.add("--platform");
+    command.add("http://127.0.0.1:" + platformPort);
+    for (Child c : children.values()) {
+      if (c.callerPort() != 0 && c.process().isAlive()) {
+        command.add("--member");
+        command.add("http://127.0.0.1:" + c.operatorPort());
+        break;
+      }
+    }
+    Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
+    output.append(new String(p.getInputStream().readAllBytes()));
+    try {
+      return p.waitFor();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return -1;
+    }
+  }
+
+  /** Writes a rules file and applies it. */
+  public int apply(StringBuilder output, String rules) throws IOException {
+    Path file = directory.resolve("fleet.rules");
+    Files.writeString(file, rules);
+    return ctl(output, "apply", file.toString(), "--by", "harness", "--wait", "20");
+  }
+
+  // Waiting
+
+  /** Waits until a condition holds. */
+  public static boolean await(int seconds, BooleanSupplier condition) {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    while (System.nanoTime() - until < 0) {
+      if (condition.getAsBoolean()) {
+        return true;
+      }
+      pause(POLL_MILLIS);
+    }
+    return condition.getAsBoolean();
+  }
+
+  /** Sleeps. */
+  public static void pause(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Waits until every process answers on its operator port. */
+  public boolean awaitStarted(int seconds) {
+    return await(
+        seconds, () -> children.values().stream().allMatch(c -> answers(c.operatorPort())));
+  }
+
+  /** Counts the engines that hold a manifest, by their own word. */
+  public int countLoaded(String digest) {
+    int n = 0;
+    for (String id : engines.keySet()) {
+      try {
+        if (Http.get(endpointPorts.get(id), "/stats").path("manifest").asText().equals(digest)) {
+          n++;
+        }
+      } catch (IOException e) {
+        continue;
+      }
+    }
+    return n;
+  }
+
+  /** Counts the agents that a member believes to serve a manifest. */
+  public int countReady(Child member, String digest) {
+    try {
+      int n = 0;
+      for (JsonNode m : Http.get(member.operatorPort(), "/members")) {
+        n += m.path("generation").path("manifest").asText().equals(digest) ? 1 : 0;
+      }
+      return n;
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  @Override
+  public void close() {
+    killAll();
+    engines.values().forEach(EngineStandin::close);
+    services.values().forEach(ServiceStandin::close);
+    origin.close();
+    platform.close();
+    try {
+      Runtime.getRuntime().removeShutdownHook(hook);
+      try (Stream<Path> files = Files.walk(directory)) {
+        files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+      }
+    } catch (IOException | IllegalStateException e) {
+      return;
+    }
+  }
+
+  // Helpers
+
+  private Child start(String id, String main, Map<String, Object> settings, String heap)
+      throws IOException {
+    settingsById.put(id, settings);
+    return launch(id, main, settings, heap);
+  }
+
+  private Child launch(String id, String main, Map<String, Object> settings, String heap)
+      throws IOException {
+    Path file = directory.resolve(id + ".json");
+    Files.writeString(file, mapper.writeValueAsString(settings));
+    final Path log = directory.resolve(id + ".log");
+    List<String> command = java(heap, main);
+    command.add("--settings");
+    command.add(file.toString());
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.environment().put("CORNEL_LOG_LEVEL", logLevel);
+    Process process =
+        builder
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    @SuppressWarnings("unchecked")
+    Map<String, Object> member = (Map<String, Object>) settings.get("member");
+    Child c =
+        new Child(
+            id,
+            process,
+            log,
+            (Integer) member.get("port"),
+            (Integer) member.get("operatorPort"),
+            (Integer) settings.getOrDefault("callerPort", 0));
+    children.put(id, c);
+    return c;
+  }
+
+  private Map<String, Object> member(String id, String region, String domain) throws IOException {
+    int port = ports.next();
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("id", id);
+    m.put("host", "127.0.0.1");
+    m.put("port", port);
+    m.put("operatorPort", ports.next());
+    m.put("region", region);
+    m.put("domain", domain);
+    m.put("platform", "http://127.0.0.1:" + platformPort);
+    m.put("seeds", List.copyOf(seeds));
+    String address = "127.0.0.1:" + port;
+    if (seeds.size() < 3) {
+      seeds.add(address);
+    }
+    addresses.add(address);
+    Http.post(platformPort, "/vms", addresses);
+    return m;
+  }
+
+  private static List<String> java(String heap, String main) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add("@" + Path.of(System.getProperty("cornelchute.home", "."), "bin", "jvm.options"));
+    command.add("-Xmx" + heap);
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.add(main);
+    return command;
+  }
+
+  private static boolean answers(int port) {
+    try {
+      Http.get(port, "/metrics");
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private void killAll() {
+    for (Child c : children.values()) {
+      c.process().destroyForcibly();
+    }
+    for (Child c : children.values()) {
+      c.stop(STOP_SECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/harness/Http.java
@@ -0,0 +1,53 @@
+package org.cornelchute.standin.harness;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** Short blocking calls to operator ports and stand-ins. */
+public final class Http {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private Http() {}
+
+  /** Gets a page as JSON. */
+  public static JsonNode get(int port, String path) throws IOException {
+    return call(HttpRequest.newBuilder(uri(port, path)).GET());
+  }
+
+  /** Posts a value as JSON. */
+  public static JsonNode post(int port, String path, Object body) throws IOException {
+    return call(
+        HttpRequest.newBuilder(uri(port, path))
+            .POST(HttpRequest.BodyPublishers.ofString(encode(body))));
+  }
+
+  private static String encode(Object body) throws JsonProcessingException {
+    return MAPPER.writeValueAsString(body);
+  }
+
+  private static JsonNode call(HttpRequest.Builder request) throws IOException {
+    try {
+      HttpResponse<String> r =
+          CLIENT.send(request.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.ofString());
+      return MAPPER.readTree(r.body());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  private static URI uri(int port, String path) {
+    return URI.create("http://127.0.0.1:" + port + path);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/server/OriginStandin.java
@@ -0,0 +1,141 @@
+package org.cornelchute.standin.server;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cornelchute.net.util.LinkLimiter;
+import org.cornelchute.policy.weights.Manifest;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Stand-in for the origin of weights behind one rate-limited link.
+ *
+ * <p>The contents of a version follow from its seed; a share of its chunks may be taken over from
+ * the version before.
+ */
+public final class OriginStandin implements AutoCloseable {
+
+  private final Map<String, Manifest> manifests = new ConcurrentHashMap<>();
+  private final Map<String, byte[]> chunks = new ConcurrentHashMap<>();
+  private final Map<String, byte[]> weights = new ConcurrentHashMap<>();
+  private final AtomicLong bytes = new AtomicLong();
+  private final AtomicLong refused = new AtomicLong();
+  private final Random random = new Random(1);
+  private final LinkLimiter link;
+  private final DisposableServer server;
+  private volatile Faults faults = new Faults(0, false, 0);
+
+  /** Starts on a port of the loopback interface; a rate of 0 means no limit. */
+  public OriginStandin(int port, long bytesPerSecond) {
+    this.link = new LinkLimiter(bytesPerSecond);
+    this.server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(port)
+            .route(
+                r ->
+                    r.post("/publish", this::publish)
+                        .get("/weights/{fleet}/{model}/{version}/manifest", this::manifest)
+                        .get("/weights/{model}/{version}/manifest", this::manifest)
+                        .get("/chunks/{digest}", this::chunk)
+                        .get("/stats", (q, s) -> Json.send(s, 200, stats()))
+                        .get("/faults", (q, s) -> Json.send(s, 200, faults))
+                        .post("/faults", this::setFaults))
+            .bindNow();
+  }
+
+  /** Returns a future that ends with the server. */
+  public Mono<Void> onClose() {
+    return server.onDispose();
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow();
+  }
+
+  private Publisher<Void> publish(HttpServerRequest q, HttpServerResponse s) {
+    String model = Json.query(q, "model", "model");
+    String version = Json.query(q, "version", "v1");
+    int size = Integer.parseInt(Json.query(q, "bytes", "1048576"));
+    int chunkBytes = Integer.parseInt(Json.query(q, "chunkBytes", "65536"));
+    String base = Json.query(q, "base", "");
+    double changed = Double.parseDouble(Json.query(q, "changed", "1.0"));
+    byte[] content = new byte[size];
+    new Random((model + version).hashCode()).nextBytes(content);
+    byte[] old = weights.get(model + ":" + base);
+    if (old != null) {
+      int kept = Math.min(old.length, (int) (size * (1 - changed)) / chunkBytes * chunkBytes);
+      System.arraycopy(old, 0, content, 0, kept);
+    }
+    Manifest m = Manifest.of(model, version, content, chunkBytes);
+    weights.put(model + ":" + version, content);
+    for (int i = 0; i < m.chunks().size(); i++) {
+      byte[] c = new byte[m.sizeOf(i)];
+      System.arraycopy(content, i * chunkBytes, c, 0, c.length);
+      chunks.put(m.chunks().get(i), c);
+    }
+    manifests.put(model + ":" + version, m);
+    return Json.send(s, 200, Map.of("digest", m.digest(), "chunks", m.chunks().size()));
+  }
+
+  private Publisher<Void> manifest(HttpServerRequest q, HttpServerResponse s) {
+    String fleet = q.param("fleet");
+    String model = fleet == null ? q.param("model") : fleet + "/" + q.param("model");
+    Manifest m = manifests.get(model + ":" + q.param("version"));
+    if (m == null || faults.refuse) {
+      return Json.send(s, m == null ? 404 : 503, Map.of("error", "no such version, or refused"));
+    }
+    return s.sendObject(Unpooled.copiedBuffer(m.text(), StandardCharsets.UTF_8)).then();
+  }
+
+  private Publisher<Void> chunk(HttpServerRequest q, HttpServerResponse s) {
+    byte[] c = chunks.get(q.param("digest"));
+    if (c == null || faults.refuse) {
+      refused.incrementAndGet();
+      return Json.send(s, c == null ? 404 : 503, Map.of("error", "no such chunk, or refused"));
+    }
+    byte[] sent = c;
+    synchronized (random) {
+      if (random.nextDouble() < faults.corruptShare) {
+        sent = c.clone();
+        sent[random.nextInt(sent.length)] ^= 1;
+      }
+    }
+    bytes.addAndGet(sent.length);
+    long nanos = link.reserve(sent.length) + Duration.ofMillis(faults.stallMillis).toNanos();
+    return Mono.delay(Duration.ofNanos(nanos))
+        .then(s.sendObject(Unpooled.wrappedBuffer(sent)).then());
+  }
+
+  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
+    return Json.read(q, Faults.class)
+        .flatMap(
+            f -> {
+              faults = f;
+              return Json.send(s, 200, faults);
+            });
+  }
+
+  private Map<String, Long> stats() {
+    return Map.of("bytes", bytes.get(), "refused", refused.get());
+  }
+
+  /**
+   * Faults, changeable at run time.
+   *
+   * @param corruptShare share of chunks sent with one bit flipped
+   * @param refuse whether every read is refused
+   * @param stallMillis delay added to every chunk
+   */
+  public record Faults(double corruptShare, boolean refuse, long stallMillis) {}
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/server/PlatformStandin.java
@@ -0,0 +1,161 @@
+package org.cornelchute.standin.server;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.cornelchute.net.platform.TableRow;
+import org.cornelchute.net.platform.TableWrite;
+import org.cornelchute.policy.util.TokenBucket;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Stand-in for the platform: table service with transactions, and a list of VMs. */
+public final class PlatformStandin implements AutoCloseable {
+
+  private static final double READS_PER_SECOND = 2_000;
+  private static final double WRITES_PER_SECOND = 300;
+
+  private final Map<String, TableRow> rows = new TreeMap<>();
+  private final TokenBucket reads = new TokenBucket(READS_PER_SECOND, READS_PER_SECOND, now());
+  private final TokenBucket writes = new TokenBucket(WRITES_PER_SECOND, WRITES_PER_SECOND, now());
+  private final DisposableServer server;
+  private Faults faults = new Faults(false, 0, 0);
+  private List<Map<String, String>> vms = List.of();
+  private long versions;
+  private long readCount;
+  private long writeCount;
+
+  /** Starts on a port of the loopback interface. */
+  public PlatformStandin(int port) {
+    this.server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(port)
+            .route(
+                r ->
+                    r.get("/table/{key}", this::read)
+                        .post("/table", this::commit)
+                        .get("/vms", (q, s) -> guarded(s, () -> Json.send(s, 200, vms)))
+                        .post("/vms", this::setVms)
+                        .get("/stats", (q, s) -> Json.send(s, 200, stats()))
+                        .get("/faults", (q, s) -> Json.send(s, 200, faults))
+                        .post("/faults", this::setFaults))
+            .bindNow();
+  }
+
+  /** Returns a future that ends with the server. */
+  public Mono<Void> onClose() {
+    return server.onDispose();
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow();
+  }
+
+  private Publisher<Void> read(HttpServerRequest q, HttpServerResponse s) {
+    return guarded(
+        s,
+        () -> {
+          TableRow row;
+          synchronized (this) {
+            if (!reads.tryTake(1, now())) {
+              return Json.send(s, 429, Map.of("error", "too many reads"));
+            }
+            readCount++;
+            row = rows.get(q.param("key"));
+          }
+          return row == null
+              ? Json.send(s, 404, Map.of("error", "no such row"))
+              : Json.send(s, 200, row);
+        });
+  }
+
+  private Publisher<Void> commit(HttpServerRequest q, HttpServerResponse s) {
+    return guarded(
+        s, () -> Json.read(q, JsonNode.class).flatMap(body -> commit(s, body.path("writes"))));
+  }
+
+  private synchronized Mono<Void> commit(HttpServerResponse s, JsonNode body) {
+    if (!writes.tryTake(1, now())) {
+      return Json.send(s, 429, Map.of("error", "too many writes"));
+    }
+    List<TableWrite> wanted = new ArrayList<>();
+    for (JsonNode w : body) {
+      wanted.add(Json.MAPPER.convertValue(w, TableWrite.class));
+    }
+    for (TableWrite w : wanted) {
+      TableRow row = rows.get(w.key());
+      if ((row == null ? 0 : row.version()) != w.version()) {
+        return Json.send(s, 409, Map.of("key", w.key()));
+      }
+    }
+    List<Long> result = new ArrayList<>();
+    for (TableWrite w : wanted) {
+      rows.put(w.key(), new TableRow(w.value(), ++versions));
+      result.add(versions);
+    }
+    writeCount++;
+    if (faults.loseAnswers > 0) {
+      // The write has taken effect; the writer never learns of it.
+      faults = new Faults(faults.outage, faults.latencyMillis, faults.loseAnswers - 1);
+      return Mono.error(new IllegalStateException("answer lost"));
+    }
+    return Json.send(s, 200, Map.of("versions", result));
+  }
+
+  private Publisher<Void> setVms(HttpServerRequest q, HttpServerResponse s) {
+    return Json.read(q, JsonNode.class)
+        .flatMap(
+            body -> {
+              List<Map<String, String>> list = new ArrayList<>();
+              body.forEach(v -> list.add(Map.of("address", v.asText())));
+              vms = list;
+              return Json.send(s, 200, vms);
+            });
+  }
+
+  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
+    return Json.read(q, Faults.class)
+        .flatMap(
+            f -> {
+              faults = f;
+              return Json.send(s, 200, faults);
+            });
+  }
+
+  private Mono<Void> guarded(HttpServerResponse s, Supplier<Mono<Void>> work) {
+    if (faults.outage) {
+      return Json.send(s, 503, Map.of("error", "out of service"));
+    }
+    if (faults.latencyMillis > 0) {
+      return Mono.delay(Duration.ofMillis(faults.latencyMillis)).then(Mono.defer(work));
+    }
+    return work.get();
+  }
+
+  private synchronized Map<String, Long> stats() {
+    return Map.of("reads", readCount, "writes", writeCount, "rows", (long) rows.size());
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /**
+   * Faults, changeable at run time.
+   *
+   * @param outage whether every call is refused
+   * @param latencyMillis delay of every call
+   * @param loseAnswers how many of the next writes take effect without an answer
+   */
+  public record Faults(boolean outage, long latencyMillis, int loseAnswers) {}
+}
