Serve a request end to end: quickstart passes on separate processes

Cause of the first failure: the daemons had no non-daemon thread and ended at once, and a derived accessor of the settings was taken for a key. One runner now keeps a daemon alive and lets it leave; accessors are no longer bound.

--- a/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.cornelchute.core.cli.Daemon;
 import org.cornelchute.core.duty.DeciderDuty;
 import org.cornelchute.core.duty.Duty;
 import org.cornelchute.core.duty.Overflow;
@@ -42,7 +43,7 @@
 import reactor.core.Disposable;
 
 /** Wires the duties of an agent: admission, weights, rollout and control. */
-public final class AgentDaemon implements AutoCloseable {
+public final class AgentDaemon implements Daemon {
 
   private static final int RING = 1 << 14;
   private static final long TICK_MILLIS = 20;
@@ -130,6 +131,7 @@
   }
 
   /** Starts all duties and opens all sockets. */
+  @Override
   public void start() {
     kernel.register("admission", admission);
     kernel.register("frames", server);
@@ -156,6 +158,7 @@
    *
    * @return whether everything ended in time
    */
+  @Override
   public boolean leave() {
     leaving = true;
     control.leave();
--- a/core/src/main/java/org/cornelchute/core/cfg/SettingsReader.java
+++ b/core/src/main/java/org/cornelchute/core/cfg/SettingsReader.java
@@ -1,5 +1,7 @@
 package org.cornelchute.core.cfg;
 
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
@@ -38,6 +40,7 @@
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .enable(SerializationFeature.INDENT_OUTPUT)
+          .visibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
           .build();
 
   /**
--- /dev/null
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
@@ -0,0 +1,43 @@
+package org.cornelchute.core.cli;
+
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs a daemon until the process is told to stop, then lets it leave. */
+public final class DaemonRunner {
+
+  private static final Logger LOG = LoggerFactory.getLogger(DaemonRunner.class);
+
+  private DaemonRunner() {}
+
+  /** Runs a daemon; returns only when the process ends. */
+  public static void run(String name, Daemon daemon) {
+    daemon.start();
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  boolean clean = daemon.leave();
+                  daemon.close();
+                  LOG.info("{} stopped, every request ended: {}", name, clean);
+                },
+                "shutdown"));
+    LOG.info("{} started", name);
+    try {
+      new CountDownLatch(1).await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends the process at once, because a duty met a broken invariant. */
+  public static void halt(String duty, Throwable cause) {
+    Runtime.getRuntime().halt(ExitCode.FAILED);
+  }
+
+  /** Starts an orderly stop of the process, as a signal would. */
+  public static void stop() {
+    new Thread(() -> System.exit(ExitCode.OK), "stop").start();
+  }
+}
--- a/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.cornelchute.core.cli.Daemon;
 import org.cornelchute.core.duty.DeciderDuty;
 import org.cornelchute.core.duty.Duty;
 import org.cornelchute.core.duty.Overflow;
@@ -44,7 +45,7 @@
 import org.cornelchute.policy.rules.Rules;
 
 /** Wires the duties of an entry: one for routing, one for control, the network at the edges. */
-public final class EntryDaemon implements AutoCloseable {
+public final class EntryDaemon implements Daemon {
 
   private static final int RING = 1 << 15;
   private static final long TICK_MILLIS = 20;
@@ -118,6 +119,7 @@
   }
 
   /** Starts all duties and opens all sockets. */
+  @Override
   public void start() {
     kernel.register("client", client);
     kernel.register("routing", routing);
@@ -141,6 +143,7 @@
    *
    * @return whether all requests had an outcome in time
    */
+  @Override
   public boolean leave() {
     leaving = true;
     control.leave();
--- a/standin/src/main/java/org/cornelchute/standin/Quickstart.java
+++ b/standin/src/main/java/org/cornelchute/standin/Quickstart.java
@@ -22,6 +22,7 @@
   private static final String KEY = "quickstart-key";
   private static final int BYTES = 8 << 20;
   private static final int REPLICAS = 3;
+  private static final int MAX_FAULTS = 10;
   private static final List<String> DOMAINS =
       List.of("quito-norte", "guayaquil-sur", "cuenca-centro");
 
@@ -49,7 +50,10 @@
             Map.of("linkBytesPerSecond", 2 * BYTES, "originRegion", "sierra"));
       }
       fleet.startService("pedidos-1", "sierra", DOMAINS.get(0), "pedidos");
-      check(fleet.awaitStarted(30), "a process did not start");
+      if (!fleet.awaitStarted(30)) {
+        say("FAILED: a process did not start; the end of its log:%n%s", fleet.deadLog());
+        return ExitCode.FAILED;
+      }
       String digest =
           fleet.publish("model=" + MODEL + "&version=v1&bytes=" + BYTES).path("digest").asText();
       StringBuilder out = new StringBuilder();
@@ -104,6 +108,7 @@
                         .collectList()
                         .block());
                 n += 4;
+                Fleet.pause(50);
               }
             },
             "load");
@@ -156,7 +161,7 @@
     say("requests answered whole                 %d", whole);
     say("requests refused, truthfully not run    %d", refused);
     say("requests failed                         %d", results.size() - whole - refused);
-    for (String f : faults) {
+    for (String f : faults.subList(0, Math.min(MAX_FAULTS, faults.size()))) {
       say("FAILED: %s", f);
     }
     say(faults.isEmpty() ? "all went well" : "something went wrong");
--- a/standin/src/main/java/org/cornelchute/standin/harness/Fleet.java
+++ b/standin/src/main/java/org/cornelchute/standin/harness/Fleet.java
@@ -31,6 +31,7 @@
   private static final String CTL_MAIN = "org.cornelchute.ctl.CtlProgram";
   private static final long POLL_MILLIS = 50;
   private static final int STOP_SECONDS = 10;
+  private static final int LOG_LINES = 20;
 
   private final Ports ports = new Ports();
   private final ObjectMapper mapper = new ObjectMapper();
@@ -210,6 +211,19 @@
         seconds, () -> children.values().stream().allMatch(c -> answers(c.operatorPort())));
   }
 
+  /** Returns the end of the log of the first process that does not run or does not answer. */
+  public String deadLog() throws IOException {
+    for (Child c : children.values()) {
+      if (!c.process().isAlive() || !answers(c.operatorPort())) {
+        List<String> lines = Files.readAllLines(c.log());
+        return c.id()
+            + ":\n"
+            + String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
+      }
+    }
+    return "every process answers";
+  }
+
   /** Counts the engines that hold a manifest, by their own word. */
   public int countLoaded(String digest) {
     int n = 0;
