--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/bench/FleetRules.java
@@ -0,0 +1,35 @@
+package org.cornelchute.standin.bench;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.cornelchute.policy.weights.Digests;
+
+/** Rules files of the measurements. */
+final class FleetRules {
+
+  static final String MODEL = "andina/modelo-cornel";
+
+  private FleetRules() {}
+
+  /** Returns the name of a workspace, which is also its key here. */
+  static String workspace(int number) {
+    return "andina/ws-" + number;
+  }
+
+  /** Places a version and gives some workspaces keys and weights. */
+  static String place(
+      String version, Map<String, Integer> replicas, int unavailable, List<Integer> weights) {
+    StringBuilder b = new StringBuilder("place " + MODEL + " " + version + " on");
+    replicas.forEach((domain, n) -> b.append(' ').append(domain).append('=').append(n));
+    b.append(" unavailable=").append(unavailable).append(" # asked: bench\n");
+    for (int i = 0; i < weights.size(); i++) {
+      String key = Digests.sha256(workspace(i).getBytes(StandardCharsets.UTF_8));
+      b.append("key ").append(workspace(i)).append(' ').append(key).append(" # asked: bench\n");
+      b.append("weight ").append(workspace(i)).append(' ').append(weights.get(i));
+      b.append(" # asked: bench\n");
+    }
+    b.append("norepeat pedidos POST /confirm # asked: billing\n");
+    return b.toString();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/bench/OverheadBench.java
@@ -0,0 +1,145 @@
+package org.cornelchute.standin.bench;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.cornelchute.standin.harness.CallResult;
+import org.cornelchute.standin.harness.Caller;
+import org.cornelchute.standin.harness.Child;
+import org.cornelchute.standin.harness.Fleet;
+import org.cornelchute.standin.harness.Http;
+import org.cornelchute.standin.server.EngineStandin;
+import reactor.core.publisher.Flux;
+
+/** What entry and agent add to a request, against the same engine asked directly. */
+final class OverheadBench implements Bench {
+
+  private static final int WARM_UP = 300;
+  private static final int ROUNDS = 150;
+  private static final int PARALLEL = 4;
+  private static final int TOKENS = 32;
+  private static final EngineStandin.Options ENGINE =
+      new EngineStandin.Options(5_000, 10, 16, 16, 1, 10, 500, true, true);
+
+  private final Caller caller = new Caller();
+  private final Samples directFirst = new Samples();
+  private final Samples directGap = new Samples();
+  private final Samples throughFirst = new Samples();
+  private final Samples throughGap = new Samples();
+  private int failed;
+
+  @Override
+  public String name() {
+    return "overhead";
+  }
+
+  @Override
+  public String summary() {
+    return "time and processor time that entry and agent add to a streamed request";
+  }
+
+  @Override
+  public Report run(BenchOptions options) throws IOException {
+    try (Fleet fleet = new Fleet(0)) {
+      fleet.logLevel("WARN");
+      final Child entry = fleet.startEntry("entry-1", "r1", "d1", Map.of());
+      final Child agent =
+          fleet.startEngine(
+              "agent-1", "r1", "d1", ENGINE, Map.of("coldLimit", 16, "warmLimit", 16));
+      fleet.awaitStarted(30);
+      String digest =
+          fleet.publish("model=" + FleetRules.MODEL + "&version=v1").path("digest").asText();
+      fleet.apply(new StringBuilder(), FleetRules.place("v1", Map.of("d1", 1), 1, List.of(10)));
+      Fleet.await(20, () -> fleet.countReady(entry, digest) == 1);
+      int engine = fleet.endpointPort("agent-1");
+      for (int i = 0; i < WARM_UP / PARALLEL; i++) {
+        round(engine, entry.callerPort(), i, false);
+      }
+      final long entryBefore = entry.cpuMillis();
+      final long agentBefore = agent.cpuMillis();
+      for (int i = 0; i < ROUNDS; i++) {
+        round(engine, entry.callerPort(), i, true);
+      }
+      long requests = (long) ROUNDS * PARALLEL;
+      double entryMicros = (entry.cpuMillis() - entryBefore) * 1_000.0 / requests;
+      double agentMicros = (agent.cpuMillis() - agentBefore) * 1_000.0 / requests;
+      // A second shape of request separates the cost of a token from that of a request.
+      final long entryMid = entry.cpuMillis();
+      final long agentMid = agent.cpuMillis();
+      for (int i = 0; i < ROUNDS; i++) {
+        send(entry.callerPort(), "short" + i, 1, null, null);
+      }
+      double entryShort = (entry.cpuMillis() - entryMid) * 1_000.0 / requests;
+      double agentShort = (agent.cpuMillis() - agentMid) * 1_000.0 / requests;
+      return report(fleet, entry, agent, entryMicros, agentMicros, entryShort, agentShort);
+    }
+  }
+
+  private Report report(
+      Fleet fleet,
+      Child entry,
+      Child agent,
+      double entryMicros,
+      double agentMicros,
+      double entryShort,
+      double agentShort)
+      throws IOException {
+    double entryToken = (entryMicros - entryShort) / (TOKENS - 1);
+    double agentToken = (agentMicros - agentShort) / (TOKENS - 1);
+    Report r = new Report();
+    for (double p : new double[] {50, 95, 99}) {
+      String suffix = "P" + (int) p + "Millis";
+      r.add("directFirstToken" + suffix, directFirst.millis(p));
+      r.add("addedFirstToken" + suffix, throughFirst.millis(p) - directFirst.millis(p));
+      r.add("addedInterToken" + suffix, throughGap.millis(p) - directGap.millis(p));
+    }
+    r.add("entryMicrosPerRequest", entryShort - entryToken);
+    r.add("agentMicrosPerRequest", agentShort - agentToken);
+    r.add("entryMicrosPerToken", entryToken);
+    r.add("agentMicrosPerToken", agentToken);
+    r.add("entryTokensPerSecondPerCore", 1e6 / entryToken);
+    r.add("agentTokensPerSecondPerCore", 1e6 / agentToken);
+    r.add("entryResidentMegabytes", entry.residentBytes() / 1e6);
+    r.add("agentResidentMegabytes", agent.residentBytes() / 1e6);
+    r.add("entryHeapMegabytes", heap(entry));
+    r.add("agentHeapMegabytes", heap(agent));
+    r.add("samples", throughFirst.count());
+    r.add("failed", failed);
+    return r;
+  }
+
+  private static double heap(Child c) throws IOException {
+    return Http.get(c.operatorPort(), "/metrics").path("process.heap.bytes").asLong() / 1e6;
+  }
+
+  /** Sends the same requests to the engine and through entry and agent, one set after the other. */
+  private void round(int engine, int entry, int number, boolean counted) {
+    String prompt = "round " + number;
+    send(engine, prompt, TOKENS, counted ? directFirst : null, directGap);
+    send(entry, prompt, TOKENS, counted ? throughFirst : null, throughGap);
+  }
+
+  private void send(int port, String prompt, int tokens, Samples first, Samples gaps) {
+    List<CallResult> results =
+        Flux.range(0, PARALLEL)
+            .flatMap(
+                i ->
+                    caller.complete(
+                        port,
+                        FleetRules.workspace(0),
+                        FleetRules.MODEL,
+                        prompt + "-" + i,
+                        tokens,
+                        true))
+            .collectList()
+            .block();
+    for (CallResult r : results) {
+      if (r.outcome() != CallResult.Outcome.WHOLE) {
+        failed++;
+      } else if (first != null) {
+        first.add(r.firstMicros());
+        r.gapMicros().forEach(gaps::add);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/bench/Report.java
@@ -0,0 +1,41 @@
+package org.cornelchute.standin.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Figures of one measurement in the order they were added; printed as a table or as JSON. */
+final class Report {
+
+  private final Map<String, Object> figures = new LinkedHashMap<>();
+
+  /** Adds a figure; fractions are rounded to three places. */
+  Report add(String name, Object value) {
+    Object kept = value;
+    if (value instanceof Double d) {
+      kept = Math.round(d * 1_000) / 1_000.0;
+    }
+    figures.put(name, kept);
+    return this;
+  }
+
+  /** Returns the figures as a table. */
+  String table() {
+    StringBuilder b = new StringBuilder();
+    figures.forEach((k, v) -> b.append(String.format("%-34s %s%n", k, v)));
+    return b.toString();
+  }
+
+  /** Returns the figures as one JSON document. */
+  String json() {
+    try {
+      return new ObjectMapper()
+          .enable(SerializationFeature.INDENT_OUTPUT)
+          .writeValueAsString(figures);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("figures cannot be encoded", e);
+    }
+  }
+}
