Find swarm peers by placement, spread news at once, ask members for their version

Cause: an agent learnt by gossip, one probe a second, which others wanted the same version; until then each took itself for the importer (1.41 copies). Ruled out: duplicate requests (a fake swarm in virtual time received every chunk once). Placement is computed alike everywhere, so peers follow from it at once. News now makes up to four extra datagrams, 200 ms apart; a member's rules version is no longer a rumour (N rumours a change), cornelctl asks each member instead.

--- a/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
@@ -119,8 +119,7 @@
             1,
             false,
             Generation.NONE,
-            "",
-            0);
+            "");
     this.control =
         new ControlPlane(who, self, table, codec, new Views(), clock, boot, metrics, fatal);
     this.server = new FrameServer(who.host(), who.port(), codec, new Frames(), metrics);
@@ -300,7 +299,6 @@
     @Override
     public void viewed(Collection<Member> members, Set<String> unreachable) {
       if (settings.isEngine()) {
-        weights.viewed(members);
         rollout.viewed(members, unreachable);
       }
     }
--- a/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
@@ -133,6 +133,7 @@
       return List.of();
     }
     Optional<Assignment> own = placement.decide(now, rules, members, unreachable);
+    weights.viewed(members, placement.sharing());
     return d.assigned(now, own, rules.version());
   }
 
--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -62,6 +63,8 @@
   private volatile int heldChunks;
   private volatile int allChunks;
   private Collection<Member> members = List.of();
+  private Set<String> assigned = Set.of();
+  private String newest = "";
 
   WeightsDuty(
       AgentSettings settings,
@@ -123,11 +126,18 @@
     duty.offer(() -> beginVersion(manifest));
   }
 
-  /** Takes the members, of which those count that want the same version. */
-  void viewed(Collection<Member> view) {
+  /**
+   * Takes the members, of which those count that want the same version.
+   *
+   * @param view members alive or suspected
+   * @param sharing ids of members that are assigned the newest version too; placement is computed
+   *     alike everywhere, so they are known before they say themselves what they want
+   */
+  void viewed(Collection<Member> view, Set<String> sharing) {
     duty.offer(
         () -> {
           members = view;
+          assigned = sharing;
           for (HeldVersion v : new ArrayList<>(versions.values())) {
             execute(v, v.swarm.members(clock.getAsLong(), wanting(v.manifest.digest())));
           }
@@ -162,6 +172,7 @@
   }
 
   private void beginVersion(Manifest manifest) {
+    newest = manifest.digest();
     if (versions.containsKey(manifest.digest())) {
       HeldVersion v = versions.remove(manifest.digest());
       versions.put(manifest.digest(), v);
@@ -197,7 +208,7 @@
   private List<Member> wanting(String digest) {
     List<Member> wanting = new ArrayList<>();
     for (Member m : members) {
-      if (m.wants().equals(digest)) {
+      if (m.wants().equals(digest) || digest.equals(newest) && assigned.contains(m.id())) {
         wanting.add(m);
       }
     }
--- a/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -47,6 +47,12 @@
   /** Answers with a version of the rules and their full text. */
   record RulesText(long version, String digest, String text) implements ControlMessage {}
 
+  /** Asks a member which version of the rules is in force there. */
+  record VersionRequest() implements ControlMessage {}
+
+  /** Tells which version of the rules is in force at a member. */
+  record VersionReport(String member, long version) implements ControlMessage {}
+
   /** Asks an agent for its load, sent when an entry connects. */
   record LoadRequest() implements ControlMessage {}
 
--- a/core/src/main/java/org/cornelchute/core/model/Member.java
+++ b/core/src/main/java/org/cornelchute/core/model/Member.java
@@ -14,7 +14,6 @@
  * @param leaving whether it takes no new work
  * @param generation what its endpoint serves at present
  * @param wants digest of the manifest it is fetching or holding, or empty
- * @param configuration version of the rules in force there
  */
 public record Member(
     String id,
@@ -27,8 +26,7 @@
     long revision,
     boolean leaving,
     Generation generation,
-    String wants,
-    long configuration) {
+    String wants) {
 
   /** Returns whether this record supersedes {@code old}. */
   public boolean newerThan(Member old) {
@@ -37,69 +35,21 @@
 
   /** Returns a copy that announces leaving. */
   public Member withLeaving() {
-    return new Member(
-        id,
-        role,
-        address,
-        region,
-        domain,
-        service,
-        boot,
-        revision + 1,
-        true,
-        generation,
-        wants,
-        configuration);
+    return copy(revision + 1, true, generation, wants);
   }
 
   /** Returns a copy with another generation and wish. */
   public Member withGeneration(Generation g, String wanted) {
-    return new Member(
-        id,
-        role,
-        address,
-        region,
-        domain,
-        service,
-        boot,
-        revision + 1,
-        leaving,
-        g,
-        wanted,
-        configuration);
+    return copy(revision + 1, leaving, g, wanted);
   }
 
-  /** Returns a copy with another version of the rules. */
-  public Member withConfiguration(long version) {
-    return new Member(
-        id,
-        role,
-        address,
-        region,
-        domain,
-        service,
-        boot,
-        revision + 1,
-        leaving,
-        generation,
-        wants,
-        version);
+  /** Returns a copy whose revision supersedes {@code other}. */
+  public Member withRevisionAbove(long other) {
+    return copy(Math.max(revision, other) + 1, leaving, generation, wants);
   }
 
-  /** Returns a copy whose revision supersedes {@code revision}. */
-  public Member withRevisionAbove(long other) {
+  private Member copy(long newRevision, boolean nowLeaving, Generation g, String wanted) {
     return new Member(
-        id,
-        role,
-        address,
-        region,
-        domain,
-        service,
-        boot,
-        Math.max(revision, other) + 1,
-        leaving,
-        generation,
-        wants,
-        configuration);
+        id, role, address, region, domain, service, boot, newRevision, nowLeaving, g, wanted);
   }
 }
--- a/ctl/src/main/java/org/cornelchute/ctl/ApplyCommand.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/ApplyCommand.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.cornelchute.core.cli.ExitCode;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.outcome.Failure;
@@ -79,8 +80,9 @@
       }
       late.clear();
       all = members.get().size();
+      Map<String, Long> versions = c.members().versions(members.get());
       for (Member m : members.get()) {
-        if (m.configuration() < version && !m.leaving()) {
+        if (versions.getOrDefault(m.id(), 0L) < version && !m.leaving()) {
           late.add(m.id());
         }
       }
--- a/ctl/src/main/java/org/cornelchute/ctl/MembersView.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/MembersView.java
@@ -9,8 +9,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.Message;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.frame.FrameClient;
+import org.cornelchute.net.frame.MessageCodec;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
@@ -41,6 +48,28 @@
             });
   }
 
+  /**
+   * Asks each member which version of the rules is in force there.
+   *
+   * @return version by member id; a member that does not answer in time is left out
+   */
+  Map<String, Long> versions(List<Member> members) {
+    Map<String, Long> versions = new ConcurrentHashMap<>();
+    CountDownLatch open = new CountDownLatch(members.size());
+    FrameClient client =
+        new FrameClient("cornelctl", new MessageCodec(), new Versions(versions, open));
+    for (Member m : members) {
+      client.send(m.address(), new ControlMessage.VersionRequest());
+    }
+    try {
+      open.await(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    client.close();
+    return versions;
+  }
+
   /** Reads the metrics of the process. */
   Either<Failure, Map<String, Object>> metrics() {
     return get("/metrics")
@@ -73,4 +102,25 @@
                                 + "; give a member's operator port with --member"))))
         .block(PATIENCE);
   }
+
+  /** Collects the members' answers. */
+  private record Versions(Map<String, Long> versions, CountDownLatch open)
+      implements FrameClient.Listener {
+
+    @Override
+    public void received(String address, Message message) {
+      if (message instanceof ControlMessage.VersionReport r
+          && versions.put(r.member(), r.version()) == null) {
+        open.countDown();
+      }
+    }
+
+    @Override
+    public void lost(String address) {}
+
+    @Override
+    public void undelivered(String address, Message message) {
+      open.countDown();
+    }
+  }
 }
--- a/ctl/src/main/java/org/cornelchute/ctl/StatusCommand.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/StatusCommand.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.cornelchute.core.cli.ExitCode;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.outcome.Failure;
@@ -63,6 +64,7 @@
             String.format(
                 "%-20s %-6s %-16s %-7s %-30s %s",
                 "MEMBER", "ROLE", "DOMAIN", "RULES", "SERVES", "FETCHING"));
+    final Map<String, Long> versions = c.members().versions(sorted);
     int ready = 0;
     int wanting = 0;
     for (Member m : sorted) {
@@ -79,7 +81,7 @@
               m.id() + (m.leaving() ? " (leaving)" : ""),
               m.role().name().toLowerCase(Locale.ROOT),
               m.domain(),
-              m.configuration(),
+              versions.getOrDefault(m.id(), 0L),
               serves,
               fetching ? brief(m.wants()) : ""));
     }
--- a/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
@@ -109,8 +109,7 @@
             1,
             false,
             Generation.NONE,
-            "",
-            0);
+            "");
     this.control =
         new ControlPlane(who, self, table, codec, new Views(), clock, boot, metrics, fatal);
     this.server = new FrameServer(who.host(), who.port(), codec, new PeerQuestions(), metrics);
--- a/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
@@ -45,6 +45,7 @@
 
   private final MembershipDecider members;
   private final ConfigurationDecider configuration;
+  private final String id;
   private final TableClient table;
   private final Datagrams datagrams;
   private final FrameClient client;
@@ -82,6 +83,7 @@
       Duty.FatalHandler fatal) {
     this.members = new MembershipDecider(self, settings.seeds(), seed);
     this.configuration = new ConfigurationDecider(seed);
+    this.id = settings.id();
     this.table = table;
     this.listener = listener;
     this.clock = clock;
@@ -157,6 +159,9 @@
       ControlMessage.RulesText text = rulesText;
       return text.version() > m.above() ? Optional.of(text) : Optional.empty();
     }
+    if (message instanceof ControlMessage.VersionRequest) {
+      return Optional.of(new ControlMessage.VersionReport(id, rulesText.version()));
+    }
     return Optional.empty();
   }
 
@@ -248,7 +253,7 @@
 
   private void adopt(ConfigurationEffect.Adopt a) {
     rulesText = new ControlMessage.RulesText(a.rules().version(), a.digest(), a.text());
-    execute(members.announce(members.self().withConfiguration(a.rules().version())));
+    members.configuration(a.rules().version());
     listener.rulesAdopted(a.rules());
     refreshView();
     LOG.info("rules version {} in force", a.rules().version());
--- a/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -57,7 +57,9 @@
           SwarmMessage.Have.class,
           SwarmMessage.ChunkRequest.class,
           SwarmMessage.ChunkData.class,
-          SwarmMessage.ChunkRefused.class);
+          SwarmMessage.ChunkRefused.class,
+          ControlMessage.VersionRequest.class,
+          ControlMessage.VersionReport.class);
 
   private final List<ObjectReader> readers = new ArrayList<>();
   private final Map<Class<?>, Integer> codes = new HashMap<>();
--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -43,7 +43,12 @@
 
   private static final int INDIRECT_PROBES = 3;
   private static final int RUMOURS_PER_DATAGRAM = 6;
-  private static final int TRANSMIT_FACTOR = 4;
+  private static final int TRANSMIT_FACTOR = 2;
+
+  /** Datagrams sent at once for news, before it only rides on probes. */
+  private static final int FRESH_SENDS = 4;
+
+  private static final long GOSSIP_MILLIS = 200;
   private static final double UNREACHABLE_SHARE = 0.5;
   private static final int UNREACHABLE_MIN_MEMBERS = 3;
 
@@ -55,6 +60,9 @@
   private final List<String> order = new ArrayList<>();
   private final Random random;
   private Member self;
+  private long configuration;
+  private int freshVersionSends;
+  private long nextGossip;
   private Probe probe;
   private long sequence;
   private long nextProbe;
@@ -143,6 +151,12 @@
     return effects;
   }
 
+  /** Takes the version of the rules in force here; news of it goes out at once. */
+  public void configuration(long version) {
+    configuration = version;
+    freshVersionSends = FRESH_SENDS;
+  }
+
   /** Says goodbye to some members at once; the rest learn it by gossip. */
   public List<MembershipEffect> leave(long now) {
     List<MembershipEffect> effects = announce(self.withLeaving());
@@ -162,6 +176,14 @@
       nextProbe = now + PROBE_MILLIS;
       beginProbe(now, effects);
     }
+    if (now >= nextGossip && hasNews()) {
+      nextGossip = now + GOSSIP_MILLIS;
+      freshVersionSends = Math.max(0, freshVersionSends - 1);
+      Member target = nextTarget();
+      if (target != null) {
+        effects.add(constructPing(target, ++sequence));
+      }
+    }
     if (now >= nextSeed) {
       nextSeed = now + RETRY_MILLIS / 2 + random.nextInt((int) RETRY_MILLIS);
       askSeed(effects);
@@ -179,7 +201,7 @@
     effects.add(
         new MembershipEffect.Datagram(
             address,
-            new ControlMessage.Ack(m.sequence(), self.id(), self.configuration(), pick(m.from()))));
+            new ControlMessage.Ack(m.sequence(), self.id(), configuration, pick(m.from()))));
     return effects;
   }
 
@@ -209,8 +231,7 @@
     relays.put(++sequence, new Relay(address, m.sequence(), now));
     effects.add(
         new MembershipEffect.Datagram(
-            m.address(),
-            new ControlMessage.Ping(sequence, self.id(), self.configuration(), pick())));
+            m.address(), new ControlMessage.Ping(sequence, self.id(), configuration, pick())));
     return effects;
   }
 
@@ -230,6 +251,18 @@
 
   // Helpers
 
+  private boolean hasNews() {
+    if (freshVersionSends > 0) {
+      return true;
+    }
+    for (Spreading s : spreading.values()) {
+      if (s.sent < FRESH_SENDS) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void beginProbe(long now, List<MembershipEffect> effects) {
     Member target = nextTarget();
     if (target == null) {
@@ -450,6 +483,7 @@
     for (Spreading s : ordered.subList(0, Math.min(RUMOURS_PER_DATAGRAM, ordered.size()))) {
       picked.add(s.rumour);
       s.left--;
+      s.sent++;
       if (s.left <= 0) {
         spreading.remove(s.rumour.member().id());
       }
@@ -460,7 +494,7 @@
   private MembershipEffect constructPing(Member target, long number) {
     return new MembershipEffect.Datagram(
         target.address(),
-        new ControlMessage.Ping(number, self.id(), self.configuration(), pick(target.id())));
+        new ControlMessage.Ping(number, self.id(), configuration, pick(target.id())));
   }
 
   private static final class View {
@@ -478,6 +512,7 @@
   private static final class Spreading {
     private final Rumour rumour;
     private int left;
+    private int sent;
 
     Spreading(Rumour rumour, int left) {
       this.rumour = rumour;
--- a/policy/src/main/java/org/cornelchute/policy/placement/PlacementDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/PlacementDecider.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,6 +58,19 @@
     return Optional.ofNullable(assignments.get(self));
   }
 
+  /** Returns the members that are assigned the same version as this agent. */
+  public Set<String> sharing() {
+    Assignment own = assignments.get(self);
+    Set<String> same = new HashSet<>();
+    assignments.forEach(
+        (id, a) -> {
+          if (own != null && a.model().equals(own.model()) && a.version().equals(own.version())) {
+            same.add(id);
+          }
+        });
+    return same;
+  }
+
   /**
    * Decides whether this agent may take its endpoint away to load a new version.
    *
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmOptions.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmOptions.java
@@ -23,7 +23,7 @@
     long timeoutMillis) {
 
   /** Values that hold for tens to hundreds of agents. */
-  public static final SwarmOptions DEFAULTS = new SwarmOptions(4, 16, 4, 2, 2, 8, 1_000, 4_000);
+  public static final SwarmOptions DEFAULTS = new SwarmOptions(4, 16, 4, 2, 1, 2, 1_000, 4_000);
 
   /** Returns a copy with another number of importers. */
   public SwarmOptions withImporters(int n) {
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -0,0 +1,210 @@
+package org.cornelchute.policy.weights;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+
+/** Agents joined by limited links in virtual time; just enough to drive {@link SwarmDecider}. */
+final class FakeSwarm {
+
+  static final int CHUNKS = 128;
+  static final double DEADLINE_MILLIS = 16_000;
+  private static final long TICK_MILLIS = 50;
+
+  final Map<String, Node> nodes = new TreeMap<>();
+  final Manifest manifest;
+  final Random random;
+  double corruptShare;
+  double lossShare;
+  boolean originRefuses;
+  long originChunks;
+  long now;
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final SwarmOptions options;
+  private final double chunkMillisOrigin;
+  private final double chunkMillisLink;
+  private double originFree;
+  private long sequence;
+
+  FakeSwarm(int agents, int regions, SwarmOptions options, long seed) {
+    this.options = options;
+    this.random = new Random(seed);
+    this.manifest = Manifest.of("m", "v1", new byte[CHUNKS * 16], 16);
+    this.chunkMillisOrigin = DEADLINE_MILLIS / 4 / CHUNKS;
+    this.chunkMillisLink = DEADLINE_MILLIS / 2 / CHUNKS;
+    for (int i = 0; i < agents; i++) {
+      start("a" + i, "r" + i % regions, 1);
+    }
+  }
+
+  void start(String id, String region, long boot) {
+    Node n = new Node();
+    n.member =
+        new Member(
+            id,
+            Role.AGENT,
+            id,
+            region,
+            "d",
+            "",
+            boot,
+            1,
+            false,
+            Generation.NONE,
+            manifest.digest());
+    n.decider =
+        new SwarmDecider(id, region, "r0", manifest, new BitSet(), options, random.nextLong(), now);
+    nodes.put(id, n);
+    tickLater(n);
+    nodes.values().forEach(this::tellMembers);
+  }
+
+  void kill(String id) {
+    Node dead = nodes.remove(id);
+    dead.dead = true;
+    for (Node n : nodes.values()) {
+      at(now + 5, () -> execute(n, n.decider.peerLost(now, id)));
+      at(now + 6_000, () -> tellMembers(n));
+    }
+  }
+
+  /** Runs until every agent holds everything or the time is up; returns the time. */
+  long run(long limitMillis) {
+    while (!events.isEmpty() && now < limitMillis) {
+      if (nodes.values().stream().allMatch(n -> n.completedAt >= 0)) {
+        break;
+      }
+      step();
+    }
+    return now;
+  }
+
+  void runUntil(long millis) {
+    while (!events.isEmpty() && events.peek().at <= millis) {
+      step();
+    }
+    now = Math.max(now, millis);
+  }
+
+  private void step() {
+    Event e = events.poll();
+    now = Math.max(now, e.at);
+    e.action.run();
+  }
+
+  private void tickLater(Node n) {
+    at(
+        now + TICK_MILLIS + random.nextInt(5),
+        () -> {
+          if (!n.dead) {
+            execute(n, n.decider.tick(now));
+            tickLater(n);
+          }
+        });
+  }
+
+  private void tellMembers(Node n) {
+    List<Member> all = new ArrayList<>();
+    nodes.values().forEach(x -> all.add(x.member));
+    execute(n, n.decider.members(now, all));
+  }
+
+  private void execute(Node n, List<SwarmEffect> effects) {
+    if (n.dead) {
+      return;
+    }
+    for (SwarmEffect e : effects) {
+      if (e instanceof SwarmEffect.Send s) {
+        deliver(n, s.peer(), s.message(), now + 1 + random.nextInt(2));
+      } else if (e instanceof SwarmEffect.Upload u) {
+        n.upFree = Math.max(n.upFree, now) + chunkMillisLink;
+        long sent = Math.round(n.upFree);
+        at(
+            sent,
+            () -> {
+              deliver(
+                  n,
+                  u.peer(),
+                  new SwarmMessage.ChunkData(
+                      manifest.digest(), u.chunk(), n.decider.uploadsWaiting(), new byte[0]),
+                  now + 1);
+              execute(n, n.decider.uploaded(now));
+            });
+      } else if (e instanceof SwarmEffect.FetchOrigin f) {
+        fetch(n, f.chunk());
+      } else if (e instanceof SwarmEffect.Complete) {
+        n.completedAt = now;
+      }
+    }
+  }
+
+  private void fetch(Node n, int chunk) {
+    if (originRefuses) {
+      at(now + 2, () -> execute(n, n.decider.originFailed(now, chunk)));
+      return;
+    }
+    originChunks++;
+    originFree = Math.max(originFree, now) + chunkMillisOrigin;
+    at(Math.round(originFree) + 1, () -> arrive(n, "", chunk, 0));
+  }
+
+  private void deliver(Node from, String to, SwarmMessage m, long when) {
+    if (random.nextDouble() < lossShare) {
+      return;
+    }
+    String sender = from.member.id();
+    at(
+        when,
+        () -> {
+          Node n = nodes.get(to);
+          if (n == null) {
+            execute(from, from.decider.peerLost(now, to));
+          } else if (m instanceof SwarmMessage.ChunkData c) {
+            arrive(n, sender, c.chunk(), c.queued());
+          } else {
+            execute(n, n.decider.received(now, sender, m));
+          }
+        });
+  }
+
+  private void arrive(Node n, String sender, int chunk, int queued) {
+    n.downFree = Math.max(n.downFree + chunkMillisLink, now);
+    boolean valid = random.nextDouble() >= corruptShare;
+    at(
+        Math.round(n.downFree),
+        () -> {
+          n.received++;
+          execute(n, n.decider.chunk(now, sender, chunk, queued, valid));
+        });
+  }
+
+  private void at(long when, Runnable action) {
+    events.add(new Event(when, sequence++, action));
+  }
+
+  static final class Node {
+    Member member;
+    SwarmDecider decider;
+    double upFree;
+    double downFree;
+    long completedAt = -1;
+    int received;
+    boolean dead;
+  }
+
+  private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event o) {
+      return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+    }
+  }
+}
