--- a/standin/src/main/java/org/cornelchute/standin/bench/WeightsBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/WeightsBench.java
@@ -73,18 +73,33 @@
                       + size / CHUNKS)
               .path("digest")
               .asText();
+      boolean warm = warmUp(fleet, replicas, n);
+      final long before = Http.get(fleet.originPort(), "/stats").path("bytes").asLong();
       final long begun = System.nanoTime();
       Thread apply =
           new Thread(() -> apply(fleet, FleetRules.place("v1", replicas, n, List.of(10))));
       apply.start();
       WeightsFaults faults = new WeightsFaults(fleet, o, begun);
-      Progress p = watch(fleet, digest, n, begun, faults, size);
-      final Report r = report(fleet, o, p, size, faults);
+      Progress p = watch(fleet, digest, n, begun, faults, size, before);
+      final Report r = report(fleet, o, p, size, faults, before);
+      r.add("warmedUp", warm);
       r.add("baselineSecondsToAll", baseline(fleet, digest, n));
       return r;
     }
   }
 
+  /** Places a small version first, so that the agents are running ones and not just started. */
+  private static boolean warmUp(Fleet fleet, Map<String, Integer> replicas, int n)
+      throws IOException {
+    String digest =
+        fleet
+            .publish("model=" + FleetRules.MODEL + "&version=v0&bytes=131072&chunkBytes=1024")
+            .path("digest")
+            .asText();
+    apply(fleet, FleetRules.place("v0", replicas, n, List.of(10)));
+    return Fleet.await(60, () -> fleet.countLoaded(digest) == n);
+  }
+
   private static void apply(Fleet fleet, String rules) {
     try {
       fleet.apply(new StringBuilder(), rules);
@@ -107,7 +122,7 @@
   }
 
   private static Progress watch(
-      Fleet fleet, String first, int n, long begun, WeightsFaults faults, int size)
+      Fleet fleet, String first, int n, long begun, WeightsFaults faults, int size, long before)
       throws IOException {
     Progress p = new Progress();
     String digest = first;
@@ -116,7 +131,7 @@
       int loaded = fleet.countLoaded(digest);
       int wanted = n - faults.killed();
       double now = seconds(begun);
-      if (p.begin == 0 && firstByte(fleet)) {
+      if (p.begin == 0 && firstByte(fleet, before)) {
         p.begin = now;
       }
       if (p.half == 0 && loaded * 2 >= wanted) {
@@ -134,7 +149,8 @@
     return p;
   }
 
-  private Report report(Fleet fleet, BenchOptions o, Progress p, int size, WeightsFaults faults)
+  private Report report(
+      Fleet fleet, BenchOptions o, Progress p, int size, WeightsFaults faults, long before)
       throws IOException {
     int n = o.replicas();
     final double t = DEADLINE_SECONDS;
@@ -153,7 +169,7 @@
     r.add("secondsLowerBound", bound);
     r.add("ratio", elapsed / bound);
     JsonNode origin = Http.get(fleet.originPort(), "/stats");
-    r.add("originCopies", origin.path("bytes").asDouble() / size);
+    r.add("originCopies", (origin.path("bytes").asDouble() - before) / size);
     r.add("mixedOrPartialServed", mixed(fleet, faults));
     double resident = 0;
     double cpu = 0;
@@ -182,8 +198,8 @@
     return mixed;
   }
 
-  private static boolean firstByte(Fleet fleet) throws IOException {
-    return Http.get(fleet.originPort(), "/stats").path("bytes").asLong() > 0;
+  private static boolean firstByte(Fleet fleet, long before) throws IOException {
+    return Http.get(fleet.originPort(), "/stats").path("bytes").asLong() > before;
   }
 
   private static int members(Child entry) {
