--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -53,6 +53,7 @@
   private final Map<Integer, List<Request>> requests = new HashMap<>();
   private final Deque<Queued> uploads = new ArrayDeque<>();
   private List<String> ranking = List.of();
+  private String sourceRegion;
   private boolean uploading;
   private boolean complete;
   private double latency;
@@ -86,6 +87,7 @@
     this.self = self;
     this.region = region;
     this.originRegion = originRegion;
+    this.sourceRegion = region;
     this.manifest = manifest;
     this.options = options;
     this.random = new Random(seed);
@@ -137,6 +139,7 @@
         peers.remove(gone);
       }
     }
+    sourceRegion = findSourceRegion();
     rank(now);
     List<SwarmEffect> effects = new ArrayList<>();
     greet(now, effects);
@@ -323,8 +326,13 @@
       if (have.get(chunk) || seenInRegion.get(chunk) || requests.containsKey(chunk)) {
         continue;
       }
-      if (rankFor(chunk, position) <= allowedRank) {
-        begin(now, effects, chunk);
+      if (rankFor(chunk, position) > allowedRank) {
+        continue;
+      }
+      Peer remote = region.equals(sourceRegion) ? null : findRemoteHolder(now, chunk);
+      // Outside the source region the origin is the last resort: its link carries few copies.
+      if (remote != null || region.equals(sourceRegion) || allowedRank > 0) {
+        begin(now, effects, chunk, remote);
         return true;
       }
     }
@@ -338,8 +346,7 @@
     return Math.floorMod(position - owner, ranking.size());
   }
 
-  private void begin(long now, List<SwarmEffect> effects, int chunk) {
-    Peer remote = region.equals(originRegion) ? null : findRemoteHolder(now, chunk);
+  private void begin(long now, List<SwarmEffect> effects, int chunk, Peer remote) {
     String source = remote == null ? ORIGIN : remote.id;
     requests.computeIfAbsent(chunk, c -> new ArrayList<>(2)).add(new Request(source, now, true));
     importing++;
@@ -519,6 +526,18 @@
 
   // Neighbours
 
+  /** Returns the one region that reads from the origin: the origin's own if anyone is there. */
+  private String findSourceRegion() {
+    Set<String> regions = new HashSet<>();
+    regions.add(region);
+    for (Peer p : peers.values()) {
+      regions.add(p.region);
+    }
+    return regions.contains(originRegion)
+        ? originRegion
+        : Rendezvous.order(manifest.digest(), regions).get(0);
+  }
+
   /** Orders the region's agents for imports; those that just failed are passed over. */
   private void rank(long now) {
     List<String> present = new ArrayList<>();
@@ -542,7 +561,7 @@
     for (Peer p : peers.values()) {
       if (p.region.equals(region)) {
         near.add(p);
-      } else if (p.region.equals(originRegion)) {
+      } else if (p.region.equals(sourceRegion)) {
         far.add(p);
       }
     }
@@ -552,7 +571,7 @@
     far.sort(order);
     greetFirst(near, options.neighbours(), effects);
     int position = ranking.indexOf(self);
-    if (!region.equals(originRegion) && position >= 0 && position < options.importers()) {
+    if (!region.equals(sourceRegion) && position >= 0 && position < options.importers()) {
       greetFirst(far, options.importers(), effects);
     }
   }
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/weights/ManifestTest.java
@@ -0,0 +1,42 @@
+package org.cornelchute.policy.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class ManifestTest {
+
+  private static Manifest sample() {
+    byte[] weights = new byte[1_000];
+    new Random(1).nextBytes(weights);
+    return Manifest.of("andina/m", "v1", weights, 300);
+  }
+
+  @Test
+  void parsesItsOwnText() {
+    Manifest m = sample();
+    assertThat(Manifest.parse(m.text()).get()).isEqualTo(m);
+    assertThat(m.sizeOf(3)).isEqualTo(100);
+  }
+
+  @Test
+  void refusesChunkWithOneBitFlippedAndChunkOfAnotherPlace() {
+    byte[] weights = new byte[1_000];
+    new Random(1).nextBytes(weights);
+    byte[] chunk = Arrays.copyOfRange(weights, 0, 300);
+    Manifest m = sample();
+    assertThat(m.verifies(0, chunk)).isTrue();
+    assertThat(m.verifies(1, chunk)).isFalse();
+    chunk[5] ^= 1;
+    assertThat(m.verifies(0, chunk)).isFalse();
+  }
+
+  @Test
+  void refusesTextWithMissingChunk() {
+    String text = sample().text();
+    String cut = text.substring(0, text.length() - 65);
+    assertThat(Manifest.parse(cut).getLeft().message()).contains("lists 3 chunks, not 4");
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -0,0 +1,100 @@
+package org.cornelchute.policy.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The exchange of chunks in virtual time, calm and under faults. */
+class SwarmDeciderTest {
+
+  private static final long LIMIT_MILLIS = 120_000;
+  private static final double BOUND_MILLIS = FakeSwarm.DEADLINE_MILLIS / 2;
+
+  /** Nothing fails. */
+  @Nested
+  class WhenCalm {
+
+    @Test
+    void reachesEveryAgentNearTheBoundWithOneReadOfTheOrigin() {
+      FakeSwarm swarm = new FakeSwarm(24, 1, SwarmOptions.DEFAULTS, 7);
+      long end = swarm.run(LIMIT_MILLIS);
+      assertThat(end / BOUND_MILLIS).isLessThanOrEqualTo(1.25);
+      assertThat((double) swarm.originChunks / FakeSwarm.CHUNKS).isLessThanOrEqualTo(1.1);
+    }
+
+    @Test
+    void readsTheOriginOnceAlsoForSeveralRegions() {
+      FakeSwarm swarm = new FakeSwarm(24, 3, SwarmOptions.DEFAULTS, 7);
+      swarm.run(LIMIT_MILLIS);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+      assertThat((double) swarm.originChunks / FakeSwarm.CHUNKS).isLessThanOrEqualTo(1.1);
+    }
+  }
+
+  /** Something fails; the end state is the same and the time stays within twice the bound. */
+  @Nested
+  class UnderFaults {
+
+    @Test
+    void completesWhenQuarterOfTheAgentsIsKilled() {
+      FakeSwarm swarm = new FakeSwarm(24, 1, SwarmOptions.DEFAULTS, 3);
+      swarm.runUntil(4_000);
+      for (int i = 0; i < 6; i++) {
+        swarm.kill("a" + i * 4);
+      }
+      assertThat(swarm.run(LIMIT_MILLIS) / BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+    }
+
+    @Test
+    void completesWithCorruptChunks() {
+      FakeSwarm swarm = new FakeSwarm(24, 1, SwarmOptions.DEFAULTS, 4);
+      swarm.corruptShare = 0.05;
+      assertThat(swarm.run(LIMIT_MILLIS) / BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+    }
+
+    @Test
+    void completesWhenTheOriginRefusesForThirdOfTheTime() {
+      FakeSwarm swarm = new FakeSwarm(24, 1, SwarmOptions.DEFAULTS, 5);
+      swarm.originRefuses = true;
+      swarm.runUntil((long) (FakeSwarm.DEADLINE_MILLIS / 3));
+      swarm.originRefuses = false;
+      assertThat(swarm.run(LIMIT_MILLIS) / BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+    }
+
+    @Property(tries = 12, seed = "42")
+    void everyLiveAgentEndsWithTheWholeVersionOnceFaultsStop(
+        @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
+        @ForAll @IntRange(min = 2, max = 14) int agents,
+        @ForAll @IntRange(min = 1, max = 3) int regions) {
+      FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, seed);
+      Random faults = new Random(seed);
+      swarm.lossShare = 0.1;
+      swarm.corruptShare = 0.05;
+      int next = agents;
+      for (int step = 0; step < 6; step++) {
+        swarm.runUntil(swarm.now + faults.nextInt(2_000));
+        swarm.originRefuses = faults.nextInt(4) == 0;
+        if (faults.nextBoolean() && swarm.nodes.size() > 1) {
+          String victim = swarm.nodes.keySet().iterator().next();
+          String region = swarm.nodes.get(victim).member.region();
+          swarm.kill(victim);
+          // Half of them come back under the same name, as replaced VMs do.
+          swarm.start(faults.nextBoolean() ? victim : "a" + next++, region, step + 2);
+        }
+      }
+      swarm.lossShare = 0;
+      swarm.corruptShare = 0;
+      swarm.originRefuses = false;
+      swarm.run(swarm.now + LIMIT_MILLIS);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.decider.held() == FakeSwarm.CHUNKS);
+    }
+  }
+}
