--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
@@ -0,0 +1,203 @@
+package org.cornelchute.policy.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.ControlMessage.Health;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+import org.junit.jupiter.api.Test;
+
+class MembershipDeciderTest {
+
+  @Test
+  void findsTheDeadWithinSecondsAndSuspectsNobodyFalsely() {
+    FakeNetwork n = new FakeNetwork(24, 2, 1);
+    n.runUntil(15_000);
+    assertThat(n.deciders.values()).allMatch(d -> d.size() == 24);
+    n.deciders.remove("m3");
+    n.runUntil(n.now + 15_000);
+    assertThat(n.deciders.values()).allMatch(d -> d.size() == 23);
+    assertThat(n.falseDeaths).isZero();
+  }
+
+  @Test
+  void declaresNobodyDeadWhenRegionsLoseEachOtherAndHealsAfterwards() {
+    FakeNetwork n = new FakeNetwork(16, 2, 2);
+    n.runUntil(15_000);
+    n.partitioned = true;
+    n.runUntil(n.now + 120_000);
+    assertThat(n.deciders.get("m0").unreachableRegions()).containsExactly("r1");
+    assertThat(n.deciders.get("m1").unreachableRegions()).containsExactly("r0");
+    n.partitioned = false;
+    n.runUntil(n.now + 60_000);
+    assertThat(n.deciders.values()).allMatch(d -> d.size() == 16);
+    assertThat(n.deciders.values()).allMatch(d -> d.unreachableRegions().isEmpty());
+  }
+
+  @Test
+  void learnsNewVersionOfTheRulesEverywhereFromOneMember() {
+    FakeNetwork n = new FakeNetwork(24, 2, 3);
+    n.runUntil(15_000);
+    n.deciders.get("m5").configuration(7);
+    n.versions.put("m5", 7L);
+    n.runUntil(n.now + 5_000);
+    assertThat(n.versions).hasSize(24).allSatisfy((id, v) -> assertThat(v).isEqualTo(7L));
+  }
+
+  @Property(tries = 15, seed = "77")
+  void viewsConvergeOnceTheNetworkHeals(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    FakeNetwork n = new FakeNetwork(10, 2, seed);
+    Random random = new Random(seed);
+    n.lossShare = 0.2;
+    for (int step = 0; step < 12; step++) {
+      n.runUntil(n.now + random.nextInt(6_000));
+      String id = "m" + random.nextInt(10);
+      switch (random.nextInt(3)) {
+        case 0 -> n.deciders.remove(id);
+        case 1 -> n.start(id, step + 2);
+        default -> n.partitioned = !n.partitioned;
+      }
+    }
+    n.lossShare = 0;
+    n.partitioned = false;
+    n.runUntil(n.now + 90_000);
+    int alive = n.deciders.size();
+    assertThat(n.deciders.values()).as("seed " + seed).allMatch(d -> d.size() == alive);
+  }
+
+  /** Members joined by datagrams in virtual time. */
+  private static final class FakeNetwork {
+    final Map<String, MembershipDecider> deciders = new TreeMap<>();
+    final Map<String, Long> versions = new TreeMap<>();
+    final Random random;
+    final int regions;
+    boolean partitioned;
+    double lossShare;
+    int falseDeaths;
+    long now;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long order;
+
+    FakeNetwork(int count, int regions, long seed) {
+      this.random = new Random(seed);
+      this.regions = regions;
+      for (int i = 0; i < count; i++) {
+        start("m" + i, 1);
+      }
+    }
+
+    void start(String id, long boot) {
+      int number = Integer.parseInt(id.substring(1));
+      Member m =
+          new Member(
+              id,
+              Role.AGENT,
+              id,
+              "r" + number % regions,
+              "d",
+              "",
+              boot,
+              1,
+              false,
+              Generation.NONE,
+              "");
+      deciders.put(id, new MembershipDecider(m, List.of("m0", "m1", "m2"), random.nextLong()));
+      tick(id, deciders.get(id));
+    }
+
+    void runUntil(long millis) {
+      while (!events.isEmpty() && events.peek().at <= millis) {
+        Event e = events.poll();
+        now = Math.max(now, e.at);
+        e.action.run();
+      }
+      now = millis;
+    }
+
+    private void tick(String id, MembershipDecider d) {
+      at(
+          now + 90 + random.nextInt(20),
+          () -> {
+            if (deciders.get(id) == d) {
+              execute(d, d.tick(now));
+              tick(id, d);
+            }
+          });
+    }
+
+    private void execute(MembershipDecider from, List<MembershipEffect> effects) {
+      for (MembershipEffect e : effects) {
+        if (e instanceof MembershipEffect.Datagram g) {
+          send(from, g.address(), g.message());
+        } else if (e instanceof MembershipEffect.AskMembers a && reaches(from, a.address())) {
+          MembershipDecider to = deciders.get(a.address());
+          at(
+              now + 5,
+              () -> {
+                execute(to, to.join(now, from.self()));
+                execute(from, from.mergeView(now, new ArrayList<>(to.allRumours())));
+              });
+        } else if (e instanceof MembershipEffect.Changed c
+            && c.health() == Health.DEAD
+            && deciders.containsKey(c.member().id())) {
+          falseDeaths++;
+        }
+      }
+    }
+
+    private boolean reaches(MembershipDecider from, String to) {
+      MembershipDecider d = deciders.get(to);
+      return d != null && (!partitioned || d.self().region().equals(from.self().region()));
+    }
+
+    private void send(MembershipDecider from, String to, ControlMessage m) {
+      if (!reaches(from, to) || random.nextDouble() < lossShare) {
+        return;
+      }
+      MembershipDecider d = deciders.get(to);
+      String address = from.self().address();
+      at(
+          now + 1 + random.nextInt(10),
+          () -> {
+            if (m instanceof ControlMessage.Ping p) {
+              hear(d, p.configuration());
+              execute(d, d.ping(now, address, p));
+            } else if (m instanceof ControlMessage.Ack a) {
+              hear(d, a.configuration());
+              execute(d, d.ack(now, a));
+            } else if (m instanceof ControlMessage.PingRequest p) {
+              execute(d, d.pingRequest(now, address, p));
+            }
+          });
+    }
+
+    private void hear(MembershipDecider d, long version) {
+      if (version > versions.getOrDefault(d.self().id(), 0L)) {
+        versions.put(d.self().id(), version);
+        d.configuration(version);
+      }
+    }
+
+    private void at(long when, Runnable action) {
+      events.add(new Event(when, order++, action));
+    }
+  }
+
+  private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event o) {
+      return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/routing/RequestDeciderTest.java
@@ -0,0 +1,164 @@
+package org.cornelchute.policy.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.ControlMessage.Health;
+import org.cornelchute.core.message.ServingMessage;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Load;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+import org.cornelchute.policy.rules.RulesParser;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RequestDeciderTest {
+
+  private static final Target MODEL = new Target(true, "m");
+  private final RequestDecider decider =
+      new RequestDecider("entry", "r1", RoutingOptions.DEFAULTS, 1);
+
+  @BeforeEach
+  void knowRules() {
+    decider.rules(0, RulesParser.parse(1, "weight a 10 # asked: t\n").get());
+  }
+
+  private void agent(String id, String region, String manifest, int limit) {
+    Generation g = new Generation("m", manifest, 1);
+    Member m = new Member(id, Role.AGENT, id, region, "d-" + id, "", 1, 1, false, g, manifest);
+    decider.memberChanged(0, m, Health.ALIVE);
+    decider.received(0, id, new ControlMessage.LoadReport(id, new Load(limit, 0, 0, true, g, 1)));
+  }
+
+  private List<RoutingEffect> arrive(String id, boolean stream) {
+    return decider.arrive(
+        1,
+        new RequestSpec(
+            id, "a", MODEL, true, stream, 0, 10, 0, 30_000, "", "", "POST", "/", "", new byte[0]));
+  }
+
+  private static List<ServingMessage.Dispatch> dispatches(List<RoutingEffect> effects) {
+    List<ServingMessage.Dispatch> found = new ArrayList<>();
+    for (RoutingEffect e : effects) {
+      if (e instanceof RoutingEffect.Send s && s.message() instanceof ServingMessage.Dispatch d) {
+        found.add(d);
+      }
+    }
+    return found;
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private Load load(String manifest) {
+    return new Load(4, 0, 0, true, new Generation("m", manifest, 1), 1);
+  }
+
+  @Nested
+  class DeliversWholeAnswersOnly {
+
+    @Test
+    void dropsFramesOfAnOlderAttempt() {
+      agent("a1", "r1", "w", 4);
+      arrive("q", false);
+      decider.received(2, "a1", new ServingMessage.AnswerHead("q", 0, 200, "", Generation.NONE));
+      List<RoutingEffect> late =
+          decider.received(3, "a1", new ServingMessage.AnswerEnd("q", 0, 0, 0, true, 0, load("w")));
+      assertThat(late).noneMatch(e -> e instanceof RoutingEffect.Finish);
+    }
+
+    @Test
+    void retriesWhenPartsAreMissing() {
+      agent("a1", "r1", "w", 4);
+      arrive("q", false);
+      decider.received(2, "a1", new ServingMessage.AnswerHead("q", 1, 200, "", Generation.NONE));
+      decider.received(3, "a1", new ServingMessage.AnswerPart("q", 1, 1, bytes("second")));
+      List<RoutingEffect> end =
+          decider.received(
+              4, "a1", new ServingMessage.AnswerEnd("q", 1, 2, 11, true, 0, load("w")));
+      assertThat(end).noneMatch(e -> e instanceof RoutingEffect.Finish);
+      assertThat(dispatches(decider.tick(2_000))).hasSize(1);
+    }
+
+    @Test
+    void resumesStreamAtWholeEventOnTheSameWeightsOnly() {
+      agent("a1", "r1", "w", 4);
+      arrive("q", true);
+      agent("b", "r1", "other", 4);
+      agent("c", "r1", "w", 4);
+      decider.received(2, "a1", new ServingMessage.AnswerHead("q", 1, 200, "", Generation.NONE));
+      List<RoutingEffect> part =
+          decider.received(
+              3, "a1", new ServingMessage.AnswerPart("q", 1, 0, bytes("data: 1\n\ndata: 2")));
+      assertThat(part)
+          .anyMatch(
+              e ->
+                  e instanceof RoutingEffect.Part p
+                      && new String(p.bytes(), StandardCharsets.UTF_8).equals("data: 1\n\n"));
+      List<RoutingEffect> effects = new ArrayList<>(decider.agentLost(4, "a1"));
+      effects.addAll(decider.tick(100));
+      ServingMessage.Dispatch again = dispatches(effects).get(0);
+      assertThat(again.resumeAfter()).isEqualTo(1);
+      assertThat(again.generation().manifest()).isEqualTo("w");
+    }
+  }
+
+  @Nested
+  class Routes {
+
+    @Test
+    void toItsOwnRegionWhileThatHasRoom() {
+      agent("near", "r1", "w", 1);
+      agent("far", "r2", "w", 8);
+      List<String> agents = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        for (RoutingEffect e : arrive("q" + i, false)) {
+          if (e instanceof RoutingEffect.Send s) {
+            agents.add(s.agent());
+          }
+        }
+      }
+      assertThat(agents).containsExactly("near", "near", "far", "far");
+    }
+
+    @Test
+    void nothingToDomainThatIsOut() {
+      agent("a1", "r1", "w", 4);
+      decider.rules(1, RulesParser.parse(2, "out d-a1 # asked: t\n").get());
+      assertThat(dispatches(arrive("q", false))).isEmpty();
+    }
+
+    @Test
+    void atMostTheRetryShareToServiceThatKeepsFailing() {
+      agent("a1", "r1", "w", 1_000);
+      int fresh = 400;
+      int sent = 0;
+      for (int i = 0; i < fresh; i++) {
+        sent += dispatches(arrive("q" + i, false)).size();
+      }
+      for (long now = 10; now < 3_000; now += 10) {
+        for (int i = 0; i < fresh; i++) {
+          for (int attempt = 1; attempt <= 4; attempt++) {
+            sent +=
+                dispatches(
+                        decider.received(
+                            now,
+                            "a1",
+                            new ServingMessage.AnswerEnd(
+                                "q" + i, attempt, 0, 0, false, 0, load("w"))))
+                    .size();
+          }
+        }
+        sent += dispatches(decider.tick(now)).size();
+      }
+      // The share, the burst and the trickle of one a second.
+      assertThat(sent).isLessThanOrEqualTo((int) (fresh * 1.1) + 10 + 3);
+    }
+  }
+}
