Measure live requests through two entries and eight endpoints

Cause: the serving policy had no figure under load. bench serving warms the engines, measures their capacity, then sends 0.8 of it (twice of it for overload and flood) from ten workspaces.

--- a/standin/src/main/java/org/cornelchute/standin/bench/BenchProgram.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/BenchProgram.java
@@ -12,7 +12,8 @@
 /** The program {@code bench}: runs one named measurement and prints its figures. */
 public final class BenchProgram {
 
-  private static final List<Bench> BENCHES = List.of(new OverheadBench(), new WeightsBench());
+  private static final List<Bench> BENCHES =
+      List.of(new OverheadBench(), new WeightsBench(), new ServingBench());
 
   private BenchProgram() {}
 
--- a/standin/src/main/java/org/cornelchute/standin/bench/OverheadBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/OverheadBench.java
@@ -14,12 +14,14 @@
 /** What entry and agent add to a request, against the same engine asked directly. */
 final class OverheadBench implements Bench {
 
-  private static final int WARM_UP = 300;
-  private static final int ROUNDS = 150;
+  private static final int WARM_UP = 20;
+  private static final int ROUNDS = 30;
   private static final int PARALLEL = 4;
-  private static final int TOKENS = 32;
+  private static final int TOKENS = 64;
+  private static final int MANY = 64;
+  private static final int LOADS = 20;
   private static final EngineStandin.Options ENGINE =
-      new EngineStandin.Options(5_000, 10, 16, 16, 1, 10, 500, true, true);
+      new EngineStandin.Options(5_000, 10, 64, 64, 1, 10, 500, true, true);
 
   private final Caller caller = new Caller();
   private final Samples directFirst = new Samples();
@@ -45,7 +47,7 @@
       final Child entry = fleet.startEntry("entry-1", "r1", "d1", Map.of());
       final Child agent =
           fleet.startEngine(
-              "agent-1", "r1", "d1", ENGINE, Map.of("coldLimit", 16, "warmLimit", 16));
+              "agent-1", "r1", "d1", ENGINE, Map.of("coldLimit", 64, "warmLimit", 64));
       fleet.awaitStarted(30);
       String digest =
           fleet.publish("model=" + FleetRules.MODEL + "&version=v1").path("digest").asText();
@@ -55,37 +57,37 @@
       for (int i = 0; i < WARM_UP / PARALLEL; i++) {
         round(engine, entry.callerPort(), i, false);
       }
-      final long entryBefore = entry.cpuMillis();
-      final long agentBefore = agent.cpuMillis();
+      // Two shapes of request under many streams separate the cost of a token from a request's.
+      int port = entry.callerPort();
+      load(port, TOKENS);
+      final Cost full = cost(entry, agent, () -> load(port, TOKENS));
+      final Cost brief = cost(entry, agent, () -> load(port, 1));
       for (int i = 0; i < ROUNDS; i++) {
         round(engine, entry.callerPort(), i, true);
       }
-      long requests = (long) ROUNDS * PARALLEL;
-      double entryMicros = (entry.cpuMillis() - entryBefore) * 1_000.0 / requests;
-      double agentMicros = (agent.cpuMillis() - agentBefore) * 1_000.0 / requests;
-      // A second shape of request separates the cost of a token from that of a request.
-      final long entryMid = entry.cpuMillis();
-      final long agentMid = agent.cpuMillis();
-      for (int i = 0; i < ROUNDS; i++) {
-        send(entry.callerPort(), "short" + i, 1, null, null);
-      }
-      double entryShort = (entry.cpuMillis() - entryMid) * 1_000.0 / requests;
-      double agentShort = (agent.cpuMillis() - agentMid) * 1_000.0 / requests;
-      return report(fleet, entry, agent, entryMicros, agentMicros, entryShort, agentShort);
+      return report(entry, agent, full, brief);
+    }
+  }
+
+  private void load(int port, int tokens) {
+    for (int i = 0; i < LOADS; i++) {
+      send(port, "load" + tokens + "-" + i, tokens, MANY, null, null);
     }
   }
 
-  private Report report(
-      Fleet fleet,
-      Child entry,
-      Child agent,
-      double entryMicros,
-      double agentMicros,
-      double entryShort,
-      double agentShort)
-      throws IOException {
-    double entryToken = (entryMicros - entryShort) / (TOKENS - 1);
-    double agentToken = (agentMicros - agentShort) / (TOKENS - 1);
+  private static Cost cost(Child entry, Child agent, Runnable work) {
+    final long entryBefore = entry.cpuMillis();
+    final long agentBefore = agent.cpuMillis();
+    work.run();
+    double requests = (double) LOADS * MANY;
+    return new Cost(
+        (entry.cpuMillis() - entryBefore) * 1_000.0 / requests,
+        (agent.cpuMillis() - agentBefore) * 1_000.0 / requests);
+  }
+
+  private Report report(Child entry, Child agent, Cost full, Cost brief) throws IOException {
+    double entryToken = (full.entryMicros - brief.entryMicros) / (TOKENS - 1);
+    double agentToken = (full.agentMicros - brief.agentMicros) / (TOKENS - 1);
     Report r = new Report();
     for (double p : new double[] {50, 95, 99}) {
       String suffix = "P" + (int) p + "Millis";
@@ -93,8 +95,8 @@
       r.add("addedFirstToken" + suffix, throughFirst.millis(p) - directFirst.millis(p));
       r.add("addedInterToken" + suffix, throughGap.millis(p) - directGap.millis(p));
     }
-    r.add("entryMicrosPerRequest", entryShort - entryToken);
-    r.add("agentMicrosPerRequest", agentShort - agentToken);
+    r.add("entryMicrosPerRequest", brief.entryMicros - entryToken);
+    r.add("agentMicrosPerRequest", brief.agentMicros - agentToken);
     r.add("entryMicrosPerToken", entryToken);
     r.add("agentMicrosPerToken", agentToken);
     r.add("entryTokensPerSecondPerCore", 1e6 / entryToken);
@@ -115,13 +117,15 @@
   /** Sends the same requests to the engine and through entry and agent, one set after the other. */
   private void round(int engine, int entry, int number, boolean counted) {
     String prompt = "round " + number;
-    send(engine, prompt, TOKENS, counted ? directFirst : null, directGap);
-    send(entry, prompt, TOKENS, counted ? throughFirst : null, throughGap);
+    // Prompts differ, so that neither finds the other's in the engine's prefix cache.
+    send(engine, "direct " + prompt, TOKENS, PARALLEL, counted ? directFirst : null, directGap);
+    send(entry, "through " + prompt, TOKENS, PARALLEL, counted ? throughFirst : null, throughGap);
   }
 
-  private void send(int port, String prompt, int tokens, Samples first, Samples gaps) {
+  private void send(
+      int port, String prompt, int tokens, int parallel, Samples first, Samples gaps) {
     List<CallResult> results =
-        Flux.range(0, PARALLEL)
+        Flux.range(0, parallel)
             .flatMap(
                 i ->
                     caller.complete(
@@ -130,7 +134,8 @@
                         FleetRules.MODEL,
                         prompt + "-" + i,
                         tokens,
-                        true))
+                        true),
+                parallel)
             .collectList()
             .block();
     for (CallResult r : results) {
@@ -142,4 +147,7 @@
       }
     }
   }
+
+  /** Processor time of one request, in microseconds. */
+  private record Cost(double entryMicros, double agentMicros) {}
 }
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ServingBench.java
@@ -0,0 +1,249 @@
+package org.cornelchute.standin.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cornelchute.standin.harness.CallResult;
+import org.cornelchute.standin.harness.CallResult.Outcome;
+import org.cornelchute.standin.harness.Caller;
+import org.cornelchute.standin.harness.Child;
+import org.cornelchute.standin.harness.Fleet;
+import org.cornelchute.standin.harness.Http;
+
+/** Live requests through two entries to eight endpoints: outcomes, fairness, latency, goodput. */
+final class ServingBench implements Bench {
+
+  private static final int TOKENS = 20;
+  private static final int WARM_SECONDS = 6;
+  private static final int ORDERS = 40;
+
+  @Override
+  public String name() {
+    return "serving";
+  }
+
+  @Override
+  public String summary() {
+    return "outcomes, fairness and latency under load; faults: overload, flood, agent-killed,"
+        + " entry-killed, turn-cold, store-out, rolling-restart";
+  }
+
+  @Override
+  public Report run(BenchOptions o) throws IOException {
+    try (ServingFleet s = new ServingFleet(Math.min(o.replicas(), 8), o.strategy())) {
+      double capacity = s.capacity(TOKENS);
+      boolean over = o.fault().equals("overload") || o.fault().equals("flood");
+      warmUp(s, capacity);
+      final double measured = measureCapacity(s, capacity);
+      final long overBefore = s.sum("overAdmitted");
+      final long hitsBefore = s.sum("cacheHits");
+      final long startedBefore = s.sum("started");
+      double rate = over ? 2 * measured : 0.8 * measured;
+      LiveLoad load = new LiveLoad(s::port, rate, TOKENS, shares(o)).start();
+      final long begun = System.nanoTime();
+      List<CallResult> orders = new ArrayList<>();
+      Thread fault = new Thread(() -> provoke(s, o.fault()), "fault");
+      fault.start();
+      while ((System.nanoTime() - begun) / 1e9 < o.seconds()) {
+        s.checkHealth();
+        if (orders.size() < ORDERS) {
+          order(s, orders);
+        }
+        Fleet.pause(100);
+      }
+      load.close();
+      final double seconds = (System.nanoTime() - begun) / 1e9;
+      join(fault);
+      Report r = report(s, o, load, orders, Math.min(seconds, o.seconds()), measured);
+      r.add("overAdmitted", s.sum("overAdmitted") - overBefore);
+      long started = s.sum("started") - startedBefore;
+      r.add("cacheHitShare", (s.sum("cacheHits") - hitsBefore) / (double) Math.max(1, started));
+      return r;
+    }
+  }
+
+  private static int[] shares(BenchOptions o) {
+    int[] shares = new int[ServingFleet.WEIGHTS.size()];
+    for (int i = 0; i < shares.length; i++) {
+      shares[i] = ServingFleet.WEIGHTS.get(i);
+    }
+    if (o.fault().equals("flood")) {
+      shares[2] *= 30;
+    }
+    return shares;
+  }
+
+  private static void warmUp(ServingFleet s, double capacity) {
+    LiveLoad warm = new LiveLoad(s::port, 0.7 * capacity, TOKENS, 1).start();
+    Fleet.pause(WARM_SECONDS * 1_000L);
+    warm.close();
+  }
+
+  /** Measures what the fleet answers a second when it is kept just full. */
+  private static double measureCapacity(ServingFleet s, double estimate) {
+    LiveLoad load = new LiveLoad(s::port, 1.3 * estimate, TOKENS, 1).start();
+    Fleet.pause(1_500);
+    int before = load.outcomes().get(Outcome.WHOLE);
+    Fleet.pause(4_000);
+    int after = load.outcomes().get(Outcome.WHOLE);
+    load.close();
+    return (after - before) / 4.0;
+  }
+
+  private void order(ServingFleet s, List<CallResult> orders) {
+    String id = "order-" + orders.size() / 2;
+    // Each order is sent twice under one key, through both entries in turn.
+    CallResult r =
+        new Caller()
+            .call(
+                s.port(),
+                FleetRules.workspace(2),
+                "POST",
+                "/services/pedidos/confirm",
+                id,
+                "key-" + id,
+                id)
+            .block();
+    orders.add(r);
+  }
+
+  private void provoke(ServingFleet s, String fault) {
+    try {
+      Fleet.pause(2_000);
+      switch (fault) {
+        case "agent-killed" -> {
+          s.fleet.child("agent-0").kill();
+          Fleet.pause(1_000);
+          s.fleet.restart("agent-0");
+        }
+        case "entry-killed" -> {
+          Child c = s.entries.get(1);
+          c.kill();
+          s.checkHealth();
+          s.entries.set(1, s.fleet.restart("entry-1"));
+        }
+        case "turn-cold" -> {
+          for (String id : s.fleet.engineIds()) {
+            Http.post(s.fleet.endpointPort(id), "/turn-cold", Map.of());
+            Fleet.pause(500);
+          }
+        }
+        case "store-out" -> Http.post(s.fleet.platformPort(), "/faults", Map.of("outage", true));
+        case "rolling-restart" -> rollingRestart(s);
+        default -> {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException("fault could not be provoked", e);
+    }
+  }
+
+  private static void rollingRestart(ServingFleet s) throws IOException {
+    for (int i = 0; i < s.engines; i++) {
+      restart(s, "agent-" + i);
+      Fleet.await(20, () -> s.fleet.countReady(s.entries.get(0), s.digest()) >= s.engines);
+    }
+    restart(s, "pedidos-0");
+    for (int i = 0; i < s.entries.size(); i++) {
+      s.entries.set(i, restart(s, "entry-" + i));
+      Fleet.pause(4_000);
+    }
+  }
+
+  private static Child restart(ServingFleet s, String id) throws IOException {
+    s.fleet.child(id).stop(60);
+    return s.fleet.restart(id);
+  }
+
+  private Report report(
+      ServingFleet s,
+      BenchOptions o,
+      LiveLoad load,
+      List<CallResult> orders,
+      double seconds,
+      double capacity)
+      throws IOException {
+    final Map<Outcome, Integer> outcomes = load.outcomes();
+    final Samples first = new Samples();
+    final Samples gaps = new Samples();
+    Map<String, Double> tokens = new TreeMap<>();
+    Map<String, Samples> waits = new TreeMap<>();
+    for (LiveLoad.Timed t : load.results()) {
+      CallResult c = t.result();
+      waits.computeIfAbsent(c.workspace(), w -> new Samples());
+      if (c.outcome() != Outcome.WHOLE) {
+        continue;
+      }
+      tokens.merge(c.workspace(), 1.0, Double::sum);
+      if (!c.gapMicros().isEmpty()) {
+        first.add(c.firstMicros());
+        waits.get(c.workspace()).add(c.firstMicros());
+        c.gapMicros().forEach(gaps::add);
+      }
+    }
+    Report r = new Report();
+    r.add("fault", o.fault());
+    r.add("strategy", o.strategy());
+    r.add("requestsPerSecondCapacity", capacity);
+    r.add("sent", load.sent());
+    r.add("answeredWhole", outcomes.get(Outcome.WHOLE));
+    r.add("refusedNotRun", outcomes.get(Outcome.NOT_RUN));
+    r.add("outcomeUnknown", outcomes.get(Outcome.UNKNOWN));
+    r.add("cut", outcomes.get(Outcome.CUT));
+    r.add("truncatedOrCrossed", outcomes.get(Outcome.BAD));
+    r.add("other", outcomes.get(Outcome.OTHER));
+    int ranTwice = 0;
+    int refusedButRan = 0;
+    JsonNode runs = Http.get(s.fleet.endpointPort("pedidos-0"), "/runs");
+    Iterator<JsonNode> each = runs.elements();
+    while (each.hasNext()) {
+      ranTwice += each.next().asInt() > 1 ? 1 : 0;
+    }
+    int ordersWhole = 0;
+    for (int i = 0; i + 1 < orders.size(); i += 2) {
+      boolean refused =
+          orders.get(i).outcome() == Outcome.NOT_RUN
+              && orders.get(i + 1).outcome() == Outcome.NOT_RUN;
+      refusedButRan += refused && runs.has("order-" + i / 2) ? 1 : 0;
+    }
+    for (CallResult c : orders) {
+      ordersWhole += c.outcome() == Outcome.WHOLE ? 1 : 0;
+    }
+    r.add("ordersSent", orders.size());
+    r.add("ordersAnswered", ordersWhole);
+    r.add("ranTwice", ranTwice);
+    r.add("refusedButRan", refusedButRan);
+    r.add("jainFairness", jain(tokens));
+    r.add("firstTokenP50Millis", first.millis(50));
+    r.add("firstTokenP95Millis", first.millis(95));
+    r.add("interTokenP95Millis", gaps.millis(95));
+    r.add("quietFirstTokenP95Millis", waits.getOrDefault("andina/ws-5", first).millis(95));
+    r.add("goodputRatio", outcomes.get(Outcome.WHOLE) / seconds / capacity);
+    return r;
+  }
+
+  /** Jain's index over the workspaces' service divided by their weights. */
+  private static double jain(Map<String, Double> served) {
+    double sum = 0;
+    double squares = 0;
+    for (int i = 0; i < ServingFleet.WEIGHTS.size(); i++) {
+      double x = served.getOrDefault(FleetRules.workspace(i), 0.0) / ServingFleet.WEIGHTS.get(i);
+      sum += x;
+      squares += x * x;
+    }
+    return squares == 0 ? 0 : sum * sum / (ServingFleet.WEIGHTS.size() * squares);
+  }
+
+  private static void join(Thread t) {
+    try {
+      t.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ServingFleet.java
@@ -0,0 +1,121 @@
+package org.cornelchute.standin.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cornelchute.standin.harness.Child;
+import org.cornelchute.standin.harness.Fleet;
+import org.cornelchute.standin.harness.Http;
+import org.cornelchute.standin.server.EngineStandin;
+
+/** Two entries before some engines in three failure domains, with ten workspaces, two large. */
+final class ServingFleet implements AutoCloseable {
+
+  /** Weights of the workspaces; the first two are large. */
+  static final List<Integer> WEIGHTS = List.of(40, 40, 10, 10, 10, 10, 10, 10, 10, 10);
+
+  static final int DOMAINS = 3;
+
+  private static final int WARM_CAPACITY = 8;
+  private static final int TOKEN_MILLIS = 20;
+  private static final int PREFILL_MILLIS = 200;
+  private static final EngineStandin.Options ENGINE =
+      new EngineStandin.Options(
+          TOKEN_MILLIS * 1_000L, PREFILL_MILLIS, 2, WARM_CAPACITY, 2, 200, 300, true, true);
+
+  final Fleet fleet;
+  final List<Child> entries = new ArrayList<>();
+  final int engines;
+  private final AtomicInteger turn = new AtomicInteger();
+  private final Map<Integer, Boolean> health = new ConcurrentHashMap<>();
+  private final String digest;
+
+  ServingFleet(int engines, String strategy) throws IOException {
+    this.engines = engines;
+    this.fleet = new Fleet(0);
+    fleet.logLevel("WARN");
+    for (int i = 0; i < 2; i++) {
+      entries.add(fleet.startEntry("entry-" + i, "r0", "d" + i, Map.of("strategy", strategy)));
+    }
+    Map<String, Integer> replicas = new LinkedHashMap<>();
+    for (int i = 0; i < engines; i++) {
+      replicas.merge("d" + i % DOMAINS, 1, Integer::sum);
+      fleet.startEngine(
+          "agent-" + i,
+          "r0",
+          "d" + i % DOMAINS,
+          ENGINE,
+          Map.of("originRegion", "r0", "warmLimit", WARM_CAPACITY, "completionsPerStep", 3));
+    }
+    fleet.startService("pedidos-0", "r0", "d0", "pedidos");
+    fleet.awaitStarted(40);
+    digest =
+        fleet
+            .publish("model=" + FleetRules.MODEL + "&version=v1&bytes=1048576")
+            .path("digest")
+            .asText();
+    fleet.apply(new StringBuilder(), FleetRules.place("v1", replicas, 1, WEIGHTS));
+    Fleet.await(40, () -> fleet.countReady(entries.get(0), digest) == engines);
+    Fleet.await(10, () -> fleet.countReady(entries.get(1), digest) == engines);
+  }
+
+  /** Returns the requests a second that all warm engines carry together. */
+  double capacity(int tokens) {
+    double seconds = (0.5 * PREFILL_MILLIS + (double) tokens * TOKEN_MILLIS) / 1_000;
+    return engines * WARM_CAPACITY / seconds;
+  }
+
+  /** Returns the port of one live entry after the other, as a balancer that checks health. */
+  int port() {
+    for (int i = 0; i < entries.size(); i++) {
+      Child c = entries.get(Math.floorMod(turn.getAndIncrement(), entries.size()));
+      if (healthy(c)) {
+        return c.callerPort();
+      }
+    }
+    return entries.get(0).callerPort();
+  }
+
+  String digest() {
+    return digest;
+  }
+
+  /** Sums a counter of all engines. */
+  long sum(String counter) throws IOException {
+    long sum = 0;
+    for (String id : fleet.engineIds()) {
+      JsonNode stats = Http.get(fleet.endpointPort(id), "/stats");
+      sum += stats.path(counter).asLong();
+    }
+    return sum;
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+  }
+
+  /** Looks at the health checks, as a balancer does a few times a second. */
+  void checkHealth() {
+    for (Child c : entries) {
+      boolean up;
+      try {
+        up =
+            c.process().isAlive()
+                && Http.get(c.callerPort(), "/healthz").path("ok").asBoolean(false);
+      } catch (IOException e) {
+        up = false;
+      }
+      health.put(c.callerPort(), up);
+    }
+  }
+
+  private boolean healthy(Child c) {
+    return health.getOrDefault(c.callerPort(), true);
+  }
+}
