--- /dev/null
+++ b/core/src/test/java/org/cornelchute/core/cfg/SettingsReaderTest.java
@@ -0,0 +1,68 @@
+package org.cornelchute.core.cfg;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SettingsReaderTest {
+
+  private record Inner(String name, int port) implements Settings {
+    Inner {
+      Checks.range("inner/port", port, 1, 65_535, "(a port)");
+    }
+  }
+
+  private record Sample(Inner inner, long millis) implements Settings {}
+
+  private static final Sample DEFAULTS = new Sample(new Inner("x", 80), 5);
+  private final SettingsReader reader = new SettingsReader();
+
+  private String fault(String text) {
+    return reader.parse("s.json", text, DEFAULTS).getLeft().message();
+  }
+
+  @Test
+  void readsCommentsAndKeepsDefaultsForKeysLeftOut() {
+    Sample s = reader.parse("s", "{ // why\n \"inner\": {\"port\": 81}, }", DEFAULTS).get();
+    assertThat(s).isEqualTo(new Sample(new Inner("x", 81), 5));
+  }
+
+  @Test
+  void printsWhatItReads() {
+    assertThat(reader.parse("s", reader.print(DEFAULTS), DEFAULTS).get()).isEqualTo(DEFAULTS);
+  }
+
+  @Nested
+  class NamesFileLineAndAcceptedForm {
+
+    @Test
+    void ofUnknownKey() {
+      assertThat(fault("{\n  \"inner\": {\n    \"prot\": 1}}"))
+          .startsWith("s.json:3: unknown key 'prot'")
+          .contains("[name, port]");
+    }
+
+    @Test
+    void ofWrongType() {
+      assertThat(fault("{\n\"millis\": \"soon\"}")).startsWith("s.json:2:").contains("millis");
+    }
+
+    @Test
+    void ofValueOutOfRange() {
+      assertThat(fault("{\"inner\": {\"port\": 0}}")).contains("accepted: 1 to 65535");
+    }
+
+    @Test
+    void ofTextThatIsNotJson() {
+      assertThat(fault("{\n\n]")).startsWith("s.json:3: not JSON");
+    }
+
+    @Test
+    void ofFileThatCannotBeRead() {
+      assertThat(reader.read(Path.of("no-such-file"), DEFAULTS).getLeft().message())
+          .contains("no-such-file");
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/test/java/org/cornelchute/ctl/CtlProgramTest.java
@@ -0,0 +1,61 @@
+package org.cornelchute.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.cornelchute.core.cli.ExitCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CtlProgramTest {
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  @TempDir private Path directory;
+
+  private int run(String... arguments) {
+    return CtlProgram.run(new PrintStream(out), new PrintStream(err), arguments);
+  }
+
+  private String file(String text) throws IOException {
+    Path file = directory.resolve("fleet.rules");
+    Files.writeString(file, text);
+    return file.toString();
+  }
+
+  @Test
+  void checksFileAndReportsEveryFaultWithItsPlace() throws IOException {
+    String bad = file("weight a x # asked: b\nout\n");
+    assertThat(run("check", bad)).isEqualTo(ExitCode.USAGE);
+    assertThat(err.toString()).contains("fleet.rules:1:10:").contains("fleet.rules:2:");
+    assertThat(run("check", file("weight a 1 # asked: b\n"))).isEqualTo(ExitCode.OK);
+    assertThat(out.toString()).contains("1 rules, valid");
+  }
+
+  @Test
+  void saysWhatToDoOnWrongInput() {
+    assertThat(run()).isEqualTo(ExitCode.USAGE);
+    assertThat(run("frobnicate")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("check")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("check", "no-such-file")).isEqualTo(ExitCode.USAGE);
+    assertThat(err.toString()).contains("see cornelctl --help").contains("no-such-file");
+  }
+
+  @Test
+  void changesNothingWhenTheStoreCannotBeReached() throws IOException {
+    String good = file("weight a 1 # asked: b\n");
+    assertThat(run("apply", good, "--platform", "http://127.0.0.1:11")).isEqualTo(ExitCode.FAILED);
+    assertThat(err.toString()).contains("cannot be reached");
+  }
+
+  @Test
+  void printsHelpAndDigest() {
+    assertThat(run("--help")).isEqualTo(ExitCode.OK);
+    assertThat(run("digest", "k")).isEqualTo(ExitCode.OK);
+    assertThat(out.toString()).contains("Examples:").contains("8254c329a92850f6d539dd376f4816ee");
+  }
+}
--- a/entry/src/main/java/org/cornelchute/entry/EntrySettings.java
+++ b/entry/src/main/java/org/cornelchute/entry/EntrySettings.java
@@ -15,6 +15,7 @@
  * @param maxBodyBytes largest request body
  * @param maxRequests most requests without an outcome
  * @param queueCapacity requests that may wait for one target
+ * @param maxWaitMillis longest time that a new request waits for room
  * @param subset endpoints of one target that this entry uses
  * @param strategy how an endpoint is chosen: AFFINITY, LEAST_OUTSTANDING or ROUND_ROBIN
  * @param leaveGraceMillis time between the first failing health check and the first refusal
@@ -26,6 +27,7 @@
     int maxBodyBytes,
     int maxRequests,
     int queueCapacity,
+    long maxWaitMillis,
     int subset,
     String strategy,
     long leaveGraceMillis)
@@ -40,6 +42,7 @@
           1 << 20,
           4_096,
           512,
+          1_000,
           32,
           "AFFINITY",
           2_000);
@@ -55,6 +58,7 @@
     Checks.range("maxBodyBytes", maxBodyBytes, 1, 1 << 26, "bytes");
     Checks.range("maxRequests", maxRequests, 1, MAX_COUNT, "requests");
     Checks.range("queueCapacity", queueCapacity, 1, MAX_COUNT, "requests");
+    Checks.range("maxWaitMillis", maxWaitMillis, 1, MAX_MILLIS, "milliseconds");
     Checks.range("subset", subset, 1, MAX_COUNT, "endpoints");
     Checks.range("leaveGraceMillis", leaveGraceMillis, 0, MAX_MILLIS, "milliseconds");
     try {
@@ -71,6 +75,7 @@
     RoutingOptions d = RoutingOptions.DEFAULTS;
     return new RoutingOptions(
         queueCapacity,
+        maxWaitMillis,
         d.patienceMillis(),
         subset,
         d.retryShare(),
--- a/entry/src/main/java/org/cornelchute/entry/RequestReader.java
+++ b/entry/src/main/java/org/cornelchute/entry/RequestReader.java
@@ -53,11 +53,12 @@
     String prompt =
         json.has("messages") ? json.path("messages").toString() : json.path("prompt").asText();
     String prefix = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
-    int cost = prompt.length() / CHARS_PER_TOKEN + max.asInt(DEFAULT_TOKENS);
+    int generated = max.asInt(DEFAULT_TOKENS);
+    int cost = prompt.length() / CHARS_PER_TOKEN + generated;
     Target target = new Target(true, place.get().model());
     long hash = Rendezvous.weight(e.workspace, prefix);
     return Either.right(
-        construct(rules, e, target, true, json.path("stream").asBoolean(), cost, hash));
+        construct(rules, e, target, true, json.path("stream").asBoolean(), cost, generated, hash));
   }
 
   /** Reads a request for a plain service. */
@@ -65,7 +66,8 @@
     String name = rules.resolve(service);
     String bare = e.path.split("\\?", 2)[0];
     boolean repeatable = rules.repeatable(name, e.method, bare);
-    return construct(rules, e, new Target(false, name), repeatable, false, PLAIN_COST, 0);
+    return construct(
+        rules, e, new Target(false, name), repeatable, false, PLAIN_COST, PLAIN_COST, 0);
   }
 
   private RequestSpec construct(
@@ -75,6 +77,7 @@
       boolean repeatable,
       boolean stream,
       int cost,
+      int generated,
       long prefix) {
     String claim =
         e.key.isEmpty() || repeatable
@@ -95,6 +98,7 @@
         stream,
         rules.priority(e.workspace, target.name()),
         cost,
+        generated,
         prefix,
         e.deadline,
         claim,
--- a/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
@@ -19,6 +20,8 @@
 import org.cornelchute.core.message.ServingMessage;
 import org.cornelchute.core.message.SwarmMessage;
 import org.cornelchute.core.outcome.Failure;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -69,6 +72,9 @@
   public MessageCodec() {
     ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
     mapper.setAnnotationIntrospector(new RecordsAsArrays());
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
+    mapper.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
     this.writer = mapper.writer();
     for (Class<? extends Message> type : TYPES) {
       codes.put(type, readers.size());
@@ -104,10 +110,16 @@
     if (code < 0 || code >= readers.size()) {
       return Either.left(Failure.invalid("unknown message type " + code));
     }
-    try {
-      return Either.right(
-          readers.get(code).readValue(frame, HEADER_BYTES, frame.length - HEADER_BYTES));
-    } catch (IOException | IllegalArgumentException e) {
+    try (MessageUnpacker walk =
+        MessagePack.newDefaultUnpacker(frame, HEADER_BYTES, frame.length - HEADER_BYTES)) {
+      // A forged length must not make the reader allocate: the frame is walked before it is bound.
+      walk.skipValue();
+      Message m = readers.get(code).readValue(frame, HEADER_BYTES, frame.length - HEADER_BYTES);
+      return m == null
+          ? Either.left(Failure.invalid("empty frame of type " + code))
+          : Either.right(m);
+    } catch (IOException | RuntimeException e) {
+      // The binding library itself fails with unchecked exceptions on some forged frames.
       return Either.left(Failure.invalid("broken frame of type " + code));
     }
   }
--- a/net/src/main/java/org/cornelchute/net/platform/TableClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -7,12 +7,14 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.vavr.control.Either;
 import java.net.ConnectException;
+import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.cornelchute.core.outcome.Failure;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -27,6 +29,7 @@
 public final class TableClient {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
@@ -84,7 +87,10 @@
     return http.get()
         .uri("/vms")
         .responseSingle(
-            (response, body) -> body.asString(StandardCharsets.UTF_8).map(this::parseAddresses))
+            (response, body) ->
+                body.asString(StandardCharsets.UTF_8)
+                    .defaultIfEmpty("")
+                    .map(text -> parseAddresses(response.status().code(), text)))
         .timeout(TIMEOUT)
         .onErrorResume(e -> Mono.just(Either.left(describe(e))));
   }
@@ -121,10 +127,18 @@
     }
   }
 
-  private Either<Failure, List<String>> parseAddresses(String text) {
+  private Either<Failure, List<String>> parseAddresses(int status, String text) {
+    if (status != OK) {
+      return Either.left(Failure.unavailable("VM list answered " + status));
+    }
     try {
       List<String> addresses = new ArrayList<>();
-      mapper.readTree(text).forEach(v -> addresses.add(v.path("address").asText()));
+      for (JsonNode vm : mapper.readTree(text)) {
+        String address = vm.path("address").asText();
+        if (ADDRESS.matcher(address).matches()) {
+          addresses.add(address);
+        }
+      }
       return Either.right(addresses);
     } catch (JsonProcessingException e) {
       return Either.left(Failure.unknown("VM list is not JSON"));
@@ -132,7 +146,9 @@
   }
 
   private static Failure describe(Throwable e) {
-    if (e instanceof ConnectException || e instanceof ConnectTimeoutException) {
+    if (e instanceof ConnectException
+        || e instanceof ConnectTimeoutException
+        || e instanceof UnknownHostException) {
       return Failure.unavailable("table service cannot be reached");
     }
     return Failure.unknown("no answer from the table service: " + e.getClass().getSimpleName());
--- /dev/null
+++ b/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
@@ -0,0 +1,56 @@
+package org.cornelchute.net.frame;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.ControlMessage.Health;
+import org.cornelchute.core.message.ServingMessage;
+import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Load;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+import org.junit.jupiter.api.Test;
+
+class MessageCodecTest {
+
+  private final MessageCodec codec = new MessageCodec();
+
+  @Test
+  void bindsMessagesOfEveryFamily() {
+    Generation g = new Generation("m", "d", 7);
+    Member m = new Member("id", Role.AGENT, "1.2.3.4:5", "r", "d", "", 1, 2, true, g, "w");
+    ControlMessage.Rumour rumour = new ControlMessage.Rumour(m, Health.SUSPECT);
+    ControlMessage.Ping ping = new ControlMessage.Ping(1, "x", 9, List.of(rumour));
+    assertThat(codec.decode(codec.encode(ping)).get()).isEqualTo(ping);
+    Load load = new Load(1, 2, 3, true, g, 4);
+    ServingMessage.NotRun notRun =
+        new ServingMessage.NotRun("r", 2, ServingMessage.Reason.BUSY, load);
+    assertThat(codec.decode(codec.encode(notRun)).get()).isEqualTo(notRun);
+    byte[] bytes = {1, 2, 3};
+    SwarmMessage.ChunkData data =
+        (SwarmMessage.ChunkData)
+            codec.decode(codec.encode(new SwarmMessage.ChunkData("m", 5, 6, bytes))).get();
+    assertThat(data.bytes()).isEqualTo(bytes);
+    assertThat(data.chunk()).isEqualTo(5);
+  }
+
+  @Test
+  void refusesPeerOfAnotherProtocolVersion() {
+    byte[] frame = codec.encode(new ControlMessage.Hello("x"));
+    frame[0] = 99;
+    assertThat(codec.decode(frame).getLeft().message()).contains("protocol 99");
+  }
+
+  @Property(tries = 2_000, seed = "3")
+  void neverThrowsOnBrokenFrames(@ForAll byte[] body, @ForAll byte type) {
+    byte[] frame = new byte[body.length + 2];
+    frame[0] = 1;
+    frame[1] = type;
+    System.arraycopy(body, 0, frame, 2, body.length);
+    assertThat(codec.decode(frame)).isNotNull();
+  }
+}
--- a/policy/src/main/java/org/cornelchute/policy/admission/AdmissionDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/admission/AdmissionDecider.java
@@ -393,7 +393,6 @@
       limit.overloaded();
     }
     end(now, a);
-    queue.charge(a.dispatch.workspace(), tokens - a.dispatch.cost());
     ServingMessage last =
         new ServingMessage.AnswerEnd(
             a.key.request(), a.key.attempt(), a.parts, a.bytes, whole, tokens, load());
--- a/policy/src/main/java/org/cornelchute/policy/fairness/FairQueue.java
+++ b/policy/src/main/java/org/cornelchute/policy/fairness/FairQueue.java
@@ -105,11 +105,17 @@
     return Optional.empty();
   }
 
-  /** Corrects what a workspace was charged; {@code cost} is negative if the estimate was high. */
+  /**
+   * Corrects what a workspace was charged; {@code cost} is negative if the estimate was high.
+   *
+   * <p>A credit never takes the workspace behind the present virtual time: saved up credits would
+   * let it pass everyone who arrives meanwhile.
+   */
   public void charge(String workspace, int cost) {
     Lane<T> lane = lanes.get(workspace);
     if (lane != null) {
-      lane.start += (double) cost / lane.weight;
+      double corrected = lane.start + (double) cost / lane.weight;
+      lane.start = cost < 0 ? Math.max(corrected, Math.min(lane.start, virtualTime)) : corrected;
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -614,12 +614,11 @@
       case QUEUED:
         boolean hopeless =
             now - r.since >= options.patienceMillis() && !table.serves(r.spec.target());
-        if (now >= r.spec.deadline() || hopeless) {
-          refuse(
-              effects,
-              r,
-              Refusal.NOT_RUN,
-              hopeless ? "no endpoint serves its target" : "deadline passed while waiting");
+        boolean late = r.attempt == 0 && now - r.since >= options.maxWaitMillis();
+        if (hopeless) {
+          refuse(effects, r, Refusal.NOT_RUN, "no endpoint serves its target");
+        } else if (now >= r.spec.deadline() || late && table.serves(r.spec.target())) {
+          refuse(effects, r, Refusal.NOT_RUN, "waited as long as it may; endpoints are full");
         }
         break;
       case SEALING:
@@ -741,7 +740,7 @@
   }
 
   private void charge(Live r, int tokens) {
-    queue(r.spec.target()).charge(r.spec.workspace(), tokens - r.spec.cost());
+    queue(r.spec.target()).charge(r.spec.workspace(), tokens - r.spec.generated());
   }
 
   private void report(String agent, Load load) {
--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestSpec.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestSpec.java
@@ -10,6 +10,7 @@
  * @param stream whether the answer is a stream of events
  * @param priority order inside the workspace, higher first
  * @param cost estimated cost in tokens
+ * @param generated how much of that is expected to be generated
  * @param prefix hash of the beginning of the prompt, 0 if there is none
  * @param deadline time by which the caller wants the answer, in milliseconds
  * @param claim row in the table service that keeps the idempotency key, or empty
@@ -27,6 +28,7 @@
     boolean stream,
     int priority,
     int cost,
+    int generated,
     long prefix,
     long deadline,
     String claim,
--- a/policy/src/main/java/org/cornelchute/policy/routing/RoutingOptions.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RoutingOptions.java
@@ -4,6 +4,8 @@
  * Limits of an entry's routing; immutable.
  *
  * @param queueCapacity requests that may wait in the entry for one target
+ * @param maxWaitMillis longest time that a new request waits for room; a queue that stands longer
+ *     makes every answer late without more answers
  * @param patienceMillis time that a request waits for an endpoint when none serves its target
  * @param subset endpoints of one target that an entry uses
  * @param retryShare retries that reach an endpoint, as a share of fresh requests
@@ -15,6 +17,7 @@
  */
 public record RoutingOptions(
     int queueCapacity,
+    long maxWaitMillis,
     long patienceMillis,
     int subset,
     double retryShare,
@@ -25,7 +28,7 @@
 
   /** Values for a small installation. */
   public static final RoutingOptions DEFAULTS =
-      new RoutingOptions(512, 2_000, 32, 0.1, 4, 5_000, 1 << 20, Strategy.AFFINITY);
+      new RoutingOptions(512, 1_000, 2_000, 32, 0.1, 4, 5_000, 1 << 20, Strategy.AFFINITY);
 
   /** Ways to choose one of the endpoints with room. */
   public enum Strategy {
@@ -36,17 +39,4 @@
     /** The better of two random ones and the one that last served the same prefix. */
     AFFINITY
   }
-
-  /** Returns a copy with another strategy. */
-  public RoutingOptions withStrategy(Strategy s) {
-    return new RoutingOptions(
-        queueCapacity,
-        patienceMillis,
-        subset,
-        retryShare,
-        maxAttempts,
-        sealMillis,
-        bufferedBytes,
-        s);
-  }
 }
--- a/policy/src/test/java/org/cornelchute/policy/fairness/FairQueueTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/fairness/FairQueueTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -42,6 +43,24 @@
     assertThat(queue.size("quiet")).isEqualTo(1);
   }
 
+  @Test
+  void servesNewcomerNextAlthoughTheFloodHasCredits() {
+    FairQueue<String> queue = new FairQueue<>(1_000);
+    for (int i = 0; i < 200; i++) {
+      queue.offer("flood", 10, 0, 100, "flood");
+    }
+    for (int i = 0; i < 100; i++) {
+      queue.poll(x -> true);
+    }
+    // The estimates were five times too high.
+    for (int i = 0; i < 100; i++) {
+      queue.charge("flood", -80);
+    }
+    queue.offer("quiet", 10, 0, 100, "quiet");
+    List<String> next = List.of(queue.poll(x -> true).get(), queue.poll(x -> true).get());
+    assertThat(next).contains("quiet");
+  }
+
   @Test
   void ordersByPriorityInsideOneWorkspaceOnly() {
     FairQueue<String> queue = new FairQueue<>(10);
--- a/policy/src/test/java/org/cornelchute/policy/lifecycle/FakeServing.java
+++ b/policy/src/test/java/org/cornelchute/policy/lifecycle/FakeServing.java
@@ -148,6 +148,7 @@
             false,
             0,
             10,
+            10,
             0,
             now + 20_000,
             key,
--- a/policy/src/test/java/org/cornelchute/policy/routing/RequestDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/routing/RequestDeciderTest.java
@@ -39,7 +39,22 @@
     return decider.arrive(
         1,
         new RequestSpec(
-            id, "a", MODEL, true, stream, 0, 10, 0, 30_000, "", "", "POST", "/", "", new byte[0]));
+            id,
+            "a",
+            MODEL,
+            true,
+            stream,
+            0,
+            10,
+            10,
+            0,
+            30_000,
+            "",
+            "",
+            "POST",
+            "/",
+            "",
+            new byte[0]));
   }
 
   private static List<ServingMessage.Dispatch> dispatches(List<RoutingEffect> effects) {
--- a/standin/src/main/java/org/cornelchute/standin/bench/BenchProgram.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/BenchProgram.java
@@ -13,7 +13,13 @@
 public final class BenchProgram {
 
   private static final List<Bench> BENCHES =
-      List.of(new OverheadBench(), new WeightsBench(), new ServingBench());
+      List.of(
+          new OverheadBench(),
+          new WeightsBench(),
+          new ServingBench(),
+          new ConfigBench(),
+          new DomainsBench(),
+          new ControlBench());
 
   private BenchProgram() {}
 
--- a/standin/src/main/java/org/cornelchute/standin/bench/ServingBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ServingBench.java
@@ -223,10 +223,25 @@
     r.add("firstTokenP95Millis", first.millis(95));
     r.add("interTokenP95Millis", gaps.millis(95));
     r.add("quietFirstTokenP95Millis", waits.getOrDefault("andina/ws-5", first).millis(95));
-    r.add("goodputRatio", outcomes.get(Outcome.WHOLE) / seconds / capacity);
+    r.add("goodputRatio", answeredWithin(load, seconds) / seconds / capacity);
     return r;
   }
 
+  /** Counts whole answers that ended while requests were still being sent. */
+  private static int answeredWithin(LiveLoad load, double seconds) {
+    int n = 0;
+    long begun = Long.MAX_VALUE;
+    for (LiveLoad.Timed t : load.results()) {
+      begun = Math.min(begun, t.at());
+    }
+    long end = begun + (long) (seconds * 1e9);
+    for (LiveLoad.Timed t : load.results()) {
+      boolean whole = t.result().outcome() == Outcome.WHOLE;
+      n += whole && t.at() + t.result().totalMicros() * 1_000 <= end ? 1 : 0;
+    }
+    return n;
+  }
+
   /** Jain's index over the workspaces' service divided by their weights. */
   private static double jain(Map<String, Double> served) {
     double sum = 0;
--- a/standin/src/main/java/org/cornelchute/standin/server/EngineStandin.java
+++ b/standin/src/main/java/org/cornelchute/standin/server/EngineStandin.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.cornelchute.policy.weights.Manifest;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -155,12 +156,12 @@
     Flux<Integer> indexes =
         Flux.range(resume, Math.max(0, count - resume))
             .concatMap(i -> Mono.delay(gap(i == resume ? prefill : 0)).thenReturn(i), 1);
-    if (body.path("stream").asBoolean()) {
-      return stream(s, indexes, prompt, loaded);
-    }
-    return indexes
-        .then(Mono.defer(() -> Json.send(s, 200, answer(prompt, loaded, count))))
-        .doFinally(x -> finished());
+    // The place is free once the last token is generated, before the answer's end is sent.
+    AtomicBoolean ended = new AtomicBoolean();
+    Flux<Integer> tracked = indexes.doFinally(x -> finished(ended));
+    return body.path("stream").asBoolean()
+        ? stream(s, tracked, prompt, loaded)
+        : tracked.then(Mono.defer(() -> Json.send(s, 200, answer(prompt, loaded, count))));
   }
 
   private Mono<Void> stream(
@@ -175,15 +176,14 @@
               .take(faults.breakAfter)
               .concatWith(Mono.error(new IllegalStateException("broken off")));
     }
-    return s.header("Content-Type", "text/event-stream")
-        .send(events, b -> true)
-        .then()
-        .doFinally(x -> finished());
+    return s.header("Content-Type", "text/event-stream").send(events, b -> true).then();
   }
 
-  private synchronized void finished() {
-    inFlight--;
-    completed++;
+  private synchronized void finished(AtomicBoolean ended) {
+    if (ended.compareAndSet(false, true)) {
+      inFlight--;
+      completed++;
+    }
   }
 
   private synchronized int capacity() {
