Show each workspace its share: cornelctl fairness, and its own figures to a partner

Cause: nobody could see whether a workspace was served in its turn. Entries keep a ledger by workspace, the queue tells whose turn was passed over and why that can be; cornelctl sums all entries.

--- a/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.ServiceShare;
 
 /** Messages about members, rules and load. */
 public sealed interface ControlMessage extends Message {
@@ -53,6 +54,12 @@
   /** Tells which version of the rules is in force at a member. */
   record VersionReport(String member, long version) implements ControlMessage {}
 
+  /** Asks an entry what each workspace was given. */
+  record SharesRequest() implements ControlMessage {}
+
+  /** Tells what each workspace was given by one entry. */
+  record Shares(String member, List<ServiceShare> shares) implements ControlMessage {}
+
   /** Asks an agent for its load, sent when an entry connects. */
   record LoadRequest() implements ControlMessage {}
 
--- a/ctl/src/main/java/org/cornelchute/ctl/CtlProgram.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/CtlProgram.java
@@ -26,6 +26,7 @@
           new DomainCommand(false),
           new StatusCommand(false),
           new StatusCommand(true),
+          new FairnessCommand(),
           new DigestCommand());
 
   private static final String EXAMPLES =
--- a/ctl/src/main/java/org/cornelchute/ctl/MembersView.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/MembersView.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,6 +16,8 @@
 import org.cornelchute.core.message.ControlMessage;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+import org.cornelchute.core.model.ServiceShare;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.frame.FrameClient;
 import org.cornelchute.net.frame.MessageCodec;
@@ -54,12 +57,35 @@
    * @return version by member id; a member that does not answer in time is left out
    */
   Map<String, Long> versions(List<Member> members) {
-    Map<String, Long> versions = new ConcurrentHashMap<>();
+    Map<String, Long> versions = new TreeMap<>();
+    for (Message m : ask(members, new ControlMessage.VersionRequest())) {
+      if (m instanceof ControlMessage.VersionReport r) {
+        versions.put(r.member(), r.version());
+      }
+    }
+    return versions;
+  }
+
+  /** Asks every entry what each workspace was given, and sums it up by workspace. */
+  Map<String, ServiceShare> shares(List<Member> members) {
+    List<Member> entries = members.stream().filter(m -> m.role() == Role.ENTRY).toList();
+    Map<String, ServiceShare> sums = new TreeMap<>();
+    for (Message m : ask(entries, new ControlMessage.SharesRequest())) {
+      if (m instanceof ControlMessage.Shares r) {
+        r.shares().forEach(s -> sums.merge(s.workspace(), s, ServiceShare::plus));
+      }
+    }
+    return sums;
+  }
+
+  /** Sends a question to all and collects the answers that come in time. */
+  private static Collection<Message> ask(List<Member> members, Message question) {
+    Map<String, Message> answers = new ConcurrentHashMap<>();
     CountDownLatch open = new CountDownLatch(members.size());
     FrameClient client =
-        new FrameClient("cornelctl", new MessageCodec(), new Versions(versions, open));
+        new FrameClient("cornelctl", new MessageCodec(), new Answers(answers, open));
     for (Member m : members) {
-      client.send(m.address(), new ControlMessage.VersionRequest());
+      client.send(m.address(), question);
     }
     try {
       open.await(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
@@ -67,22 +93,7 @@
       Thread.currentThread().interrupt();
     }
     client.close();
-    return versions;
-  }
-
-  /** Reads the metrics of the process. */
-  Either<Failure, Map<String, Object>> metrics() {
-    return get("/metrics")
-        .flatMap(
-            text -> {
-              try {
-                @SuppressWarnings("unchecked")
-                Map<String, Object> all = mapper.readValue(text, TreeMap.class);
-                return Either.right(all);
-              } catch (JsonProcessingException e) {
-                return Either.left(Failure.invalid(operatorUrl + " is not an operator port"));
-              }
-            });
+    return answers.values();
   }
 
   private Either<Failure, String> get(String path) {
@@ -103,14 +114,13 @@
         .block(PATIENCE);
   }
 
-  /** Collects the members' answers. */
-  private record Versions(Map<String, Long> versions, CountDownLatch open)
+  /** Collects answers by address. */
+  private record Answers(Map<String, Message> byAddress, CountDownLatch open)
       implements FrameClient.Listener {
 
     @Override
     public void received(String address, Message message) {
-      if (message instanceof ControlMessage.VersionReport r
-          && versions.put(r.member(), r.version()) == null) {
+      if (byAddress.put(address, message) == null) {
         open.countDown();
       }
     }
--- a/entry/src/main/java/org/cornelchute/entry/CallerServer.java
+++ b/entry/src/main/java/org/cornelchute/entry/CallerServer.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cornelchute.core.kernel.Service;
+import org.cornelchute.core.model.ServiceShare;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.policy.routing.Refusal;
 import org.cornelchute.policy.routing.RequestSpec;
@@ -47,6 +48,7 @@
   private final EntrySettings settings;
   private final Intake intake;
   private final Supplier<Rules> rules;
+  private final Supplier<List<ServiceShare>> shares;
   private final BooleanSupplier healthy;
   private final LongSupplier clock;
   private final MetricRegistry metrics;
@@ -62,6 +64,7 @@
       long boot,
       Intake intake,
       Supplier<Rules> rules,
+      Supplier<List<ServiceShare>> shares,
       BooleanSupplier healthy,
       LongSupplier clock,
       MetricRegistry metrics) {
@@ -69,6 +72,7 @@
     this.idPrefix = settings.member().id() + "-" + Long.toString(boot, Character.MAX_RADIX) + "-";
     this.intake = intake;
     this.rules = rules;
+    this.shares = shares;
     this.healthy = healthy;
     this.clock = clock;
     this.metrics = metrics;
@@ -119,6 +123,9 @@
     if (path.equals("/v1/models")) {
       return models(r, now);
     }
+    if (path.equals("/v1/fairness")) {
+      return share(r, workspace.get());
+    }
     boolean model = path.equals("/v1/chat/completions") || path.equals("/v1/completions");
     if (!model && !path.startsWith(SERVICES)) {
       return fail(r, NOT_FOUND, "not_found", "no such path: " + path, id);
@@ -237,6 +244,26 @@
     return rules.findWorkspace(Digests.sha256(key.getBytes(StandardCharsets.UTF_8)));
   }
 
+  /** Shows a workspace its own figures and its part of all service here, and nobody else's. */
+  private Mono<Void> share(HttpServerResponse r, String workspace) {
+    long all = 0;
+    long own = 0;
+    List<ServiceShare> figures = new ArrayList<>();
+    for (ServiceShare s : shares.get()) {
+      all += s.tokens();
+      if (s.workspace().equals(workspace)) {
+        own = s.tokens();
+        figures.add(s);
+      }
+    }
+    try {
+      return send(
+          r, OK, mapper.writeValueAsString(new OwnShare(figures, (double) own / Math.max(1, all))));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("share cannot be encoded", e);
+    }
+  }
+
   private Mono<Void> models(HttpServerResponse r, Rules now) {
     List<ModelEntry> data = new ArrayList<>();
     for (Rule.Place p : now.places()) {
@@ -276,6 +303,8 @@
     void gone(String request);
   }
 
+  private record OwnShare(List<ServiceShare> figures, double shareOfTokens) {}
+
   private record ModelEntry(String id, String object, @JsonProperty("owned_by") String ownedBy) {}
 
   private record ModelList(String object, List<ModelEntry> data) {}
--- a/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
@@ -25,6 +25,7 @@
 import org.cornelchute.core.model.Generation;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.model.Role;
+import org.cornelchute.core.model.ServiceShare;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.control.ControlListener;
 import org.cornelchute.net.control.ControlPlane;
@@ -50,6 +51,7 @@
   private static final int RING = 1 << 15;
   private static final long TICK_MILLIS = 20;
   private static final long POLL_MILLIS = 20;
+  private static final long SHARES_MILLIS = 500;
 
   private final EntrySettings settings;
   private final Kernel kernel = new Kernel();
@@ -67,6 +69,8 @@
   private volatile Rules rules = Rules.NONE;
   private volatile boolean leaving;
   private volatile int open;
+  private volatile List<ServiceShare> shares = List.of();
+  private long nextShares;
 
   /**
    * Creates a daemon; {@link #start()} opens its sockets.
@@ -96,7 +100,14 @@
             fatal);
     this.callers =
         new CallerServer(
-            settings, boot, new Routes(), () -> rules, this::isHealthy, clock, metrics);
+            settings,
+            boot,
+            new Routes(),
+            () -> rules,
+            () -> shares,
+            this::isHealthy,
+            clock,
+            metrics);
     Member self =
         new Member(
             who.id(),
@@ -132,7 +143,8 @@
             settings.member().operatorPort(),
             metrics,
             this::isHealthy,
-            Map.of("/members", control::view, "/rules", control::rulesText),
+            Map.of(
+                "/members", control::view, "/rules", control::rulesText, "/fairness", () -> shares),
             onLeave));
   }
 
@@ -172,6 +184,10 @@
   private List<RoutingEffect> tick(RequestDecider d, long now) {
     List<RoutingEffect> effects = d.tick(now);
     open = d.size();
+    if (now >= nextShares) {
+      nextShares = now + SHARES_MILLIS;
+      shares = d.shares();
+    }
     return effects;
   }
 
@@ -307,7 +323,9 @@
 
     @Override
     public void received(long connection, String from, Message message) {
-      if (message instanceof ControlMessage) {
+      if (message instanceof ControlMessage.SharesRequest) {
+        server.send(connection, new ControlMessage.Shares(settings.member().id(), shares));
+      } else if (message instanceof ControlMessage) {
         control.answer(message).ifPresent(a -> server.send(connection, a));
       }
     }
--- a/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -62,7 +62,9 @@
           SwarmMessage.ChunkData.class,
           SwarmMessage.ChunkRefused.class,
           ControlMessage.VersionRequest.class,
-          ControlMessage.VersionReport.class);
+          ControlMessage.VersionReport.class,
+          ControlMessage.SharesRequest.class,
+          ControlMessage.Shares.class);
 
   private final List<ObjectReader> readers = new ArrayList<>();
   private final Map<Class<?>, Integer> codes = new HashMap<>();
--- a/policy/src/main/java/org/cornelchute/policy/fairness/FairQueue.java
+++ b/policy/src/main/java/org/cornelchute/policy/fairness/FairQueue.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -84,6 +85,17 @@
 
   /** Takes the next item for which {@code servable} holds, in fair order. */
   public Optional<T> poll(Predicate<T> servable) {
+    return poll(servable, passed -> {});
+  }
+
+  /**
+   * Takes the next item for which {@code servable} holds, in fair order.
+   *
+   * @param passedOver told of each item whose turn it was but that could not be served, if another
+   *     was served in its place
+   */
+  public Optional<T> poll(Predicate<T> servable, Consumer<T> passedOver) {
+    List<T> passed = new ArrayList<>();
     List<Lane<T>> ordered = new ArrayList<>();
     for (Lane<T> l : lanes.values()) {
       if (!l.items.isEmpty()) {
@@ -94,12 +106,14 @@
     for (Lane<T> l : ordered) {
       Item<T> first = l.items.firstEntry().getValue();
       if (!servable.test(first.item)) {
+        passed.add(first.item);
         continue;
       }
       l.items.pollFirstEntry();
       size--;
       virtualTime = Math.max(virtualTime, l.start);
       l.start += (double) first.cost / l.weight;
+      passed.forEach(passedOver);
       return Optional.of(first.item);
     }
     return Optional.empty();
--- a/policy/src/main/java/org/cornelchute/policy/routing/Live.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/Live.java
@@ -34,6 +34,7 @@
   String address = "";
   long boot;
   Generation generation = Generation.NONE;
+  final long arrived;
   long since;
   long notBefore;
   long nextSeal;
@@ -64,6 +65,7 @@
     this.spec = spec;
     this.wire = spec.id();
     this.since = now;
+    this.arrived = now;
   }
 
   /** Forgets the answer of an attempt that broke off; what the caller has already stays. */
--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -19,8 +19,10 @@
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.model.Role;
+import org.cornelchute.core.model.ServiceShare;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.policy.fairness.FairQueue;
+import org.cornelchute.policy.fairness.ShareLedger;
 import org.cornelchute.policy.rules.Rule;
 import org.cornelchute.policy.rules.Rules;
 import org.cornelchute.policy.util.TokenBucket;
@@ -55,6 +57,7 @@
   private final Map<Target, TokenBucket> retryBudgets = new HashMap<>();
   private final Map<String, TokenBucket> rates = new HashMap<>();
   private final Map<String, Member> entries = new HashMap<>();
+  private final ShareLedger ledger = new ShareLedger();
   private Rules rules = Rules.NONE;
   private boolean leaving;
 
@@ -88,6 +91,11 @@
     return n;
   }
 
+  /** Returns what each workspace was given since the start. */
+  public List<ServiceShare> shares() {
+    return ledger.shares(rules);
+  }
+
   /** Returns whether the entry knows any rules. */
   public boolean ready() {
     return rules.version() > 0 && !leaving;
@@ -392,6 +400,7 @@
       }
       effects.add(new RoutingEffect.Finish(r.spec.id()));
       charge(r, m.tokens());
+      ledger.answered(r.spec.workspace(), m.tokens());
       forget(r);
       return;
     }
@@ -526,7 +535,8 @@
     for (Map.Entry<Target, FairQueue<Live>> each : queues.entrySet()) {
       FairQueue<Live> q = each.getValue();
       while (q.size() > 0 && table.hasRoom(each.getKey(), now)) {
-        Optional<Live> next = q.poll(r -> isServable(r, now));
+        Optional<Live> next =
+            q.poll(r -> isServable(r, now), r -> ledger.passedOver(r.spec.workspace()));
         if (next.isEmpty()) {
           break;
         }
@@ -581,6 +591,9 @@
 
   private void dispatch(long now, List<RoutingEffect> effects, Live r) {
     r.stage = Live.Stage.SENT;
+    if (r.reached == 0) {
+      ledger.sent(r.spec.workspace(), now - r.arrived);
+    }
     r.since = now;
     r.lastFrame = now;
     r.reached++;
@@ -668,6 +681,7 @@
 
   private void cut(List<RoutingEffect> effects, Live r, String reason) {
     effects.add(new RoutingEffect.Cut(r.spec.id(), reason));
+    ledger.refused(r.spec.workspace(), false);
     log(effects, "cut", r, List.of(r.agent), "", reason);
     forget(r);
   }
@@ -685,6 +699,7 @@
   private void refuse(
       List<RoutingEffect> effects, RequestSpec spec, Refusal refusal, String reason) {
     effects.add(new RoutingEffect.Refuse(spec.id(), refusal, reason, RETRY_AFTER_SECONDS));
+    ledger.refused(spec.workspace(), refusal != Refusal.OUTCOME_UNKNOWN);
     effects.add(
         new RoutingEffect.Log(
             new Decision(
--- a/policy/src/test/java/org/cornelchute/policy/fairness/FairQueueTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/fairness/FairQueueTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -71,6 +72,16 @@
     assertThat(queue.poll(x -> true)).contains("b-high");
   }
 
+  @Test
+  void tellsWhoseTurnWasPassedOver() {
+    FairQueue<String> queue = new FairQueue<>(10);
+    List<String> passed = new ArrayList<>();
+    queue.offer("a", 10, 0, 1, "blocked");
+    queue.offer("b", 10, 0, 1, "free");
+    assertThat(queue.poll(x -> x.equals("free"), passed::add)).contains("free");
+    assertThat(passed).containsExactly("blocked");
+  }
+
   @Property(tries = 50, seed = "9")
   void losesAndInventsNothing(@ForAll @IntRange(min = 1, max = 50) int capacity) {
     FairQueue<Integer> queue = new FairQueue<>(capacity);
