--- a/agent/src/main/java/org/cornelchute/agent/AgentSettings.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentSettings.java
@@ -15,6 +15,8 @@
  * @param origin base address of the origin of weights
  * @param originRegion region of the origin
  * @param linkBytesPerSecond rate of the VM's link each way, 0 for no limit
+ * @param regionBytesPerSecond what weights may take of the link from another region, for all agents
+ *     of this region together, 0 for no limit
  * @param coldLimit requests that a cold endpoint carries at once
  * @param warmLimit most requests given to the endpoint at once
  * @param completionsPerStep completed requests before the limit grows by one
@@ -30,6 +32,7 @@
     String origin,
     String originRegion,
     long linkBytesPerSecond,
+    long regionBytesPerSecond,
     int coldLimit,
     int warmLimit,
     int completionsPerStep,
@@ -48,6 +51,7 @@
           "http://127.0.0.1:4010",
           "region-1",
           0,
+          0,
           2,
           32,
           4,
@@ -62,6 +66,7 @@
   public AgentSettings {
     Checks.text("endpoint", endpoint);
     Checks.range("linkBytesPerSecond", linkBytesPerSecond, 0, Long.MAX_VALUE, "bytes/s");
+    Checks.range("regionBytesPerSecond", regionBytesPerSecond, 0, Long.MAX_VALUE, "bytes/s");
     Checks.range("coldLimit", coldLimit, 1, MAX_COUNT, "requests");
     Checks.range("warmLimit", warmLimit, coldLimit, MAX_COUNT, "requests, from coldLimit");
     Checks.range("completionsPerStep", completionsPerStep, 1, MAX_COUNT, "requests");
@@ -91,6 +96,8 @@
 
   /** Returns the limits of the exchange of chunks that these settings give. */
   public SwarmOptions swarm() {
-    return SwarmOptions.DEFAULTS.withImporters(importers);
+    return SwarmOptions.DEFAULTS
+        .withImporters(importers)
+        .withRemoteBytesPerSecond(regionBytesPerSecond);
   }
 }
--- a/policy/src/main/java/org/cornelchute/policy/admission/Attempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/admission/Attempt.java
@@ -25,6 +25,7 @@
   final List<ServingMessage> recorded = new ArrayList<>();
   Stage stage;
   boolean recording;
+  boolean decoding;
   long recordedBytes;
   int parts;
   long bytes;
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -39,6 +39,9 @@
   private static final double TIMEOUT_FACTOR = 4.0;
   private static final double ENDGAME_FACTOR = 2.0;
   private static final long MIN_TIMEOUT_MILLIS = 500;
+  private static final double NEWS_SMOOTHING = 0.2;
+  private static final double TAKEOVER_FACTOR = 4.0;
+  private static final double MILLIS_PER_SECOND = 1_000.0;
   private static final String ORIGIN = "";
 
   private final String self;
@@ -58,8 +61,10 @@
   private boolean complete;
   private double latency;
   private long lastNews;
+  private double newsGap;
   private long nextGreeting;
   private long importPause;
+  private long nextRemote;
   private int importing;
   private int asking;
 
@@ -212,7 +217,7 @@
       have.set(chunk);
       if (!seenInRegion.get(chunk)) {
         seenInRegion.set(chunk);
-        lastNews = now;
+        noteNews(now);
       }
       for (Peer each : peers.values()) {
         if (each.greeted && !each.held.get(chunk)) {
@@ -276,7 +281,7 @@
         }
       }
     }
-    if (now - lastNews >= options.takeoverMillis()) {
+    if (now - lastNews >= takeoverMillis()) {
       // The only holder of a chunk may be gone: count only what is held at present.
       seenInRegion.clear();
       seenInRegion.or(have);
@@ -316,7 +321,7 @@
     int position = ranking.indexOf(self);
     int count = manifest.chunks().size();
     long quiet = now - lastNews;
-    int allowedRank = (int) (quiet / options.takeoverMillis());
+    int allowedRank = (int) (quiet / takeoverMillis());
     if (position < 0 || position >= options.importers() && allowedRank == 0) {
       return false;
     }
@@ -347,6 +352,14 @@
   }
 
   private void begin(long now, List<SwarmEffect> effects, int chunk, Peer remote) {
+    if (options.remoteBytesPerSecond() > 0 && !region.equals(sourceRegion)) {
+      // Live requests share the link between regions: each importer keeps to its part of the rate.
+      int importers = Math.min(options.importers(), ranking.size());
+      double millis =
+          MILLIS_PER_SECOND * manifest.sizeOf(chunk) * importers / options.remoteBytesPerSecond();
+      nextRemote = Math.max(nextRemote, now) + (long) Math.ceil(millis);
+      importPause = Math.max(importPause, nextRemote);
+    }
     String source = remote == null ? ORIGIN : remote.id;
     requests.computeIfAbsent(chunk, c -> new ArrayList<>(2)).add(new Request(source, now, true));
     importing++;
@@ -601,10 +614,21 @@
     int before = seenInRegion.cardinality();
     seenInRegion.or(held);
     if (seenInRegion.cardinality() > before) {
-      lastNews = now;
+      noteNews(now);
     }
   }
 
+  /** Takes a new chunk in the region as news, and how long it was in coming. */
+  private void noteNews(long now) {
+    newsGap = newsGap == 0 ? now - lastNews : newsGap + NEWS_SMOOTHING * (now - lastNews - newsGap);
+    lastNews = now;
+  }
+
+  /** Returns the time without news after which the next in rank imports: long for slow links. */
+  private long takeoverMillis() {
+    return Math.max(options.takeoverMillis(), (long) (TAKEOVER_FACTOR * newsGap));
+  }
+
   private static void send(List<SwarmEffect> effects, Peer p, SwarmMessage m) {
     effects.add(new SwarmEffect.Send(p.id, p.address, m));
   }
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmOptions.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmOptions.java
@@ -11,6 +11,8 @@
  * @param uploadQueue chunks that may wait to be sent
  * @param takeoverMillis time without a new chunk in the region before the next in rank imports
  * @param timeoutMillis longest time to wait for a chunk
+ * @param remoteBytesPerSecond what a region may read from outside it where its link is shared with
+ *     live requests, all importers together, 0 for no limit
  */
 public record SwarmOptions(
     int importers,
@@ -20,10 +22,11 @@
     int perPeer,
     int uploadQueue,
     long takeoverMillis,
-    long timeoutMillis) {
+    long timeoutMillis,
+    long remoteBytesPerSecond) {
 
   /** Values that hold for tens to hundreds of agents. */
-  public static final SwarmOptions DEFAULTS = new SwarmOptions(4, 16, 4, 2, 1, 2, 1_000, 4_000);
+  public static final SwarmOptions DEFAULTS = new SwarmOptions(4, 16, 4, 2, 1, 2, 1_000, 4_000, 0);
 
   /** Returns a copy with another number of importers. */
   public SwarmOptions withImporters(int n) {
@@ -35,6 +38,21 @@
         perPeer,
         uploadQueue,
         takeoverMillis,
-        timeoutMillis);
+        timeoutMillis,
+        remoteBytesPerSecond);
+  }
+
+  /** Returns a copy with another limit of what a region reads from outside it. */
+  public SwarmOptions withRemoteBytesPerSecond(long rate) {
+    return new SwarmOptions(
+        importers,
+        neighbours,
+        inFlight,
+        importsInFlight,
+        perPeer,
+        uploadQueue,
+        takeoverMillis,
+        timeoutMillis,
+        rate);
   }
 }
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -25,6 +25,7 @@
   double corruptShare;
   double lossShare;
   boolean originRefuses;
+  final Map<String, Integer> crossings = new TreeMap<>();
   long originChunks;
   long now;
 
@@ -158,6 +159,12 @@
   }
 
   private void deliver(Node from, String to, SwarmMessage m, long when) {
+    Node receiver = nodes.get(to);
+    if (m instanceof SwarmMessage.ChunkData
+        && receiver != null
+        && !receiver.member.region().equals(from.member.region())) {
+      crossings.merge(receiver.member.region(), 1, Integer::sum);
+    }
     if (random.nextDouble() < lossShare) {
       return;
     }
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -37,6 +37,24 @@
     }
   }
 
+  /** Regions share their links with live requests. */
+  @Nested
+  class BetweenRegions {
+
+    @Test
+    void crossesEachLinkOnceAndKeepsToTheRate() {
+      // A third of the rate at which the link would otherwise be filled.
+      long rate = (long) (FakeSwarm.CHUNKS * 16 / 30.0);
+      SwarmOptions options = SwarmOptions.DEFAULTS.withRemoteBytesPerSecond(rate);
+      FakeSwarm swarm = new FakeSwarm(18, 3, options, 8);
+      long end = swarm.run(LIMIT_MILLIS);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+      assertThat(swarm.crossings.get("r1")).isLessThanOrEqualTo((int) (1.1 * FakeSwarm.CHUNKS));
+      assertThat(swarm.crossings.get("r2")).isLessThanOrEqualTo((int) (1.1 * FakeSwarm.CHUNKS));
+      assertThat(end).isGreaterThanOrEqualTo(28_000);
+    }
+  }
+
   /** Something fails; the end state is the same and the time stays within twice the bound. */
   @Nested
   class UnderFaults {
