--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,9 +22,7 @@
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.policy.fairness.FairQueue;
 import org.cornelchute.policy.fairness.ShareLedger;
-import org.cornelchute.policy.rules.Rule;
 import org.cornelchute.policy.rules.Rules;
-import org.cornelchute.policy.util.TokenBucket;
 
 /**
  * Brings every request of one entry to exactly one outcome: a whole answer, a refusal that is true,
@@ -44,8 +41,6 @@
   private static final long BACKOFF_BASE_MILLIS = 10;
   private static final long BACKOFF_MAX_MILLIS = 1_000;
   private static final long AVOID_MILLIS = 500;
-  private static final int RETRY_BURST = 10;
-  private static final double RETRIES_PER_SECOND = 1;
   private static final int RETRY_AFTER_SECONDS = 1;
 
   private final RoutingOptions options;
@@ -54,8 +49,8 @@
   private final Map<String, Live> requests = new LinkedHashMap<>();
   private final Map<String, List<Live>> byWire = new HashMap<>();
   private final Map<Target, FairQueue<Live>> queues = new HashMap<>();
-  private final Map<Target, TokenBucket> retryBudgets = new HashMap<>();
-  private final Map<String, TokenBucket> rates = new HashMap<>();
+  private final RequestLimits limits;
+  private final AnswerAssembler answers;
   private final Map<String, Member> entries = new HashMap<>();
   private final ShareLedger ledger = new ShareLedger();
   private Rules rules = Rules.NONE;
@@ -73,6 +68,8 @@
     this.options = options;
     this.table = new EndpointTable(self, region, options, seed);
     this.random = new Random(seed);
+    this.limits = new RequestLimits(options.retryShare());
+    this.answers = new AnswerAssembler(options.bufferedBytes());
   }
 
   // Accessors
@@ -110,13 +107,13 @@
       refuse(effects, spec, Refusal.NOT_RUN, leaving ? "entry is leaving" : "no rules known yet");
       return effects;
     }
-    if (!withinRate(now, spec.workspace())) {
+    if (!limits.withinRate(now, rules, spec.workspace(), entries.size())) {
       refuse(effects, spec, Refusal.RATE_LIMITED, "workspace is above its rate limit");
       return effects;
     }
     Live r = new Live(spec, now);
     requests.put(spec.id(), r);
-    budget(spec.target(), now).add(options.retryShare());
+    limits.countFresh(now, spec.target());
     if (spec.claim().isEmpty()) {
       bind(r, spec.id());
       enqueue(now, effects, r);
@@ -170,11 +167,13 @@
       }
     } else if (message instanceof ServingMessage.AnswerHead m) {
       for (Live r : current(m, agent)) {
-        head(now, effects, r, m);
+        if (!answers.head(now, r, m)) {
+          cut(effects, r, "the endpoint did not resume the stream");
+        }
       }
     } else if (message instanceof ServingMessage.AnswerPart m) {
       for (Live r : current(m, agent)) {
-        part(now, effects, r, m);
+        answers.part(now, effects, r, m);
       }
     } else if (message instanceof ServingMessage.AnswerEnd m) {
       report(agent, m.load());
@@ -242,7 +241,7 @@
   /** Takes new rules. */
   public List<RoutingEffect> rules(long now, Rules adopted) {
     rules = adopted;
-    rates.clear();
+    limits.rulesChanged();
     table.rules(adopted);
     List<RoutingEffect> effects = new ArrayList<>();
     serve(now, effects);
@@ -330,76 +329,9 @@
 
   // Answers
 
-  private void head(long now, List<RoutingEffect> effects, Live r, ServingMessage.AnswerHead m) {
-    r.lastFrame = now;
-    if (r.headReceived) {
-      return;
-    }
-    r.headReceived = true;
-    r.status = m.status();
-    r.contentType = m.contentType();
-    r.manifest = m.generation().manifest();
-    boolean continues = r.headDelivered && m.status() != 200;
-    if (continues) {
-      cut(effects, r, "the endpoint did not resume the stream");
-    }
-  }
-
-  private void part(long now, List<RoutingEffect> effects, Live r, ServingMessage.AnswerPart m) {
-    r.lastFrame = now;
-    if (m.index() != r.nextPart || !r.headReceived) {
-      // A replay brings parts again that came before; a gap shows at the end by the count.
-      return;
-    }
-    r.nextPart++;
-    r.receivedBytes += m.bytes().length;
-    if (!r.spec.stream() || r.status != 200) {
-      r.held.add(m.bytes());
-      r.heldBytes += m.bytes().length;
-      if (r.heldBytes > options.bufferedBytes()) {
-        release(effects, r);
-      }
-      return;
-    }
-    deliverEvents(effects, r, m.bytes());
-  }
-
-  /** Delivers whole events only, so that a resumed stream continues at an event's boundary. */
-  private static void deliverEvents(List<RoutingEffect> effects, Live r, byte[] bytes) {
-    byte[] all = bytes;
-    if (r.tail.length > 0) {
-      all = Arrays.copyOf(r.tail, r.tail.length + bytes.length);
-      System.arraycopy(bytes, 0, all, r.tail.length, bytes.length);
-    }
-    int end = 0;
-    int events = 0;
-    for (int i = 0; i + 1 < all.length; i++) {
-      if (all[i] == '\n' && all[i + 1] == '\n') {
-        events++;
-        end = i + 2;
-        i++;
-      }
-    }
-    r.tail = Arrays.copyOfRange(all, end, all.length);
-    if (end == 0) {
-      return;
-    }
-    deliverHead(effects, r);
-    r.eventsDelivered += events;
-    byte[] whole = end == all.length ? all : Arrays.copyOf(all, end);
-    effects.add(new RoutingEffect.Part(r.spec.id(), whole));
-  }
-
   private void end(long now, List<RoutingEffect> effects, Live r, ServingMessage.AnswerEnd m) {
-    boolean whole =
-        m.whole() && r.headReceived && m.parts() == r.nextPart && m.bytes() == r.receivedBytes;
-    if (whole) {
-      release(effects, r);
-      if (r.tail.length > 0) {
-        effects.add(new RoutingEffect.Part(r.spec.id(), r.tail));
-      }
-      effects.add(new RoutingEffect.Finish(r.spec.id()));
-      charge(r, m.tokens());
+    if (answers.end(effects, r, m)) {
+      queue(r.spec.target()).charge(r.spec.workspace(), m.tokens() - r.spec.generated());
       ledger.answered(r.spec.workspace(), m.tokens());
       forget(r);
       return;
@@ -411,22 +343,6 @@
     lost(now, effects, r, true);
   }
 
-  private static void deliverHead(List<RoutingEffect> effects, Live r) {
-    if (!r.headDelivered) {
-      r.headDelivered = true;
-      effects.add(new RoutingEffect.Head(r.spec.id(), r.status, r.contentType, r.manifest));
-    }
-  }
-
-  private static void release(List<RoutingEffect> effects, Live r) {
-    deliverHead(effects, r);
-    for (byte[] b : r.held) {
-      effects.add(new RoutingEffect.Part(r.spec.id(), b));
-    }
-    r.held.clear();
-    r.heldBytes = 0;
-  }
-
   // Attempts
 
   private void notRun(long now, List<RoutingEffect> effects, Live r, Reason reason) {
@@ -547,7 +463,7 @@
 
   private boolean isServable(Live r, long now) {
     return now >= r.notBefore
-        && (!r.retrying || budget(r.spec.target(), now).has(1, now))
+        && (!r.retrying || limits.mayRetry(now, r.spec.target()))
         && !choices(r, now).isEmpty();
   }
 
@@ -566,7 +482,7 @@
     r.attempt++;
     if (r.retrying) {
       r.retrying = false;
-      budget(r.spec.target(), now).tryTake(1, now);
+      limits.countRetry(now, r.spec.target());
     }
     table.sent(e, r.spec.prefix(), now);
     r.counted = true;
@@ -718,21 +634,6 @@
 
   // Helpers
 
-  private boolean withinRate(long now, String workspace) {
-    Optional<Rule.Limit> limit = rules.findLimit(workspace);
-    if (limit.isEmpty()) {
-      return true;
-    }
-    // Each entry grants an equal share; the balancer spreads callers evenly.
-    int share = Math.max(1, entries.size());
-    TokenBucket bucket =
-        rates.computeIfAbsent(
-            workspace,
-            w -> new TokenBucket(limit.get().perSecond(), limit.get().burst() / share, now));
-    bucket.resize(limit.get().perSecond() / share, Math.max(1, limit.get().burst() / share));
-    return bucket.tryTake(1, now);
-  }
-
   private void avoid(long now, String agent) {
     Optional<Endpoint> e = table.find(agent);
     if (e.isPresent()) {
@@ -741,11 +642,6 @@
     }
   }
 
-  private TokenBucket budget(Target target, long now) {
-    return retryBudgets.computeIfAbsent(
-        target, t -> new TokenBucket(RETRIES_PER_SECOND, RETRY_BURST, now));
-  }
-
   private FairQueue<Live> queue(Target target) {
     return queues.computeIfAbsent(target, t -> new FairQueue<>(options.queueCapacity()));
   }
@@ -754,10 +650,6 @@
     return rules.weight(r.spec.workspace());
   }
 
-  private void charge(Live r, int tokens) {
-    queue(r.spec.target()).charge(r.spec.workspace(), tokens - r.spec.generated());
-  }
-
   private void report(String agent, Load load) {
     table.find(agent).ifPresent(e -> e.report(load));
   }
--- a/standin/src/main/java/org/cornelchute/standin/server/EngineStandin.java
+++ b/standin/src/main/java/org/cornelchute/standin/server/EngineStandin.java
@@ -14,8 +14,6 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -25,7 +23,7 @@
  * <p>It computes the manifest of what it was given itself, and counts how often each request ran
  * and how often it was given more than it said it can carry.
  */
-public final class EngineStandin implements AutoCloseable {
+public final class EngineStandin extends HttpStandin<EngineStandin.Faults> {
 
   private static final int PREFIX_CHARS = 256;
   private static final int PREFIXES_CACHED = 32;
@@ -33,7 +31,6 @@
   private static final double OVERLOAD_SLOWDOWN = 4.0;
 
   private final Options options;
-  private final DisposableServer server;
   private final Map<String, Integer> ran = new TreeMap<>();
   private final Map<String, Boolean> prefixes =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -56,7 +53,6 @@
   private long tokens;
   private long reportedAt;
   private int reportedCapacity;
-  private Faults faults = new Faults(1.0, 0);
 
   /**
    * Starts on a port of the loopback interface.
@@ -65,33 +61,18 @@
    * @param options speeds and sizes
    */
   public EngineStandin(int port, Options options) {
+    super(new Faults(1.0, 0), Faults.class);
     this.options = options;
-    this.server =
-        HttpServer.create()
-            .host("127.0.0.1")
-            .port(port)
-            .route(
-                r ->
-                    r.get("/engine/status", (q, s) -> Json.send(s, 200, status()))
-                        .post("/engine/load", this::load)
-                        .post("/v1/chat/completions", this::complete)
-                        .post("/v1/completions", this::complete)
-                        .get("/stats", (q, s) -> Json.send(s, 200, stats()))
-                        .post("/restart", (q, s) -> restart(s, true))
-                        .post("/turn-cold", (q, s) -> restart(s, false))
-                        .get("/faults", (q, s) -> Json.send(s, 200, faults))
-                        .post("/faults", this::setFaults))
-            .bindNow();
-  }
-
-  /** Returns a future that ends with the server. */
-  public Mono<Void> onClose() {
-    return server.onDispose();
-  }
-
-  @Override
-  public void close() {
-    server.disposeNow();
+    listen(
+        port,
+        r ->
+            r.get("/engine/status", (q, s) -> Json.send(s, 200, status()))
+                .post("/engine/load", this::load)
+                .post("/v1/chat/completions", this::complete)
+                .post("/v1/completions", this::complete)
+                .get("/stats", (q, s) -> Json.send(s, 200, stats()))
+                .post("/restart", (q, s) -> restart(s, true))
+                .post("/turn-cold", (q, s) -> restart(s, false)));
   }
 
   private Publisher<Void> load(HttpServerRequest q, HttpServerResponse s) {
@@ -170,10 +151,10 @@
         indexes
             .map(i -> event(TokenText.token(prompt, loaded, i)))
             .concatWith(Mono.fromSupplier(() -> copy("data: [DONE]\n\n")));
-    if (faults.breakAfter > 0) {
+    if (faults().breakAfter > 0) {
       events =
           events
-              .take(faults.breakAfter)
+              .take(faults().breakAfter)
               .concatWith(Mono.error(new IllegalStateException("broken off")));
     }
     return s.header("Content-Type", "text/event-stream").send(events, b -> true).then();
@@ -201,7 +182,7 @@
   private synchronized Duration gap(long prefill) {
     double slow = inFlight > capacity() ? OVERLOAD_SLOWDOWN : 1.0;
     tokens++;
-    long micros = (long) ((prefill * 1_000 + options.tokenMicros) * slow * faults.slowdown);
+    long micros = (long) ((prefill * 1_000 + options.tokenMicros) * slow * faults().slowdown);
     return Duration.ofNanos(micros * 1_000);
   }
 
@@ -250,15 +231,6 @@
     return Json.send(s, 200, Map.of("cold", true));
   }
 
-  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
-    return Json.read(q, Faults.class)
-        .flatMap(
-            f -> {
-              faults = f;
-              return Json.send(s, 200, faults);
-            });
-  }
-
   private static Map<String, Object> answer(String prompt, String manifest, int count) {
     return Map.of(
         "object",
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/server/HttpStandin.java
@@ -0,0 +1,72 @@
+package org.cornelchute.standin.server;
+
+import java.util.function.Consumer;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * A stand-in that listens on the loopback interface and takes its faults over HTTP.
+ *
+ * @param <F> type of its faults, bound from JSON
+ */
+public abstract class HttpStandin<F> implements AutoCloseable {
+
+  private final Class<F> type;
+  private volatile F faults;
+  private DisposableServer server;
+
+  /** Creates a stand-in with its faults at the start. */
+  protected HttpStandin(F calm, Class<F> type) {
+    this.faults = calm;
+    this.type = type;
+  }
+
+  /** Returns the faults in force. */
+  protected final F faults() {
+    return faults;
+  }
+
+  /** Changes the faults. */
+  protected final void changeFaults(F changed) {
+    faults = changed;
+  }
+
+  /** Starts to listen. */
+  protected final void listen(int port, Consumer<HttpServerRoutes> routes) {
+    server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(port)
+            .route(
+                r -> {
+                  routes.accept(r);
+                  r.get("/faults", (q, s) -> Json.send(s, 200, faults));
+                  r.post("/faults", this::setFaults);
+                })
+            .bindNow();
+  }
+
+  /** Returns a future that ends with the server. */
+  public final Mono<Void> onClose() {
+    return server.onDispose();
+  }
+
+  @Override
+  public final void close() {
+    server.disposeNow();
+  }
+
+  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
+    return Json.read(q, type)
+        .flatMap(
+            f -> {
+              faults = f;
+              return Json.send(s, 200, faults);
+            });
+  }
+}
--- a/standin/src/main/java/org/cornelchute/standin/server/OriginStandin.java
+++ b/standin/src/main/java/org/cornelchute/standin/server/OriginStandin.java
@@ -11,8 +11,6 @@
 import org.cornelchute.policy.weights.Manifest;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -22,7 +20,7 @@
  * <p>The contents of a version follow from its seed; a share of its chunks may be taken over from
  * the version before.
  */
-public final class OriginStandin implements AutoCloseable {
+public final class OriginStandin extends HttpStandin<OriginStandin.Faults> {
 
   private final Map<String, Manifest> manifests = new ConcurrentHashMap<>();
   private final Map<String, byte[]> chunks = new ConcurrentHashMap<>();
@@ -31,36 +29,19 @@
   private final AtomicLong refused = new AtomicLong();
   private final Random random = new Random(1);
   private final LinkLimiter link;
-  private final DisposableServer server;
-  private volatile Faults faults = new Faults(0, false, 0);
 
   /** Starts on a port of the loopback interface; a rate of 0 means no limit. */
   public OriginStandin(int port, long bytesPerSecond) {
+    super(new Faults(0, false, 0), Faults.class);
     this.link = new LinkLimiter(bytesPerSecond);
-    this.server =
-        HttpServer.create()
-            .host("127.0.0.1")
-            .port(port)
-            .route(
-                r ->
-                    r.post("/publish", this::publish)
-                        .get("/weights/{fleet}/{model}/{version}/manifest", this::manifest)
-                        .get("/weights/{model}/{version}/manifest", this::manifest)
-                        .get("/chunks/{digest}", this::chunk)
-                        .get("/stats", (q, s) -> Json.send(s, 200, stats()))
-                        .get("/faults", (q, s) -> Json.send(s, 200, faults))
-                        .post("/faults", this::setFaults))
-            .bindNow();
-  }
-
-  /** Returns a future that ends with the server. */
-  public Mono<Void> onClose() {
-    return server.onDispose();
-  }
-
-  @Override
-  public void close() {
-    server.disposeNow();
+    listen(
+        port,
+        r ->
+            r.post("/publish", this::publish)
+                .get("/weights/{fleet}/{model}/{version}/manifest", this::manifest)
+                .get("/weights/{model}/{version}/manifest", this::manifest)
+                .get("/chunks/{digest}", this::chunk)
+                .get("/stats", (q, s) -> Json.send(s, 200, stats())));
   }
 
   private Publisher<Void> publish(HttpServerRequest q, HttpServerResponse s) {
@@ -92,7 +73,7 @@
     String fleet = q.param("fleet");
     String model = fleet == null ? q.param("model") : fleet + "/" + q.param("model");
     Manifest m = manifests.get(model + ":" + q.param("version"));
-    if (m == null || faults.refuse) {
+    if (m == null || faults().refuse) {
       return Json.send(s, m == null ? 404 : 503, Map.of("error", "no such version, or refused"));
     }
     return s.sendObject(Unpooled.copiedBuffer(m.text(), StandardCharsets.UTF_8)).then();
@@ -100,32 +81,23 @@
 
   private Publisher<Void> chunk(HttpServerRequest q, HttpServerResponse s) {
     byte[] c = chunks.get(q.param("digest"));
-    if (c == null || faults.refuse) {
+    if (c == null || faults().refuse) {
       refused.incrementAndGet();
       return Json.send(s, c == null ? 404 : 503, Map.of("error", "no such chunk, or refused"));
     }
     byte[] sent = c;
     synchronized (random) {
-      if (random.nextDouble() < faults.corruptShare) {
+      if (random.nextDouble() < faults().corruptShare) {
         sent = c.clone();
         sent[random.nextInt(sent.length)] ^= 1;
       }
     }
     bytes.addAndGet(sent.length);
-    long nanos = link.reserve(sent.length) + Duration.ofMillis(faults.stallMillis).toNanos();
+    long nanos = link.reserve(sent.length) + Duration.ofMillis(faults().stallMillis).toNanos();
     return Mono.delay(Duration.ofNanos(nanos))
         .then(s.sendObject(Unpooled.wrappedBuffer(sent)).then());
   }
 
-  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
-    return Json.read(q, Faults.class)
-        .flatMap(
-            f -> {
-              faults = f;
-              return Json.send(s, 200, faults);
-            });
-  }
-
   private Map<String, Long> stats() {
     return Map.of("bytes", bytes.get(), "refused", refused.get());
   }
--- a/standin/src/main/java/org/cornelchute/standin/server/PlatformStandin.java
+++ b/standin/src/main/java/org/cornelchute/standin/server/PlatformStandin.java
@@ -12,13 +12,11 @@
 import org.cornelchute.policy.util.TokenBucket;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
 /** Stand-in for the platform: table service with transactions, and a list of VMs. */
-public final class PlatformStandin implements AutoCloseable {
+public final class PlatformStandin extends HttpStandin<PlatformStandin.Faults> {
 
   private static final double READS_PER_SECOND = 2_000;
   private static final double WRITES_PER_SECOND = 300;
@@ -26,8 +24,6 @@
   private final Map<String, TableRow> rows = new TreeMap<>();
   private final TokenBucket reads = new TokenBucket(READS_PER_SECOND, READS_PER_SECOND, now());
   private final TokenBucket writes = new TokenBucket(WRITES_PER_SECOND, WRITES_PER_SECOND, now());
-  private final DisposableServer server;
-  private Faults faults = new Faults(false, 0, 0);
   private List<Map<String, String>> vms = List.of();
   private long versions;
   private long readCount;
@@ -35,30 +31,15 @@
 
   /** Starts on a port of the loopback interface. */
   public PlatformStandin(int port) {
-    this.server =
-        HttpServer.create()
-            .host("127.0.0.1")
-            .port(port)
-            .route(
-                r ->
-                    r.get("/table/{key}", this::read)
-                        .post("/table", this::commit)
-                        .get("/vms", (q, s) -> guarded(s, () -> Json.send(s, 200, vms)))
-                        .post("/vms", this::setVms)
-                        .get("/stats", (q, s) -> Json.send(s, 200, stats()))
-                        .get("/faults", (q, s) -> Json.send(s, 200, faults))
-                        .post("/faults", this::setFaults))
-            .bindNow();
-  }
-
-  /** Returns a future that ends with the server. */
-  public Mono<Void> onClose() {
-    return server.onDispose();
-  }
-
-  @Override
-  public void close() {
-    server.disposeNow();
+    super(new Faults(false, 0, 0), Faults.class);
+    listen(
+        port,
+        r ->
+            r.get("/table/{key}", this::read)
+                .post("/table", this::commit)
+                .get("/vms", (q, s) -> guarded(s, () -> Json.send(s, 200, vms)))
+                .post("/vms", this::setVms)
+                .get("/stats", (q, s) -> Json.send(s, 200, stats())));
   }
 
   private Publisher<Void> read(HttpServerRequest q, HttpServerResponse s) {
@@ -104,9 +85,9 @@
       result.add(versions);
     }
     writeCount++;
-    if (faults.loseAnswers > 0) {
+    if (faults().loseAnswers > 0) {
       // The write has taken effect; the writer never learns of it.
-      faults = new Faults(faults.outage, faults.latencyMillis, faults.loseAnswers - 1);
+      changeFaults(new Faults(faults().outage, faults().latencyMillis, faults().loseAnswers - 1));
       return Mono.error(new IllegalStateException("answer lost"));
     }
     return Json.send(s, 200, Map.of("versions", result));
@@ -123,21 +104,12 @@
             });
   }
 
-  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
-    return Json.read(q, Faults.class)
-        .flatMap(
-            f -> {
-              faults = f;
-              return Json.send(s, 200, faults);
-            });
-  }
-
   private Mono<Void> guarded(HttpServerResponse s, Supplier<Mono<Void>> work) {
-    if (faults.outage) {
+    if (faults().outage) {
       return Json.send(s, 503, Map.of("error", "out of service"));
     }
-    if (faults.latencyMillis > 0) {
-      return Mono.delay(Duration.ofMillis(faults.latencyMillis)).then(Mono.defer(work));
+    if (faults().latencyMillis > 0) {
+      return Mono.delay(Duration.ofMillis(faults().latencyMillis)).then(Mono.defer(work));
     }
     return work.get();
   }
--- a/standin/src/main/java/org/cornelchute/standin/server/ServiceStandin.java
+++ b/standin/src/main/java/org/cornelchute/standin/server/ServiceStandin.java
@@ -6,42 +6,23 @@
 import java.util.TreeMap;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
 /** Stand-in for a plain service; counts how often each order ran, by the order's own text. */
-public final class ServiceStandin implements AutoCloseable {
+public final class ServiceStandin extends HttpStandin<ServiceStandin.Faults> {
 
   private final Map<String, Integer> runs = new TreeMap<>();
-  private final DisposableServer server;
-  private volatile Faults faults = new Faults(0, false);
 
   /** Starts on a port of the loopback interface. */
   public ServiceStandin(int port) {
-    this.server =
-        HttpServer.create()
-            .host("127.0.0.1")
-            .port(port)
-            .route(
-                r ->
-                    r.get("/runs", (q, s) -> Json.send(s, 200, runs()))
-                        .get("/faults", (q, s) -> Json.send(s, 200, faults))
-                        .post("/faults", this::setFaults)
-                        .get("/stock/{item}", this::stock)
-                        .post("/confirm", this::confirm))
-            .bindNow();
-  }
-
-  /** Returns a future that ends with the server. */
-  public Mono<Void> onClose() {
-    return server.onDispose();
-  }
-
-  @Override
-  public void close() {
-    server.disposeNow();
+    super(new Faults(0, false), Faults.class);
+    listen(
+        port,
+        r ->
+            r.get("/runs", (q, s) -> Json.send(s, 200, runs()))
+                .get("/stock/{item}", this::stock)
+                .post("/confirm", this::confirm));
   }
 
   private Publisher<Void> stock(HttpServerRequest q, HttpServerResponse s) {
@@ -58,7 +39,7 @@
               synchronized (runs) {
                 runs.merge(order, 1, Integer::sum);
               }
-              if (faults.dropAfterRun) {
+              if (faults().dropAfterRun) {
                 return Mono.error(new IllegalStateException("answer lost"));
               }
               return delayed(Json.send(s, 200, Map.of("confirmed", order)));
@@ -66,9 +47,9 @@
   }
 
   private Mono<Void> delayed(Mono<Void> answer) {
-    return faults.latencyMillis == 0
+    return faults().latencyMillis == 0
         ? answer
-        : Mono.delay(Duration.ofMillis(faults.latencyMillis)).then(answer);
+        : Mono.delay(Duration.ofMillis(faults().latencyMillis)).then(answer);
   }
 
   private Map<String, Integer> runs() {
@@ -77,15 +58,6 @@
     }
   }
 
-  private Publisher<Void> setFaults(HttpServerRequest q, HttpServerResponse s) {
-    return Json.read(q, Faults.class)
-        .flatMap(
-            f -> {
-              faults = f;
-              return Json.send(s, 200, faults);
-            });
-  }
-
   /**
    * Faults, changeable at run time.
    *
