Let an agent's limit follow a warm engine at once

Cause: in a rolling restart (8 engines, 0.8 of capacity) 1424 of 5911 requests were refused, none cut: an agent that came back beside a warm engine took 18 completions to reach its limit. While the engine says that it carries more, each completion now raises the limit by one; it still grows on completed work only and never above the engine's word.

--- a/policy/src/main/java/org/cornelchute/policy/admission/ConcurrencyLimit.java
+++ b/policy/src/main/java/org/cornelchute/policy/admission/ConcurrencyLimit.java
@@ -44,10 +44,16 @@
     return Math.max(1, Math.min((int) limit, reported));
   }
 
-  /** Counts a request that ended well. */
+  /**
+   * Counts a request that ended well.
+   *
+   * <p>While the endpoint says that it carries more, every completion raises the limit by one:
+   * beside an engine that is warm, an agent that has just started is as fast as the engine answers.
+   */
   public void completed() {
     completed++;
-    if (completed >= perStep && limit < warm) {
+    boolean invited = reported != Integer.MAX_VALUE && limit < reported;
+    if ((invited || completed >= perStep) && limit < warm) {
       completed = 0;
       limit = Math.min(warm, limit + 1);
     }
--- a/policy/src/test/java/org/cornelchute/policy/admission/AdmissionDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/admission/AdmissionDeciderTest.java
@@ -128,6 +128,15 @@
       assertThat(decider.load().limit()).isGreaterThan(AdmissionOptions.DEFAULTS.coldLimit());
     }
 
+    @Test
+    void growsWithEachCompletionWhileTheEngineReportsMore() {
+      open();
+      decider.observed(1, "boot-1", 8);
+      running(10, 2);
+      complete(2, 2);
+      assertThat(decider.load().limit()).isEqualTo(4);
+    }
+
     @Test
     void neverExceedsWhatTheEngineReports() {
       open();
