Revert holding work back from a silent engine; let a rollout go on without a pause

Tried: no new work while all streams are silent for twice the usual gap, against over-admission when an engine turns cold without notice. What remains is work given in the first tens of milliseconds, before any sign. Found by the new tests of the rollout: the pause between two reads of a manifest also held back the switch, by up to half a second.

--- a/policy/src/main/java/org/cornelchute/policy/admission/AdmissionDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/admission/AdmissionDecider.java
@@ -48,8 +48,6 @@
   private boolean domainOut;
   private String engineBoot = "";
   private int running;
-  private int decoding;
-  private long lastAnyPart;
   private Load lastBroadcast;
   private long nextBroadcast;
 
@@ -230,11 +228,6 @@
       log(effects, "cold", key.request(), a.dispatch.workspace(), "gaps between tokens grew");
     }
     a.lastPart = now;
-    lastAnyPart = now;
-    if (engine && a.dispatch.stream() && !a.decoding) {
-      a.decoding = true;
-      decoding++;
-    }
     return effects;
   }
 
@@ -369,7 +362,7 @@
 
   /** Forwards as many waiting requests as the endpoint may carry. */
   private void serve(long now, List<AdmissionEffect> effects) {
-    while (running < limit.limit() && accepting() && !stalls(now)) {
+    while (running < limit.limit() && accepting()) {
       Optional<Attempt> next = queue.poll(a -> true);
       if (next.isEmpty()) {
         break;
@@ -392,14 +385,6 @@
     }
   }
 
-  /**
-   * Returns whether the engine has gone silent in the middle of its streams. It may have turned
-   * cold without notice; what is held back here waits for the next part or the next look.
-   */
-  private boolean stalls(long now) {
-    return decoding > 0 && limit.isSilence(now - lastAnyPart);
-  }
-
   private void finish(
       long now, List<AdmissionEffect> effects, Attempt a, boolean whole, int tokens) {
     if (whole) {
@@ -421,18 +406,10 @@
 
   private void end(long now, Attempt a) {
     running--;
-    stopDecoding(a);
     a.stage = Attempt.Stage.ENDED;
     a.ended = now;
   }
 
-  private void stopDecoding(Attempt a) {
-    if (a.decoding) {
-      a.decoding = false;
-      decoding--;
-    }
-  }
-
   private Attempt findRunning(AttemptKey key) {
     Attempt a = ledger.get(key);
     return a != null && a.stage == Attempt.Stage.DISPATCHED ? a : null;
@@ -466,7 +443,6 @@
       drop(effects, a, Reason.CANCELLED);
     } else if (a.stage == Attempt.Stage.DISPATCHED && a.dispatch.repeatable()) {
       running--;
-      stopDecoding(a);
       a.stage = Attempt.Stage.ENDED;
       ledger.remove(a.key);
       effects.add(new AdmissionEffect.Abort(a.key));
--- a/policy/src/main/java/org/cornelchute/policy/admission/Attempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/admission/Attempt.java
@@ -25,7 +25,6 @@
   final List<ServingMessage> recorded = new ArrayList<>();
   Stage stage;
   boolean recording;
-  boolean decoding;
   long recordedBytes;
   int parts;
   long bytes;
--- a/policy/src/main/java/org/cornelchute/policy/admission/ConcurrencyLimit.java
+++ b/policy/src/main/java/org/cornelchute/policy/admission/ConcurrencyLimit.java
@@ -11,7 +11,6 @@
 
   private static final double DECREASE = 0.7;
   private static final double SLOW_FACTOR = 3.0;
-  private static final double SILENCE_FACTOR = 2.0;
   private static final int SLOW_EVENTS = 3;
   private static final double SMOOTHING = 0.05;
   private static final double MIN_GAP_MILLIS = 4.0;
@@ -78,15 +77,6 @@
     reported = capacity > 0 ? capacity : Integer.MAX_VALUE;
   }
 
-  /**
-   * Returns whether a pause of all streams is longer than any that is usual.
-   *
-   * @param millis time since the last part of any stream, in milliseconds
-   */
-  public boolean isSilence(double millis) {
-    return usualGap > 0 && millis > usualGap * SILENCE_FACTOR;
-  }
-
   /**
    * Takes the time between two parts of one answer.
    *
--- a/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
@@ -103,6 +103,7 @@
       return effects;
     }
     manifest = read.get();
+    retryAt = now;
     complete = false;
     step = Step.FETCHING;
     effects.add(new RolloutEffect.StartSwarm(manifest));
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
@@ -0,0 +1,130 @@
+package org.cornelchute.policy.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.weights.Manifest;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RolloutDeciderTest {
+
+  private static final Manifest V1 = Manifest.of("m", "v1", new byte[] {1, 2, 3}, 2);
+  private static final Manifest V2 = Manifest.of("m", "v2", new byte[] {4, 5, 6}, 2);
+
+  private final RolloutDecider decider = new RolloutDecider("agent");
+
+  private static EngineState engine(String boot, String manifest, long fence) {
+    return new EngineState(boot, manifest.isEmpty() ? "" : "m", manifest, fence, 0);
+  }
+
+  private void assign(Manifest m) {
+    decider.assigned(0, Optional.of(new Assignment("m", m.version(), 0, 1)), 1);
+    decider.manifestRead(1, "m", m.version(), Either.right(m));
+  }
+
+  private List<RolloutEffect> load(Manifest m, EngineState readBack) {
+    decider.fetched(2, m.digest());
+    decider.tick(3, true, true);
+    assertThat(decider.tick(4, true, true)).contains(new RolloutEffect.OrderLoad(m));
+    return decider.loaded(5, m.digest(), Either.right(readBack));
+  }
+
+  private boolean isOpen() {
+    return !decider.open().equals(Generation.NONE);
+  }
+
+  @Nested
+  class OpensOnlyForWhatTheEngineConfirmed {
+
+    @Test
+    void afterTheReadBack() {
+      decider.engineSeen(0, Optional.of(engine("b", "", 0)));
+      assign(V1);
+      assertThat(isOpen()).isFalse();
+      load(V1, engine("b", V1.digest(), 7));
+      assertThat(decider.open()).isEqualTo(new Generation("m", V1.digest(), 7));
+    }
+
+    @Test
+    void notWhenAnEngineThatIgnoresNumbersHoldsAnotherVersion() {
+      decider.engineSeen(0, Optional.of(engine("b", "", 0)));
+      assign(V1);
+      load(V1, engine("b", V2.digest(), 7));
+      assertThat(isOpen()).isFalse();
+    }
+
+    @Test
+    void notWhenTheAnswerToTheOrderIsLost() {
+      decider.engineSeen(0, Optional.of(engine("b", "", 0)));
+      assign(V1);
+      decider.fetched(2, V1.digest());
+      decider.tick(3, true, true);
+      decider.tick(4, true, true);
+      decider.loaded(5, V1.digest(), Either.left(Failure.unknown("timeout")));
+      assertThat(isOpen()).isFalse();
+      // The engine's own word settles it.
+      decider.engineSeen(6, Optional.of(engine("b", V1.digest(), 7)));
+      assertThat(isOpen()).isTrue();
+    }
+
+    @Test
+    void notForVersionThatWasReplacedWhileItWasFetched() {
+      decider.engineSeen(0, Optional.of(engine("b", "", 0)));
+      assign(V1);
+      assign(V2);
+      decider.fetched(2, V1.digest());
+      assertThat(decider.tick(3, true, true)).noneMatch(e -> e instanceof RolloutEffect.OrderLoad);
+    }
+  }
+
+  @Nested
+  class Closes {
+
+    private void serveV1() {
+      decider.engineSeen(0, Optional.of(engine("b", "", 0)));
+      assign(V1);
+      load(V1, engine("b", V1.digest(), 7));
+    }
+
+    @Test
+    void whenTheEngineRestartsWithoutWeights() {
+      serveV1();
+      assertThat(decider.engineSeen(9, Optional.of(engine("c", "", 0))))
+          .contains(new RolloutEffect.CloseEndpoint());
+    }
+
+    @Test
+    void whenSomebodyElseOrderedTheEngine() {
+      serveV1();
+      assertThat(decider.engineSeen(9, Optional.of(engine("b", V1.digest(), 8))))
+          .contains(new RolloutEffect.CloseEndpoint());
+    }
+
+    @Test
+    void notOnLookThatIsOlderThanTheLoad() {
+      serveV1();
+      decider.engineSeen(9, Optional.of(engine("b", "", 3)));
+      assertThat(isOpen()).isTrue();
+    }
+
+    @Test
+    void onlyWhenTheNewVersionIsHeldAndItIsItsTurn() {
+      serveV1();
+      assign(V2);
+      decider.tick(10, true, true);
+      assertThat(isOpen()).isTrue();
+      decider.fetched(11, V2.digest());
+      decider.tick(12, false, false);
+      assertThat(isOpen()).isTrue();
+      assertThat(decider.tick(13, false, true)).contains(new RolloutEffect.CloseEndpoint());
+      // It waits for the requests that run before it orders the load.
+      assertThat(decider.tick(14, false, true)).isEmpty();
+      assertThat(decider.tick(15, true, true)).contains(new RolloutEffect.OrderLoad(V2));
+    }
+  }
+}
