--- a/net/src/main/java/org/cornelchute/net/control/ControlListener.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlListener.java
@@ -16,7 +16,7 @@
   void rulesAdopted(Rules rules);
 
   /**
-   * Handles the view as a whole, at every tick.
+   * Handles the view as a whole, after changes and every few seconds.
    *
    * @param members members alive or suspected, this one included
    * @param unreachable regions that cannot be reached
--- a/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
@@ -41,6 +41,10 @@
   private static final int RING = 4_096;
   private static final long TICK_MILLIS = 100;
   private static final long VIEW_MILLIS = 200;
+
+  /** The whole view is copied after changes, and seldom without: at 10,000 members it is long. */
+  private static final long REFRESH_MILLIS = 5_000;
+
   private static final long LIST_MILLIS = 10_000;
 
   private final MembershipDecider members;
@@ -57,6 +61,7 @@
   private volatile ControlMessage.RulesText rulesText = new ControlMessage.RulesText(0, "", "");
   private long nextList;
   private long nextView;
+  private boolean viewStale = true;
 
   /**
    * Creates the duty.
@@ -190,8 +195,9 @@
   private void tick() {
     long now = clock.getAsLong();
     execute(members.tick(now));
-    executeAll(configuration.tick(now, members.size()));
-    if (now >= nextView) {
+    executeAll(configuration.tick(now, members.recentSize()));
+    boolean due = now >= nextView + REFRESH_MILLIS;
+    if (due || viewStale && now >= nextView) {
       nextView = now + VIEW_MILLIS;
       refreshView();
     }
@@ -202,6 +208,7 @@
   }
 
   private void refreshView() {
+    viewStale = false;
     view = List.copyOf(members.members());
     rumours = members.allRumours();
     listener.viewed(view, members.unreachableRegions());
@@ -220,8 +227,10 @@
       } else if (e instanceof MembershipEffect.AskMembers a) {
         client.send(a.address(), new ControlMessage.MembersRequest(members.self()));
       } else if (e instanceof MembershipEffect.Changed c) {
+        viewStale = true;
         listener.memberChanged(c.member(), c.health());
       } else if (e instanceof MembershipEffect.RegionReachable r) {
+        viewStale = true;
         DecisionLog.write(
             new Decision(
                 "region",
--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -49,6 +49,18 @@
   private static final int FRESH_SENDS = 4;
 
   private static final long GOSSIP_MILLIS = 200;
+
+  /** Time between two passes over all members. */
+  private static final long EXPIRY_MILLIS = 500;
+
+  /** Shortest time between two comparisons of whole views. */
+  private static final long COMPARISON_MILLIS = 30_000;
+
+  private static final long COMPARISON_MILLIS_PER_MEMBER = 250;
+
+  /** Changes in one view above which they are taken for old news. */
+  private static final int BULK = 64;
+
   private static final double UNREACHABLE_SHARE = 0.5;
   private static final int UNREACHABLE_MIN_MEMBERS = 3;
 
@@ -67,6 +79,9 @@
   private long sequence;
   private long nextProbe;
   private long nextSeed;
+  private long nextExpiry;
+  private long nextComparison;
+  private int recentSize = 1;
 
   /**
    * Creates a decider whose view holds only its own process.
@@ -111,6 +126,11 @@
     return n;
   }
 
+  /** Returns the size as of the last pass over all members, without another pass. */
+  public int recentSize() {
+    return recentSize;
+  }
+
   /** Finds the health of a member. */
   public Optional<Health> findHealth(String id) {
     return Optional.ofNullable(views.get(id)).map(v -> v.health);
@@ -188,7 +208,12 @@
       nextSeed = now + RETRY_MILLIS / 2 + random.nextInt((int) RETRY_MILLIS);
       askSeed(effects);
     }
-    expire(now, effects);
+    if (now >= nextExpiry) {
+      nextExpiry = now + EXPIRY_MILLIS;
+      expire(now, effects);
+      recentSize = size();
+    }
+    compareViews(now, effects);
     relays.values().removeIf(r -> now - r.since > SUSPICION_MILLIS);
     return effects;
   }
@@ -235,10 +260,19 @@
     return effects;
   }
 
-  /** Takes a peer's whole view. */
+  /**
+   * Takes a peer's whole view.
+   *
+   * <p>What a process that has just started learns in bulk is old to everybody else and is not
+   * passed on; a few differences, as after a cut, are news.
+   */
   public List<MembershipEffect> mergeView(long now, List<Rumour> rumours) {
+    Set<String> spreadingBefore = new HashSet<>(spreading.keySet());
     List<MembershipEffect> effects = new ArrayList<>();
     merge(now, rumours, effects);
+    if (effects.size() > BULK) {
+      spreading.keySet().removeIf(id -> !spreadingBefore.contains(id) && !id.equals(self.id()));
+    }
     return effects;
   }
 
@@ -251,6 +285,23 @@
 
   // Helpers
 
+  /**
+   * Asks some member for its whole view now and then: a rumour may have died out before it reached
+   * everybody. The time between grows with the members, so that the bytes a second do not.
+   */
+  private void compareViews(long now, List<MembershipEffect> effects) {
+    if (now < nextComparison) {
+      return;
+    }
+    long interval = Math.max(COMPARISON_MILLIS, recentSize * COMPARISON_MILLIS_PER_MEMBER);
+    boolean first = nextComparison == 0;
+    nextComparison = now + interval / 2 + random.nextInt((int) interval);
+    Member target = first ? null : nextTarget();
+    if (target != null) {
+      effects.add(new MembershipEffect.AskMembers(target.address()));
+    }
+  }
+
   private boolean hasNews() {
     if (freshVersionSends > 0) {
       return true;
@@ -455,7 +506,7 @@
   }
 
   private void spread(Member m, Health health) {
-    int times = TRANSMIT_FACTOR * (Integer.SIZE - Integer.numberOfLeadingZeros(size()));
+    int times = TRANSMIT_FACTOR * (Integer.SIZE - Integer.numberOfLeadingZeros(views.size() + 1));
     spreading.remove(m.id());
     spreading.put(m.id(), new Spreading(new Rumour(m, health), times));
   }
--- a/policy/src/main/java/org/cornelchute/policy/routing/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/Endpoint.java
@@ -7,6 +7,7 @@
 /** An entry's view of one endpoint; owned by the {@link EndpointTable}. */
 final class Endpoint {
 
+  final long weight;
   Member member;
   Health health;
   Load load;
@@ -15,9 +16,10 @@
   int sentSinceReport;
   long avoidUntil;
 
-  Endpoint(Member member, Health health) {
+  Endpoint(Member member, Health health, long weight) {
     this.member = member;
     this.health = health;
+    this.weight = weight;
   }
 
   /** Takes a load report and forgets what was counted since the last one. */
@@ -34,6 +36,13 @@
     return Math.max(outstanding, told);
   }
 
+  /** Returns whether the endpoint says itself that it serves a target. */
+  boolean isServing(Target target) {
+    return load != null
+        && load.ready()
+        && (!target.model() || load.generation().model().equals(target.name()));
+  }
+
   /** Returns whether the endpoint may be sent one more request now. */
   boolean hasRoom(long now) {
     if (load == null || !load.ready() || out || member.leaving() || now < avoidUntil) {
--- a/policy/src/main/java/org/cornelchute/policy/routing/EndpointTable.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/EndpointTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -44,6 +45,8 @@
         }
       };
   private final Map<Target, Integer> turns = new HashMap<>();
+  private final Map<Target, List<Endpoint>> subsets = new HashMap<>();
+  private boolean stale;
 
   EndpointTable(String self, String region, RoutingOptions options, long seed) {
     this.self = self;
@@ -56,8 +59,12 @@
     return Optional.ofNullable(endpoints.get(id));
   }
 
-  Collection<Endpoint> all() {
-    return endpoints.values();
+  /** Returns the endpoints that this entry uses, for all targets together. */
+  Collection<Endpoint> used() {
+    refresh();
+    List<Endpoint> used = new ArrayList<>();
+    subsets.values().forEach(used::addAll);
+    return used;
   }
 
   /** Takes a change of a member; returns its endpoint if the member is an agent. */
@@ -65,7 +72,10 @@
     if (m.role() != Role.AGENT) {
       return Optional.empty();
     }
-    Endpoint e = endpoints.computeIfAbsent(m.id(), id -> new Endpoint(m, health));
+    stale = true;
+    Endpoint e =
+        endpoints.computeIfAbsent(
+            m.id(), id -> new Endpoint(m, health, Rendezvous.weight(self, id)));
     if (e.member.boot() != m.boot()) {
       e.load = null;
       e.outstanding = 0;
@@ -81,6 +91,7 @@
   }
 
   void rules(Rules rules) {
+    stale = true;
     for (Endpoint e : endpoints.values()) {
       e.out = rules.isOut(rules.resolve(e.member.domain()));
     }
@@ -88,18 +99,18 @@
 
   /** Returns whether any endpoint serves the target, with room or without. */
   boolean serves(Target target) {
-    for (Endpoint e : endpoints.values()) {
-      if (isServing(e, target)) {
+    for (Endpoint e : subset(target)) {
+      if (e.isServing(target)) {
         return true;
       }
     }
     return false;
   }
 
-  /** Returns whether any endpoint is known that serves the target, could it take work or not. */
+  /** Returns whether any endpoint has room for a request to the target. */
   boolean hasRoom(Target target, long now) {
-    for (Endpoint e : endpoints.values()) {
-      if (e.hasRoom(now) && target.servedBy(e.member, e.load)) {
+    for (Endpoint e : subset(target)) {
+      if (e.hasRoom(now) && e.isServing(target)) {
         return true;
       }
     }
@@ -117,7 +128,7 @@
     List<Endpoint> far = new ArrayList<>();
     List<Endpoint> failed = new ArrayList<>();
     for (Endpoint e : subset(target)) {
-      if (!e.hasRoom(now)) {
+      if (!e.hasRoom(now) || !e.isServing(target)) {
         continue;
       }
       if (!weights.equals(Generation.NONE) && !weights.sameWeights(e.load.generation())) {
@@ -183,36 +194,41 @@
     return (double) e.held() / Math.max(1, e.load.limit());
   }
 
-  /** Limits the endpoints that one entry uses, so that connections grow with entries only. */
   private List<Endpoint> subset(Target target) {
-    List<Endpoint> serving = new ArrayList<>();
+    refresh();
+    return subsets.getOrDefault(target, List.of());
+  }
+
+  /**
+   * Chooses for each target the endpoints that this entry uses, from what members say of
+   * themselves.
+   *
+   * <p>Connections and the work of a choice then grow with the subset and not with the fleet; the
+   * list is made anew only after a change of members or rules.
+   */
+  private void refresh() {
+    if (!stale) {
+      return;
+    }
+    stale = false;
+    subsets.clear();
     for (Endpoint e : endpoints.values()) {
-      if (isServing(e, target)) {
-        serving.add(e);
+      if (e.health == Health.ALIVE && !e.out && !e.member.leaving()) {
+        Target.of(e.member)
+            .ifPresent(t -> subsets.computeIfAbsent(t, x -> new ArrayList<>()).add(e));
       }
     }
-    if (serving.size() <= options.subset()) {
-      return serving;
-    }
-    serving.sort(
-        (a, b) -> {
-          boolean nearA = a.member.region().equals(region);
-          boolean nearB = b.member.region().equals(region);
-          if (nearA != nearB) {
-            return nearA ? -1 : 1;
-          }
-          return Long.compare(
-              Rendezvous.weight(self, b.member.id()), Rendezvous.weight(self, a.member.id()));
-        });
-    return serving.subList(0, options.subset());
+    subsets.replaceAll((target, all) -> nearest(all));
   }
 
-  private static boolean isServing(Endpoint e, Target target) {
-    return e.load != null
-        && e.load.ready()
-        && !e.out
-        && !e.member.leaving()
-        && target.servedBy(e.member, e.load);
+  private List<Endpoint> nearest(List<Endpoint> all) {
+    if (all.size() <= options.subset()) {
+      return all;
+    }
+    Comparator<Endpoint> nearFirst =
+        Comparator.comparing((Endpoint e) -> !e.member.region().equals(region));
+    all.sort(nearFirst.thenComparing(Comparator.comparingLong((Endpoint e) -> e.weight)));
+    return new ArrayList<>(all.subList(0, options.subset()));
   }
 
   private record LastUse(String member, long at) {}
--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -220,12 +220,8 @@
       }
       return List.of();
     }
-    final List<RoutingEffect> effects = new ArrayList<>();
-    boolean known = table.find(m.id()).isPresent();
     table.changed(m, health, rules);
-    if (!known && health != Health.DEAD) {
-      effects.add(new RoutingEffect.Send(m.id(), m.address(), new ControlMessage.LoadRequest()));
-    }
+    List<RoutingEffect> effects = new ArrayList<>();
     for (Live r : on(m.id())) {
       boolean gone = health == Health.DEAD || r.boot != m.boot();
       if (gone && r.spec.repeatable()) {
@@ -262,7 +258,7 @@
       }
       expire(now, effects, r);
     }
-    for (Endpoint e : table.all()) {
+    for (Endpoint e : table.used()) {
       if (e.load == null || e.load.boot() != e.member.boot()) {
         askLoad(now, effects, e);
       }
--- a/policy/src/main/java/org/cornelchute/policy/routing/Target.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/Target.java
@@ -1,6 +1,6 @@
 package org.cornelchute.policy.routing;
 
-import org.cornelchute.core.model.Load;
+import java.util.Optional;
 import org.cornelchute.core.model.Member;
 
 /**
@@ -11,8 +11,12 @@
  */
 public record Target(boolean model, String name) {
 
-  /** Returns whether an endpoint serves this target. */
-  public boolean servedBy(Member member, Load load) {
-    return model ? load.generation().model().equals(name) : member.service().equals(name);
+  /** Finds what a member's endpoint serves, as far as the member has told. */
+  public static Optional<Target> of(Member member) {
+    if (!member.service().isEmpty()) {
+      return Optional.of(new Target(false, member.service()));
+    }
+    String model = member.generation().model();
+    return model.isEmpty() ? Optional.empty() : Optional.of(new Target(true, model));
   }
 }
--- a/standin/src/main/java/org/cornelchute/standin/bench/BenchProgram.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/BenchProgram.java
@@ -19,7 +19,8 @@
           new ServingBench(),
           new ConfigBench(),
           new DomainsBench(),
-          new ControlBench());
+          new ControlBench(),
+          new StateBench());
 
   private BenchProgram() {}
 
--- a/standin/src/main/java/org/cornelchute/standin/bench/ConfigBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ConfigBench.java
@@ -22,6 +22,7 @@
   private static final int CHANGES = 12;
   private static final int LIMIT_SECONDS = 30;
   private static final long POLL_MILLIS = 20;
+  private static final long FIRST_POLLS_MILLIS = 300;
 
   private final Map<String, Long> last = new TreeMap<>();
   private int reverts;
@@ -59,6 +60,8 @@
         }
         long begun = System.nanoTime();
         if (o.fault().equals("store-out")) {
+          // Some daemons have polled by then; the others learn from them.
+          Fleet.pause(FIRST_POLLS_MILLIS);
           Http.post(fleet.platformPort(), "/faults", Map.of("outage", true));
         }
         long wanted = version;
--- /dev/null
+++ b/standin/src/main/java/org/cornelchute/standin/bench/StateBench.java
@@ -0,0 +1,221 @@
+package org.cornelchute.standin.bench;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.cornelchute.core.message.ControlMessage;
+import org.cornelchute.core.message.ControlMessage.Health;
+import org.cornelchute.core.message.ControlMessage.Rumour;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Load;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
+import org.cornelchute.net.frame.MessageCodec;
+import org.cornelchute.policy.membership.MembershipDecider;
+import org.cornelchute.policy.membership.MembershipEffect;
+import org.cornelchute.policy.placement.Placement;
+import org.cornelchute.policy.routing.RequestDecider;
+import org.cornelchute.policy.routing.RequestSpec;
+import org.cornelchute.policy.routing.RoutingOptions;
+import org.cornelchute.policy.routing.Target;
+import org.cornelchute.policy.rules.Rules;
+import org.cornelchute.policy.rules.RulesParser;
+
+/** One daemon's deciders with as many members as the target has, in this process. */
+final class StateBench implements Bench {
+
+  private static final int REGIONS = 4;
+  private static final int DOMAINS = 13;
+  private static final int SECONDS = 120;
+  private static final int REQUESTS = 2_000;
+
+  /** Members that fail or restart in a day at the target: 190 and 950, each seen as two changes. */
+  private static final double CHANGES_PER_SECOND = 2 * (190 + 950) / 86_400.0;
+
+  private final MessageCodec codec = new MessageCodec();
+  private final Map<String, String> idByAddress = new HashMap<>();
+
+  @Override
+  public String name() {
+    return "state";
+  }
+
+  @Override
+  public String summary() {
+    return "heap, processor time and bytes of one daemon's deciders with --daemons members";
+  }
+
+  @Override
+  public Report run(BenchOptions o) {
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < o.daemons(); i++) {
+      members.add(member(i, 1));
+      idByAddress.put(members.get(i).address(), members.get(i).id());
+    }
+    Report r = new Report();
+    r.add("members", o.daemons());
+    measureMembership(members, r);
+    measurePlacement(members, r);
+    measureRouting(members, r);
+    return r;
+  }
+
+  private void measureMembership(List<Member> members, Report r) {
+    final long heapBefore = usedHeap();
+    MembershipDecider d = new MembershipDecider(member(-1, 1), List.of(), 1);
+    List<Rumour> all = new ArrayList<>();
+    members.forEach(m -> all.add(new Rumour(m, Health.ALIVE)));
+    r.add("joinBytes", codec.encode(new ControlMessage.Members(all)).length);
+    d.mergeView(0, all);
+    // The first minutes spread the members themselves; they are not measured.
+    drive(d, members, 0, 2 * SECONDS, new long[2]);
+    r.add("membershipHeapMegabytes", (usedHeap() - heapBefore) / 1e6);
+    long[] bytes = new long[2];
+    final long cpu = cpuNanos();
+    drive(d, members, 2 * SECONDS, SECONDS, bytes);
+    r.add("membershipCorePercent", (cpuNanos() - cpu) / 1e7 / SECONDS);
+    r.add("bytesSentPerSecond", (double) bytes[0] / SECONDS);
+    r.add("bytesReceivedPerSecond", (double) bytes[1] / SECONDS);
+  }
+
+  /** Ticks ten times a second; every probed member answers, and one member probes back a second. */
+  private void drive(
+      MembershipDecider d, List<Member> members, int from, int seconds, long[] bytes) {
+    Random random = new Random(3);
+    double changes = 0;
+    for (long now = from * 1_000L; now < (from + seconds) * 1_000L; now += 100) {
+      for (MembershipEffect e : d.tick(now)) {
+        if (e instanceof MembershipEffect.Datagram g) {
+          bytes[0] += codec.encode(g.message()).length;
+          if (g.message() instanceof ControlMessage.Ping p) {
+            ControlMessage.Ack ack =
+                new ControlMessage.Ack(p.sequence(), idByAddress.get(g.address()), 1, p.rumours());
+            bytes[1] += codec.encode(ack).length;
+            d.ack(now, ack);
+          }
+        }
+      }
+      changes += CHANGES_PER_SECOND / 10;
+      List<Rumour> news = new ArrayList<>();
+      final boolean changed = changes >= 1;
+      for (; changes >= 1; changes--) {
+        int i = random.nextInt(members.size());
+        members.set(i, member(i, now + 2));
+        news.add(new Rumour(members.get(i), Health.ALIVE));
+      }
+      if (now % 1_000 == 0) {
+        Member from1 = members.get(random.nextInt(members.size()));
+        ControlMessage.Ping ping = new ControlMessage.Ping(now, from1.id(), 1, news);
+        bytes[1] += codec.encode(ping).length;
+        for (MembershipEffect e : d.ping(now, from1.address(), ping)) {
+          if (e instanceof MembershipEffect.Datagram g) {
+            bytes[0] += codec.encode(g.message()).length;
+          }
+        }
+        news.clear();
+      } else if (!news.isEmpty()) {
+        d.mergeView(now, news);
+      }
+      // The view that the control duty copies after changes, and every five seconds.
+      if (changed || now % 5_000 == 0) {
+        d.members();
+        d.allRumours();
+      }
+    }
+  }
+
+  private static void measurePlacement(List<Member> members, Report r) {
+    StringBuilder text = new StringBuilder("place m v1 on");
+    for (int i = 0; i < DOMAINS; i++) {
+      text.append(" d").append(i).append("=30");
+    }
+    Rules rules = RulesParser.parse(1, text + " # asked: bench\n").get();
+    for (int i = 0; i < 20; i++) {
+      Placement.compute(rules, members);
+    }
+    final long cpu = cpuNanos();
+    for (int i = 0; i < 20; i++) {
+      Placement.compute(rules, members);
+    }
+    r.add("placementMillis", (cpuNanos() - cpu) / 1e6 / 20);
+  }
+
+  private static void measureRouting(List<Member> members, Report r) {
+    final long heapBefore = usedHeap();
+    RequestDecider d = new RequestDecider("entry", "r0", RoutingOptions.DEFAULTS, 1);
+    d.rules(0, RulesParser.parse(1, "weight a 10 # asked: bench\n").get());
+    for (Member m : members) {
+      d.memberChanged(0, m, Health.ALIVE);
+      d.received(
+          0,
+          m.id(),
+          new ControlMessage.LoadReport(m.id(), new Load(8, 0, 0, true, m.generation(), m.boot())));
+    }
+    d.tick(1);
+    r.add("routingHeapMegabytes", (usedHeap() - heapBefore) / 1e6);
+    route(d, 0);
+    final long cpu = cpuNanos();
+    route(d, REQUESTS);
+    r.add("routingMicrosPerRequest", (cpuNanos() - cpu) / 1e3 / REQUESTS);
+    final long changed = cpuNanos();
+    for (int i = 0; i < 50; i++) {
+      d.memberChanged(3, members.get(i % members.size()), Health.ALIVE);
+      d.tick(3);
+    }
+    r.add("routingMillisPerMemberChange", (cpuNanos() - changed) / 1e6 / 50);
+  }
+
+  private static void route(RequestDecider d, int from) {
+    Target target = new Target(true, "m");
+    for (int i = from; i < from + REQUESTS; i++) {
+      String id = "q" + i;
+      d.arrive(
+          2,
+          new RequestSpec(
+              id,
+              "a",
+              target,
+              true,
+              true,
+              0,
+              10,
+              10,
+              i,
+              90_000,
+              "",
+              "",
+              "POST",
+              "/",
+              "",
+              new byte[0]));
+      d.callerGone(2, id);
+    }
+  }
+
+  private static Member member(int i, long boot) {
+    return new Member(
+        "member-" + i,
+        Role.AGENT,
+        "10." + (i >> 16 & 255) + "." + (i >> 8 & 255) + "." + (i & 255) + ":4200",
+        "r" + Math.floorMod(i, REGIONS),
+        "d" + Math.floorMod(i, DOMAINS),
+        "",
+        boot,
+        1,
+        false,
+        new Generation("m", "0123456789abcdef".repeat(4), 7),
+        "0123456789abcdef".repeat(4));
+  }
+
+  private static long cpuNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  private static long usedHeap() {
+    System.gc();
+    return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+  }
+}
