--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -186,6 +186,8 @@
     for (HeldVersion old : versions.values()) {
       held = v.reuse(old);
     }
+    // What was being fetched and is wanted no more must not be fetched to its end.
+    versions.values().removeIf(old -> !old.swarm.isComplete());
     v.swarm =
         new SwarmDecider(
             settings.member().id(),
@@ -224,6 +226,9 @@
   }
 
   private void execute(HeldVersion v, List<SwarmEffect> effects) {
+    if (versions.get(v.manifest.digest()) != v) {
+      return;
+    }
     for (SwarmEffect e : effects) {
       if (e instanceof SwarmEffect.Send s) {
         send(s.peer(), s.address(), s.message());
--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -38,6 +38,12 @@
   /** Time that a dead member is remembered, so that late rumours do not revive it. */
   public static final long FORGET_MILLIS = 120_000;
 
+  /**
+   * Longest time that members of an unreachable region are kept. Regions lose each other for
+   * minutes; one that is silent for longer has lost its members.
+   */
+  public static final long FREEZE_MILLIS = 900_000;
+
   /** Time between two looks at an unreachable region or a seed. */
   public static final long RETRY_MILLIS = 5_000;
 
@@ -416,7 +422,8 @@
       }
     }
     for (View v : due) {
-      if (!unreachable.contains(v.member.region())) {
+      boolean frozen = unreachable.contains(v.member.region()) && now - v.since < FREEZE_MILLIS;
+      if (!frozen) {
         change(now, v.member, Health.DEAD, effects);
       }
     }
--- a/standin/src/main/java/org/cornelchute/standin/bench/WeightsBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/WeightsBench.java
@@ -73,23 +73,23 @@
                       + size / CHUNKS)
               .path("digest")
               .asText();
-      boolean warm = warmUp(fleet, replicas, n);
+      final String warm = warmUp(fleet, replicas, n);
       final long before = Http.get(fleet.originPort(), "/stats").path("bytes").asLong();
       final long begun = System.nanoTime();
       Thread apply =
           new Thread(() -> apply(fleet, FleetRules.place("v1", replicas, n, List.of(10))));
       apply.start();
-      WeightsFaults faults = new WeightsFaults(fleet, o, begun);
+      WeightsFaults faults = new WeightsFaults(fleet, o, warm);
       Progress p = watch(fleet, digest, n, begun, faults, size, before);
       final Report r = report(fleet, o, p, size, faults, before);
-      r.add("warmedUp", warm);
+      r.add("warmedUp", !warm.isEmpty());
       r.add("baselineSecondsToAll", baseline(fleet, digest, n));
       return r;
     }
   }
 
   /** Places a small version first, so that the agents are running ones and not just started. */
-  private static boolean warmUp(Fleet fleet, Map<String, Integer> replicas, int n)
+  private static String warmUp(Fleet fleet, Map<String, Integer> replicas, int n)
       throws IOException {
     String digest =
         fleet
@@ -97,7 +97,7 @@
             .path("digest")
             .asText();
     apply(fleet, FleetRules.place("v0", replicas, n, List.of(10)));
-    return Fleet.await(60, () -> fleet.countLoaded(digest) == n);
+    return Fleet.await(60, () -> fleet.countLoaded(digest) == n) ? digest : "";
   }
 
   private static void apply(Fleet fleet, String rules) {
--- a/standin/src/main/java/org/cornelchute/standin/bench/WeightsFaults.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/WeightsFaults.java
@@ -26,6 +26,7 @@
           "store-out");
 
   private static final double MIDDLE_SECONDS = 4.0;
+  private static final double IN_FORCE_SECONDS = 2.5;
   private static final double REFUSING_SECONDS = 16.0 / 3;
 
   private final Fleet fleet;
@@ -36,15 +37,13 @@
   private int killed;
   private Child stopped;
 
-  WeightsFaults(Fleet fleet, BenchOptions options, long begun) throws IOException {
+  WeightsFaults(Fleet fleet, BenchOptions options, String before) throws IOException {
     this.fleet = fleet;
+    published.add(before);
     this.options = options;
     if (options.fault().equals("corrupt-chunks")) {
       Http.post(fleet.originPort(), "/faults", Map.of("corruptShare", 0.05));
       ended = true;
-    } else if (options.fault().equals("store-out")) {
-      Http.post(fleet.platformPort(), "/faults", Map.of("outage", true));
-      ended = true;
     }
   }
 
@@ -64,7 +63,9 @@
   /** Provokes what is due and returns the digest of the version that is wanted now. */
   String step(double seconds, String digest, int size) throws IOException {
     published.add(digest);
-    if (!begun && seconds >= MIDDLE_SECONDS) {
+    // The rules are in force by then; without a store none could have been accepted.
+    double moment = options.fault().equals("store-out") ? IN_FORCE_SECONDS : MIDDLE_SECONDS;
+    if (!begun && seconds >= moment) {
       begun = true;
       return begin(digest, size);
     }
@@ -83,6 +84,10 @@
 
   private String begin(String digest, int size) throws IOException {
     switch (options.fault()) {
+      case "store-out":
+        Http.post(fleet.platformPort(), "/faults", Map.of("outage", true));
+        ended = true;
+        return digest;
       case "quarter-killed":
         for (int i = 0; i < options.replicas() / 4; i++) {
           kill("agent-" + i * 4);
