--- a/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
@@ -47,6 +47,9 @@
 
   private static final long LIST_MILLIS = 10_000;
 
+  /** Keeps the whole fleet's reads of the list at 50 a second. */
+  private static final long LIST_MILLIS_PER_MEMBER = 20;
+
   private final MembershipDecider members;
   private final ConfigurationDecider configuration;
   private final String id;
@@ -202,7 +205,7 @@
       refreshView();
     }
     if (now >= nextList) {
-      nextList = now + LIST_MILLIS;
+      nextList = now + Math.max(LIST_MILLIS, members.recentSize() * LIST_MILLIS_PER_MEMBER);
       table.listAddresses().subscribe(this::listed);
     }
   }
