--- a/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
@@ -57,28 +57,17 @@
 
   @Property(tries = 15, seed = "77")
   void viewsConvergeOnceTheNetworkHeals(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    FakeNetwork n = new FakeNetwork(10, 2, seed);
-    Random random = new Random(seed);
-    n.lossShare = 0.2;
-    for (int step = 0; step < 12; step++) {
-      n.runUntil(n.now + random.nextInt(6_000));
-      String id = "m" + random.nextInt(10);
-      switch (random.nextInt(3)) {
-        case 0 -> n.deciders.remove(id);
-        case 1 -> n.start(id, step + 2);
-        default -> n.partitioned = !n.partitioned;
-      }
-    }
-    n.lossShare = 0;
-    n.partitioned = false;
-    n.runUntil(n.now + 90_000);
-    int alive = n.deciders.size();
-    assertThat(n.deciders.values()).as("seed " + seed).allMatch(d -> d.size() == alive);
+    checkConvergence(seed, 90_000);
   }
 
   @Property(tries = 40, seed = "991")
   void viewsConvergeAlsoWhenRegionReallyLostMostOfItsMembers(
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    checkConvergence(seed, MembershipDecider.FREEZE_MILLIS + 90_000);
+  }
+
+  /** Disturbs a network, lets it heal, and compares the views after some time. */
+  private static void checkConvergence(long seed, long millis) {
     FakeNetwork n = new FakeNetwork(10, 2, seed);
     Random random = new Random(seed);
     n.lossShare = 0.2;
@@ -93,7 +82,7 @@
     }
     n.lossShare = 0;
     n.partitioned = false;
-    n.runUntil(n.now + MembershipDecider.FREEZE_MILLIS + 90_000);
+    n.runUntil(n.now + millis);
     int alive = n.deciders.size();
     assertThat(n.deciders.values()).as("seed " + seed).allMatch(d -> d.size() == alive);
   }
