--- a/standin/src/main/java/org/cornelchute/standin/bench/OverheadBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/OverheadBench.java
@@ -14,9 +14,10 @@
 /** What entry and agent add to a request, against the same engine asked directly. */
 final class OverheadBench implements Bench {
 
-  private static final int WARM_UP = 20;
-  private static final int ROUNDS = 30;
-  private static final int PARALLEL = 4;
+  private static final int ROUNDS = 100;
+  private static final int BURST = 4;
+  private static final int BURSTS = 25;
+  private static final int LATENCY_TOKENS = 16;
   private static final int TOKENS = 64;
   private static final int MANY = 64;
   private static final int LOADS = 20;
@@ -24,10 +25,8 @@
       new EngineStandin.Options(5_000, 10, 64, 64, 1, 10, 500, true, true);
 
   private final Caller caller = new Caller();
-  private final Samples directFirst = new Samples();
-  private final Samples directGap = new Samples();
-  private final Samples throughFirst = new Samples();
-  private final Samples throughGap = new Samples();
+  private final Pair alone = new Pair();
+  private final Pair burst = new Pair();
   private int failed;
 
   @Override
@@ -54,16 +53,16 @@
       fleet.apply(new StringBuilder(), FleetRules.place("v1", Map.of("d1", 1), 1, List.of(10)));
       Fleet.await(20, () -> fleet.countReady(entry, digest) == 1);
       int engine = fleet.endpointPort("agent-1");
-      for (int i = 0; i < WARM_UP / PARALLEL; i++) {
-        round(engine, entry.callerPort(), i, false);
-      }
       // Two shapes of request under many streams separate the cost of a token from a request's.
       int port = entry.callerPort();
       load(port, TOKENS);
       final Cost full = cost(entry, agent, () -> load(port, TOKENS));
       final Cost brief = cost(entry, agent, () -> load(port, 1));
       for (int i = 0; i < ROUNDS; i++) {
-        round(engine, entry.callerPort(), i, true);
+        alone.send(this, engine, port, "alone " + i, 1);
+      }
+      for (int i = 0; i < BURSTS; i++) {
+        burst.send(this, engine, port, "burst " + i, BURST);
       }
       return report(entry, agent, full, brief);
     }
@@ -91,9 +90,11 @@
     Report r = new Report();
     for (double p : new double[] {50, 95, 99}) {
       String suffix = "P" + (int) p + "Millis";
-      r.add("directFirstToken" + suffix, directFirst.millis(p));
-      r.add("addedFirstToken" + suffix, throughFirst.millis(p) - directFirst.millis(p));
-      r.add("addedInterToken" + suffix, throughGap.millis(p) - directGap.millis(p));
+      r.add("directFirstToken" + suffix, alone.directFirst.millis(p));
+      r.add("addedFirstToken" + suffix, alone.addedFirst(p));
+      r.add("addedInterToken" + suffix, alone.addedGap(p));
+      r.add("burstAddedFirstToken" + suffix, burst.addedFirst(p));
+      r.add("burstAddedInterToken" + suffix, burst.addedGap(p));
     }
     r.add("entryMicrosPerRequest", brief.entryMicros - entryToken);
     r.add("agentMicrosPerRequest", brief.agentMicros - agentToken);
@@ -105,7 +106,7 @@
     r.add("agentResidentMegabytes", agent.residentBytes() / 1e6);
     r.add("entryHeapMegabytes", heap(entry));
     r.add("agentHeapMegabytes", heap(agent));
-    r.add("samples", throughFirst.count());
+    r.add("samples", alone.throughFirst.count());
     r.add("failed", failed);
     return r;
   }
@@ -114,14 +115,6 @@
     return Http.get(c.operatorPort(), "/metrics").path("process.heap.bytes").asLong() / 1e6;
   }
 
-  /** Sends the same requests to the engine and through entry and agent, one set after the other. */
-  private void round(int engine, int entry, int number, boolean counted) {
-    String prompt = "round " + number;
-    // Prompts differ, so that neither finds the other's in the engine's prefix cache.
-    send(engine, "direct " + prompt, TOKENS, PARALLEL, counted ? directFirst : null, directGap);
-    send(entry, "through " + prompt, TOKENS, PARALLEL, counted ? throughFirst : null, throughGap);
-  }
-
   private void send(
       int port, String prompt, int tokens, int parallel, Samples first, Samples gaps) {
     List<CallResult> results =
@@ -148,6 +141,29 @@
     }
   }
 
+  /** Latencies of the same requests straight to the engine and through entry and agent. */
+  private static final class Pair {
+    private final Samples directFirst = new Samples();
+    private final Samples directGap = new Samples();
+    private final Samples throughFirst = new Samples();
+    private final Samples throughGap = new Samples();
+
+    /** Sends some requests at once to the engine, then through entry and agent. */
+    void send(OverheadBench bench, int engine, int entry, String prompt, int parallel) {
+      // Prompts differ, so that neither finds the other's in the engine's prefix cache.
+      bench.send(engine, "direct " + prompt, LATENCY_TOKENS, parallel, directFirst, directGap);
+      bench.send(entry, "through " + prompt, LATENCY_TOKENS, parallel, throughFirst, throughGap);
+    }
+
+    double addedFirst(double percentile) {
+      return throughFirst.millis(percentile) - directFirst.millis(percentile);
+    }
+
+    double addedGap(double percentile) {
+      return throughGap.millis(percentile) - directGap.millis(percentile);
+    }
+  }
+
   /** Processor time of one request, in microseconds. */
   private record Cost(double entryMicros, double agentMicros) {}
 }
