--- a/policy/src/test/java/org/cornelchute/policy/routing/RequestDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/routing/RequestDeciderTest.java
@@ -88,6 +88,19 @@
       assertThat(late).noneMatch(e -> e instanceof RoutingEffect.Finish);
     }
 
+    @Test
+    void dropsPartThatReplayBringsAgain() {
+      agent("a1", "r1", "w", 4);
+      arrive("q", false);
+      decider.received(2, "a1", new ServingMessage.AnswerHead("q", 1, 200, "", Generation.NONE));
+      decider.received(3, "a1", new ServingMessage.AnswerPart("q", 1, 0, bytes("once")));
+      decider.received(4, "a1", new ServingMessage.AnswerPart("q", 1, 0, bytes("once")));
+      List<RoutingEffect> end =
+          decider.received(5, "a1", new ServingMessage.AnswerEnd("q", 1, 1, 4, true, 0, load("w")));
+      assertThat(end).filteredOn(e -> e instanceof RoutingEffect.Part).hasSize(1);
+      assertThat(end).anyMatch(e -> e instanceof RoutingEffect.Finish);
+    }
+
     @Test
     void retriesWhenPartsAreMissing() {
       agent("a1", "r1", "w", 4);
