Remove a setting that did nothing; start idle fleets in one place

Cause: maxWeightsBytes was checked and then ignored, which misleads an operator; two measurements repeated how a fleet is started.

--- a/agent/src/main/java/org/cornelchute/agent/AgentSettings.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentSettings.java
@@ -22,7 +22,6 @@
  * @param completionsPerStep completed requests before the limit grows by one
  * @param queueCapacity requests that may wait in the agent
  * @param importers agents of one region that read weights from outside it
- * @param maxWeightsBytes most bytes of weights held, all versions together
  * @param drainMillis longest time that a stop waits for running requests
  */
 public record AgentSettings(
@@ -38,7 +37,6 @@
     int completionsPerStep,
     int queueCapacity,
     int importers,
-    long maxWeightsBytes,
     long drainMillis)
     implements Settings {
 
@@ -57,7 +55,6 @@
           4,
           16,
           4,
-          1L << 30,
           60_000);
 
   private static final int MAX_COUNT = 1 << 16;
@@ -72,7 +69,6 @@
     Checks.range("completionsPerStep", completionsPerStep, 1, MAX_COUNT, "requests");
     Checks.range("queueCapacity", queueCapacity, 1, MAX_COUNT, "requests");
     Checks.range("importers", importers, 1, MAX_COUNT, "agents");
-    Checks.range("maxWeightsBytes", maxWeightsBytes, 1, Long.MAX_VALUE, "bytes");
     Checks.range("drainMillis", drainMillis, 0, Long.MAX_VALUE, "milliseconds");
     service = service == null ? "" : service;
   }
--- a/standin/src/main/java/org/cornelchute/standin/bench/ConfigBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ConfigBench.java
@@ -42,11 +42,7 @@
   @Override
   public Report run(BenchOptions o) throws IOException {
     try (Fleet fleet = new Fleet(0)) {
-      fleet.logLevel("WARN");
-      for (int i = 0; i < o.daemons(); i++) {
-        fleet.startEntry("entry-" + i, "r" + i % 4, "d" + i % 13, Map.of());
-      }
-      fleet.awaitStarted(90);
+      fleet.startIdleEntries(o.daemons());
       Child first = fleet.children().get(0);
       Fleet.await(30, () -> size(first) == o.daemons());
       TableClient table = new TableClient("http://127.0.0.1:" + fleet.platformPort());
--- a/standin/src/main/java/org/cornelchute/standin/bench/ControlBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ControlBench.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.List;
-import java.util.Map;
 import org.cornelchute.standin.harness.Child;
 import org.cornelchute.standin.harness.Fleet;
 import org.cornelchute.standin.harness.Http;
@@ -28,11 +27,7 @@
   @Override
   public Report run(BenchOptions o) throws IOException {
     try (Fleet fleet = new Fleet(0)) {
-      fleet.logLevel("WARN");
-      for (int i = 0; i < o.daemons(); i++) {
-        fleet.startEntry("entry-" + i, "r" + i % 4, "d" + i % 13, Map.of());
-      }
-      fleet.awaitStarted(90);
+      fleet.startIdleEntries(o.daemons());
       fleet.apply(new StringBuilder(), "weight a 1 # asked: bench\n");
       Fleet.await(30, () -> allKnow(fleet, o.daemons()));
       Fleet.pause(SETTLE_MILLIS);
--- a/standin/src/main/java/org/cornelchute/standin/harness/Fleet.java
+++ b/standin/src/main/java/org/cornelchute/standin/harness/Fleet.java
@@ -113,6 +113,15 @@
     return start(id, ENTRY_MAIN, settings, "64m");
   }
 
+  /** Starts entries over all regions and domains of the target, and waits until they answer. */
+  public void startIdleEntries(int count) throws IOException {
+    logLevel("WARN");
+    for (int i = 0; i < count; i++) {
+      startEntry("entry-" + i, "r" + i % 4, "d" + i % 13, Map.of());
+    }
+    awaitStarted(90);
+  }
+
   /** Starts an agent beside a new engine stand-in. */
   public Child startEngine(
       String id,
