--- a/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
@@ -105,7 +105,23 @@
             clock,
             metrics,
             fatal);
-    this.weights = new WeightsDuty(settings, codec, origin, clock, boot, rollout, metrics, fatal);
+    WeightsDuty.Place place =
+        new WeightsDuty.Place(
+            who.id(),
+            who.region(),
+            settings::originRegion,
+            settings.linkBytesPerSecond(),
+            settings.swarm());
+    this.weights =
+        new WeightsDuty(
+            place,
+            codec,
+            (m, chunk, answer) -> origin.chunk(m.chunks().get(chunk)).subscribe(answer::accept),
+            clock,
+            boot,
+            rollout,
+            metrics,
+            fatal);
     rollout.connect(weights);
     Member self =
         new Member(
--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -15,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.cornelchute.core.duty.Duty;
 import org.cornelchute.core.duty.Overflow;
 import org.cornelchute.core.kernel.Service;
@@ -22,13 +24,14 @@
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.message.SwarmMessage;
 import org.cornelchute.core.model.Member;
+import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.frame.FrameClient;
 import org.cornelchute.net.frame.MessageCodec;
-import org.cornelchute.net.platform.OriginClient;
 import org.cornelchute.net.util.LinkLimiter;
 import org.cornelchute.policy.weights.Manifest;
 import org.cornelchute.policy.weights.SwarmDecider;
 import org.cornelchute.policy.weights.SwarmEffect;
+import org.cornelchute.policy.weights.SwarmOptions;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
@@ -39,14 +42,14 @@
  * chunk matches its digest. The newest two versions are kept: the one being fetched, and the one
  * before, from which unchanged chunks are reused and which others may still be fetching.
  */
-final class WeightsDuty implements Service {
+public final class WeightsDuty implements Service {
 
   private static final int RING = 1 << 14;
   private static final long TICK_MILLIS = 50;
   private static final int VERSIONS_KEPT = 2;
 
-  private final AgentSettings settings;
-  private final OriginClient origin;
+  private final Place place;
+  private final ChunkSource origin;
   private final LongSupplier clock;
   private final long seed;
   private final Listener listener;
@@ -66,23 +69,30 @@
   private Set<String> assigned = Set.of();
   private String newest = "";
 
-  WeightsDuty(
-      AgentSettings settings,
+  /**
+   * Creates a duty; {@link #start()} starts its thread.
+   *
+   * @param place who and where the agent is, and its limits
+   * @param origin where chunks are read that no other agent has
+   * @param seed seed of the random choices
+   */
+  public WeightsDuty(
+      Place place,
       MessageCodec codec,
-      OriginClient origin,
+      ChunkSource origin,
       LongSupplier clock,
       long seed,
       Listener listener,
       MetricRegistry metrics,
       Duty.FatalHandler fatal) {
-    this.settings = settings;
+    this.place = place;
     this.origin = origin;
     this.clock = clock;
     this.seed = seed;
     this.listener = listener;
-    this.client = new FrameClient(settings.member().id(), codec, new PeerAnswers());
-    this.up = new LinkLimiter(settings.linkBytesPerSecond());
-    this.down = new LinkLimiter(settings.linkBytesPerSecond());
+    this.client = new FrameClient(place.id(), codec, new PeerAnswers());
+    this.up = new LinkLimiter(place.linkBytesPerSecond());
+    this.down = new LinkLimiter(place.linkBytesPerSecond());
     this.fromOrigin = metrics.meter("weights.origin.bytes");
     this.fromPeers = metrics.meter("weights.peer.bytes");
     this.corrupt = metrics.meter("weights.corrupt.chunks");
@@ -122,7 +132,7 @@
   }
 
   /** Starts to fetch a version. */
-  void begin(Manifest manifest) {
+  public void begin(Manifest manifest) {
     duty.offer(() -> beginVersion(manifest));
   }
 
@@ -133,7 +143,7 @@
    * @param sharing ids of members that are assigned the newest version too; placement is computed
    *     alike everywhere, so they are known before they say themselves what they want
    */
-  void viewed(Collection<Member> view, Set<String> sharing) {
+  public void viewed(Collection<Member> view, Set<String> sharing) {
     duty.offer(
         () -> {
           members = view;
@@ -145,7 +155,7 @@
   }
 
   /** Hands a whole, verified version to a consumer; nothing happens if it is not whole. */
-  void withWhole(String digest, Consumer<List<byte[]>> consumer) {
+  public void withWhole(String digest, Consumer<List<byte[]>> consumer) {
     duty.offer(
         () -> {
           HeldVersion v = versions.get(digest);
@@ -155,8 +165,19 @@
         });
   }
 
+  /** Takes a chunk that was found on this VM; it counts only if it verifies and is missing. */
+  public void found(Manifest manifest, int chunk, byte[] bytes) {
+    duty.offer(
+        () -> {
+          HeldVersion v = versions.get(manifest.digest());
+          if (v != null && v.chunks[chunk] == null && manifest.verifies(chunk, bytes)) {
+            keep(v, "", chunk, 0, bytes);
+          }
+        });
+  }
+
   /** Handles a message from another agent. */
-  void received(String from, SwarmMessage message) {
+  public void received(String from, SwarmMessage message) {
     if (message instanceof SwarmMessage.ChunkData c) {
       // The link's limit is kept by taking a chunk only when its bytes would have come through.
       after(down.reserve(c.bytes().length), () -> takeChunk(from, c));
@@ -190,12 +211,12 @@
     versions.values().removeIf(old -> !old.swarm.isComplete());
     v.swarm =
         new SwarmDecider(
-            settings.member().id(),
-            settings.member().region(),
-            settings.originRegion(),
+            place.id(),
+            place.region(),
+            place.originRegion().get(),
             manifest,
             held,
-            settings.swarm(),
+            place.swarm(),
             seed,
             clock.getAsLong());
     versions.put(manifest.digest(), v);
@@ -264,18 +285,18 @@
   }
 
   private void fetch(HeldVersion v, int chunk) {
-    origin
-        .chunk(v.manifest.chunks().get(chunk))
-        .subscribe(
-            r -> {
-              if (r.isLeft()) {
-                duty.offer(() -> execute(v, v.swarm.originFailed(clock.getAsLong(), chunk)));
-                return;
-              }
-              byte[] bytes = r.get();
-              fromOrigin.mark(bytes.length);
-              after(down.reserve(bytes.length), () -> keep(v, "", chunk, 0, bytes));
-            });
+    origin.read(
+        v.manifest,
+        chunk,
+        r -> {
+          if (r.isLeft()) {
+            duty.offer(() -> execute(v, v.swarm.originFailed(clock.getAsLong(), chunk)));
+            return;
+          }
+          byte[] bytes = r.get();
+          fromOrigin.mark(bytes.length);
+          after(down.reserve(bytes.length), () -> keep(v, "", chunk, 0, bytes));
+        });
   }
 
   private void takeChunk(String from, SwarmMessage.ChunkData c) {
@@ -305,8 +326,31 @@
     }
   }
 
+  /**
+   * Who and where an agent is.
+   *
+   * @param id member id
+   * @param region region it stands in
+   * @param originRegion region of the origin of weights, asked for when a version begins
+   * @param linkBytesPerSecond rate of the VM's link each way, 0 for no limit
+   * @param swarm limits of the exchange
+   */
+  public record Place(
+      String id,
+      String region,
+      Supplier<String> originRegion,
+      long linkBytesPerSecond,
+      SwarmOptions swarm) {}
+
+  /** Reads chunks from outside the swarm. */
+  public interface ChunkSource {
+
+    /** Reads a chunk; the answer may come on any thread, exactly once. */
+    void read(Manifest manifest, int chunk, Consumer<Either<Failure, byte[]>> answer);
+  }
+
   /** Learns of whole versions; called on the duty's thread, must not block. */
-  interface Listener {
+  public interface Listener {
 
     /** Handles a version of which every chunk is held and verified. */
     void complete(Manifest manifest);
--- /dev/null
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
@@ -0,0 +1,21 @@
+package org.cornelchute.agent.direct;
+
+import io.netty.channel.EventLoop;
+import java.util.function.LongSupplier;
+import org.cornelchute.net.wire.WireClient;
+
+/** What an agent meets outside; implemented where the platform's formats are known. */
+public interface AgentPlatform {
+
+  /** Begins to feed the views, and makes the two ports usable. */
+  void open(EventLoop loop, WireClient client, LongSupplier clock, AgentViews views);
+
+  /** Returns the engine beside the agent. */
+  EnginePort engine();
+
+  /** Returns the origin of weights. */
+  WeightOrigin origin();
+
+  /** Asks for the list of agents once more; the views hear of it. */
+  void refreshAgents();
+}
--- /dev/null
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -0,0 +1,146 @@
+package org.cornelchute.agent.direct;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cornelchute.agent.WeightsDuty;
+import org.cornelchute.core.cli.Daemon;
+import org.cornelchute.core.cli.DaemonRunner;
+import org.cornelchute.core.message.Message;
+import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.net.frame.FrameListener;
+import org.cornelchute.net.frame.FrameServer;
+import org.cornelchute.net.frame.MessageCodec;
+import org.cornelchute.net.http.StatusServer;
+import org.cornelchute.net.util.ProcessGauges;
+import org.cornelchute.net.wire.WireClient;
+import org.cornelchute.policy.weights.LoadDecider;
+import org.cornelchute.policy.weights.SwarmOptions;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Wires an agent that only brings weights to the engine beside it. */
+public final class DirectAgentDaemon implements Daemon {
+
+  private static final Logger LOG = LoggerFactory.getLogger(DirectAgentDaemon.class);
+
+  /** Part of the link that weights may take; the rest is for answers of the engine. */
+  private static final double LINK_SHARE = 0.92;
+
+  private static final int IMPORTERS = 4;
+  private static final long TURN_GAP_MILLIS = 250;
+  private static final long PAUSE_MILLIS = 200;
+
+  /** Part of the time to be everywhere by which the last engine begins to change over. */
+  private static final double LATEST_SHARE = 0.7;
+
+  private static final long NO_LIMIT_MILLIS = 600_000;
+
+  private final DirectAgentSettings settings;
+  private final AgentPlatform platform;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final WireClient client;
+  private final LoadDuty duty;
+  private final WeightsDuty weights;
+  private final FrameServer peers;
+  private final StatusServer operators;
+
+  /** Creates an agent; {@link #start()} opens its sockets. */
+  public DirectAgentDaemon(DirectAgentSettings settings, AgentPlatform platform, long seed) {
+    this.settings = settings;
+    this.platform = platform;
+    this.client = new WireClient(group, clock);
+    long allowed = settings.versionMillis() > 0 ? settings.versionMillis() : NO_LIMIT_MILLIS;
+    LoadDecider decider =
+        new LoadDecider(
+            new LoadDecider.LoadOptions(
+                TURN_GAP_MILLIS, (long) (allowed * LATEST_SHARE), PAUSE_MILLIS));
+    final EventLoop loop = group.next();
+    this.duty = new LoadDuty(loop, platform, decider, clock, settings.name(), settings.region());
+    MessageCodec codec = new MessageCodec();
+    WeightsDuty.Place place =
+        new WeightsDuty.Place(
+            settings.name(),
+            settings.region(),
+            () -> platform.origin().region(),
+            (long) (settings.linkBytesPerSecond() * LINK_SHARE),
+            SwarmOptions.DEFAULTS.withImporters(IMPORTERS));
+    this.weights =
+        new WeightsDuty(
+            place,
+            codec,
+            (m, chunk, answer) -> loop.execute(() -> platform.origin().chunk(m, chunk, answer)),
+            clock,
+            seed,
+            duty,
+            metrics,
+            DaemonRunner::halt);
+    duty.connect(weights);
+    int colon = settings.peers().lastIndexOf(':');
+    this.peers =
+        new FrameServer(
+            settings.peers().substring(0, colon),
+            Integer.parseInt(settings.peers().substring(colon + 1)),
+            codec,
+            new PeerFrames(),
+            metrics);
+    this.operators = new StatusServer(group, settings.operators(), metrics);
+    metrics.register("engine.version", (Gauge<Long>) () -> decider.engine().version());
+    metrics.register("engine.wanted", (Gauge<Long>) decider::wanted);
+    ProcessGauges.register(metrics);
+  }
+
+  @Override
+  public void start() {
+    final EventLoop loop = group.next();
+    client.start();
+    weights.start();
+    peers.start();
+    operators.start();
+    loop.execute(
+        () -> {
+          platform.open(loop, client, clock, duty);
+          duty.start();
+        });
+    LOG.info(
+        "start name={} domain={} engine={} store={}",
+        settings.name(),
+        settings.domain(),
+        settings.engine(),
+        settings.store());
+  }
+
+  @Override
+  public boolean leave() {
+    LOG.info("stop name={}", settings.name());
+    return true;
+  }
+
+  @Override
+  public void close() {
+    peers.close();
+    weights.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** Hands frames of other agents to the weights duty. */
+  private final class PeerFrames implements FrameListener {
+
+    @Override
+    public void received(long connection, String from, Message message) {
+      if (message instanceof SwarmMessage m) {
+        weights.received(from, m);
+      }
+    }
+
+    @Override
+    public void closed(long connection, String from) {}
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/org/cornelchute/agent/direct/WeightOrigin.java
@@ -0,0 +1,19 @@
+package org.cornelchute.agent.direct;
+
+import io.vavr.control.Either;
+import java.util.function.Consumer;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.weights.Manifest;
+
+/** The origin of weights; answers come on the event loop, exactly one for each call. */
+public interface WeightOrigin {
+
+  /** Returns the region that it stands in, empty if it is not known. */
+  String region();
+
+  /** Reads the digests of a version's chunks. */
+  void manifest(String model, long version, Consumer<Either<Failure, Manifest>> answer);
+
+  /** Reads a chunk. */
+  void chunk(Manifest manifest, int chunk, Consumer<Either<Failure, byte[]>> answer);
+}
--- a/core/src/main/java/org/cornelchute/core/cli/DaemonCommand.java
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonCommand.java
@@ -26,6 +26,7 @@
   private final T defaults;
   private final PrintStream out;
   private final PrintStream err;
+  private String fallbackFile = "";
 
   /** Creates the command line of one daemon. */
   public DaemonCommand(String name, String purpose, T defaults, PrintStream out, PrintStream err) {
@@ -36,6 +37,12 @@
     this.err = err;
   }
 
+  /** Names the settings file that is read where no option names one; null or empty for none. */
+  public DaemonCommand<T> withSettingsFrom(String file) {
+    fallbackFile = file == null ? "" : file;
+    return this;
+  }
+
   /**
    * Reads the arguments.
    *
@@ -63,11 +70,11 @@
     if (ended.isPresent()) {
       return Either.left(ended.get());
     }
-    if (!given.has(settings)) {
+    if (!given.has(settings) && fallbackFile.isEmpty()) {
       err.println(name + ": --settings FILE is required; --print-defaults shows its form");
       return Either.left(ExitCode.USAGE);
     }
-    Path file = Path.of(given.valueOf(settings));
+    Path file = Path.of(given.has(settings) ? given.valueOf(settings) : fallbackFile);
     Either<Failure, T> read = new SettingsReader().read(file, defaults);
     if (read.isLeft()) {
       err.println(name + ": " + read.getLeft().message());
--- /dev/null
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -0,0 +1,535 @@
+package org.cornelchute.entry.direct;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cornelchute.core.log.DecisionLog;
+import org.cornelchute.net.wire.WireClient;
+import org.cornelchute.net.wire.WireListener;
+import org.cornelchute.net.wire.WireRequest;
+import org.cornelchute.policy.forward.AnswerHead;
+import org.cornelchute.policy.forward.CallDecider;
+import org.cornelchute.policy.forward.CallEffect;
+import org.cornelchute.policy.forward.CallSpec;
+import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.Rejection;
+import org.cornelchute.policy.forward.ServingConfig;
+
+/** Carries out what the {@link CallDecider} decides: the duty that owns calls and connections. */
+final class CallDuty implements CallerConnection.Listener, ServingViews {
+
+  private static final long SWEEP_MILLIS = 50;
+  private static final long CONNECTION_CHECK_MILLIS = 1_000;
+  private static final int CONNECT_MILLIS = 250;
+  private static final long MAX_IDLE_MILLIS = 1_500;
+  private static final int MISDIRECTED = 421;
+  private static final String BEARER = "Bearer ";
+  private static final double MILLIS_PER_SECOND = 1_000.0;
+
+  /** Headers that concern one connection only. */
+  private static final Set<String> HOP_HEADERS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "expect");
+
+  private final EventLoop loop;
+  private final WireClient client;
+  private final CallDecider decider;
+  private final CallHeaders headers;
+  private final LongSupplier clock;
+  private final Map<Long, LiveCall> calls = new HashMap<>();
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private final Set<String> owned;
+  private final Meter arrived;
+  private final Meter answered;
+  private final Meter lost;
+  private final MetricRegistry metrics;
+  private long numbers;
+  private boolean leaving;
+  private boolean closingDown;
+
+  CallDuty(
+      EventLoop loop,
+      WireClient client,
+      CallDecider decider,
+      CallHeaders headers,
+      LongSupplier clock,
+      MetricRegistry metrics) {
+    this.loop = loop;
+    this.client = client;
+    this.decider = decider;
+    this.headers = headers;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.owned =
+        Set.of(
+            headers.expectedInstance(),
+            headers.expectedVersion(),
+            headers.workspace(),
+            headers.priority(),
+            headers.deadline(),
+            headers.lastEvent());
+    this.arrived = metrics.meter("calls.arrived");
+    this.answered = metrics.meter("calls.answered");
+    this.lost = metrics.meter("calls.lost");
+  }
+
+  /** Begins the periodic work. */
+  void start() {
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        this::checkConnections,
+        CONNECTION_CHECK_MILLIS,
+        CONNECTION_CHECK_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  // State
+
+  boolean isReady() {
+    return decider.ready() && !leaving;
+  }
+
+  int size() {
+    return calls.size();
+  }
+
+  /** Asks callers to use other entries from now on. */
+  void leave() {
+    leaving = true;
+  }
+
+  /** Refuses new calls and closes connections that carry none. */
+  void refuseNew() {
+    closingDown = true;
+    for (CallerConnection c : List.copyOf(connections)) {
+      if (c.isIdle()) {
+        c.close();
+      }
+    }
+  }
+
+  // Callers
+
+  @Override
+  public long now() {
+    return clock.getAsLong();
+  }
+
+  @Override
+  public int maxBodyBytes() {
+    return decider.config().limits().bodyBytes();
+  }
+
+  @Override
+  public boolean accepting() {
+    return !leaving;
+  }
+
+  @Override
+  public void opened(CallerConnection c) {
+    connections.add(c);
+  }
+
+  @Override
+  public void closed(CallerConnection c) {
+    connections.remove(c);
+  }
+
+  @Override
+  public void malformed(int status) {
+    metrics.meter("calls.malformed." + status).mark();
+  }
+
+  @Override
+  public void request(CallerConnection c, FullHttpRequest request) {
+    arrived.mark();
+    HttpHeaders h = request.headers();
+    LiveCall call = new LiveCall(++numbers, c, request, number(h.get(headers.lastEvent()), -1));
+    calls.put(call.number, call);
+    c.carry(call);
+    if (closingDown) {
+      reject(call, Rejection.NOT_READY, 0);
+      return;
+    }
+    long now = clock.getAsLong();
+    decider.observe(now, System.currentTimeMillis());
+    apply(decider.arrive(now, describe(call)));
+  }
+
+  @Override
+  public void gone(LiveCall call) {
+    lost.mark();
+    apply(decider.gone(clock.getAsLong(), call.number));
+    forget(call);
+  }
+
+  // Views
+
+  @Override
+  public void configured(ServingConfig config) {
+    decider.configured(config);
+  }
+
+  @Override
+  public void evacuated(Set<String> domains) {
+    decider.evacuated(domains);
+  }
+
+  @Override
+  public void versionNamed(String model, long version) {
+    decider.versionNamed(clock.getAsLong(), model, version);
+  }
+
+  @Override
+  public void confirmed(long asked) {
+    decider.observe(clock.getAsLong(), System.currentTimeMillis());
+    decider.confirmed(asked);
+  }
+
+  @Override
+  public void listed(Collection<EndpointSpec> endpoints) {
+    decider.listed(clock.getAsLong(), endpoints);
+  }
+
+  @Override
+  public void entries(Collection<String> names) {
+    decider.entries(names);
+  }
+
+  // Effects
+
+  private void apply(List<CallEffect> effects) {
+    for (CallEffect e : effects) {
+      if (e instanceof CallEffect.Log l) {
+        DecisionLog.write(l.decision());
+      } else if (e instanceof CallEffect.Dispatch d) {
+        dispatch(d);
+      } else if (e instanceof CallEffect.Abort a) {
+        abort(a);
+      } else if (e instanceof CallEffect.Stream s) {
+        pass(s);
+      } else if (e instanceof CallEffect.Deliver d) {
+        deliver(d);
+      } else if (e instanceof CallEffect.Reject r) {
+        LiveCall call = calls.get(r.call());
+        if (call != null) {
+          reject(call, r.rejection(), r.retryAfterMillis());
+        }
+      } else if (e instanceof CallEffect.Cut c) {
+        cut(c);
+      }
+    }
+  }
+
+  private void dispatch(CallEffect.Dispatch d) {
+    LiveCall call = calls.get(d.call());
+    if (call == null) {
+      return;
+    }
+    call.restart(d.attempt());
+    FullHttpRequest q =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            call.request.method(),
+            call.request.uri(),
+            call.request.content().retainedDuplicate(),
+            DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+            EmptyHttpHeaders.INSTANCE);
+    HttpHeaders to = q.headers();
+    copyHeaders(call.request.headers(), to, true);
+    to.set(headers.deadline(), Long.toString(d.leftMillis()));
+    to.set(headers.expectedInstance(), d.endpoint().id());
+    if (!d.workspace().isEmpty()) {
+      to.set(headers.workspace(), d.workspace());
+    }
+    if (d.priority() >= 0) {
+      to.set(headers.priority(), Integer.toString(Math.min(9, d.priority())));
+    }
+    if (d.expectedVersion() > 0) {
+      to.set(headers.expectedVersion(), Long.toString(d.expectedVersion()));
+    }
+    if (d.resumeAfter() >= 0) {
+      to.set(headers.lastEvent(), Long.toString(d.resumeAfter()));
+    }
+    if (q.content().isReadable() || HttpUtil.isContentLengthSet(call.request)) {
+      HttpUtil.setContentLength(q, q.content().readableBytes());
+    }
+    WireRequest wire =
+        new WireRequest(
+            d.endpoint().address(),
+            q,
+            headers.requestId(),
+            d.maxConnections(),
+            CONNECT_MILLIS,
+            MAX_IDLE_MILLIS);
+    // The loop runs the outcome of a send that fails at once after the effects at hand.
+    call.exchange = client.send(wire, new Answer(call, d.attempt()));
+  }
+
+  private void abort(CallEffect.Abort a) {
+    LiveCall call = calls.get(a.call());
+    if (call != null && call.attempt == a.attempt() && call.exchange != null) {
+      call.exchange.cancel();
+      call.exchange = null;
+    }
+  }
+
+  private void pass(CallEffect.Stream s) {
+    LiveCall call = calls.get(s.call());
+    if (call == null) {
+      return;
+    }
+    call.passing = true;
+    if (!call.begun) {
+      call.begun = true;
+      HttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, call.head.status());
+      copyHeaders(call.head.headers(), r.headers(), false);
+      call.caller.begin(r);
+      call.caller.flush();
+    }
+  }
+
+  private void deliver(CallEffect.Deliver d) {
+    LiveCall call = calls.get(d.call());
+    if (call == null) {
+      return;
+    }
+    answered.mark();
+    call.exchange = null;
+    if (call.begun) {
+      forget(call);
+      call.caller.end();
+      return;
+    }
+    FullHttpResponse r =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, call.head.status(), call.body.retainedDuplicate());
+    copyHeaders(call.head.headers(), r.headers(), false);
+    forget(call);
+    call.caller.answer(r);
+  }
+
+  private void reject(LiveCall call, Rejection rejection, long retryAfterMillis) {
+    metrics.meter("calls.rejected." + rejection.name().toLowerCase(Locale.ROOT)).mark();
+    HttpResponseStatus status =
+        switch (rejection) {
+          case UNKNOWN_ROUTE -> HttpResponseStatus.NOT_FOUND;
+          case UNKNOWN_KEY -> HttpResponseStatus.UNAUTHORIZED;
+          case NOT_READY, OVERLOADED, NO_ENDPOINT, EXPIRED_UNSENT ->
+              HttpResponseStatus.SERVICE_UNAVAILABLE;
+          case EXPIRED_SENT -> HttpResponseStatus.GATEWAY_TIMEOUT;
+          case ANSWER_LOST -> HttpResponseStatus.BAD_GATEWAY;
+        };
+    FullHttpResponse r =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    String id = call.request.headers().get(headers.requestId());
+    if (id != null) {
+      r.headers().set(headers.requestId(), id);
+    }
+    if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+      r.headers()
+          .set(
+              HttpHeaderNames.RETRY_AFTER,
+              String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
+    }
+    forget(call);
+    call.caller.answer(r);
+  }
+
+  private void cut(CallEffect.Cut c) {
+    LiveCall call = calls.get(c.call());
+    if (call != null) {
+      lost.mark();
+      if (call.exchange != null) {
+        call.exchange.cancel();
+      }
+      forget(call);
+      call.caller.cut();
+    }
+  }
+
+  // Helpers
+
+  private CallSpec describe(LiveCall call) {
+    HttpHeaders h = call.request.headers();
+    String uri = call.request.uri();
+    int query = uri.indexOf('?');
+    String host = h.get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
+    int port = host.indexOf(':');
+    String bearer = h.get(HttpHeaderNames.AUTHORIZATION, "");
+    String tokens = h.get(headers.tokenCounts(), "");
+    int comma = tokens.indexOf(',');
+    return new CallSpec(
+        call.number,
+        h.get(headers.requestId(), ""),
+        port < 0 ? host : host.substring(0, port),
+        query < 0 ? uri : uri.substring(0, query),
+        bearer.startsWith(BEARER) ? bearer.substring(BEARER.length()).strip() : "",
+        number(h.get(headers.deadline()), Integer.MAX_VALUE),
+        comma < 0 ? 0 : number(tokens.substring(0, comma), 0),
+        comma < 0 ? 0 : number(tokens.substring(comma + 1), 0),
+        number(h.get(headers.lengthHint()), 0),
+        call.events.last());
+  }
+
+  private void copyHeaders(HttpHeaders from, HttpHeaders to, boolean request) {
+    Set<String> named = Set.of();
+    String connection = from.get(HttpHeaderNames.CONNECTION);
+    if (connection != null) {
+      named = new HashSet<>();
+      for (String each : connection.split(",")) {
+        named.add(each.strip().toLowerCase(Locale.ROOT));
+      }
+    }
+    for (Map.Entry<String, String> e : from) {
+      String name = e.getKey().toLowerCase(Locale.ROOT);
+      boolean own = request && (owned.contains(name) || isKey(name));
+      if (!own && !HOP_HEADERS.contains(name) && !named.contains(name)) {
+        to.add(e.getKey(), e.getValue());
+      }
+    }
+  }
+
+  /** Returns whether a header carries a caller's key, which endpoints must not see. */
+  private boolean isKey(String name) {
+    return decider.config().keyed() && name.contentEquals(HttpHeaderNames.AUTHORIZATION);
+  }
+
+  private void forget(LiveCall call) {
+    if (calls.remove(call.number) != null) {
+      call.release();
+    }
+  }
+
+  private void sweep() {
+    if (decider.size() > 0) {
+      apply(decider.sweep(clock.getAsLong()));
+    }
+  }
+
+  private void checkConnections() {
+    long now = clock.getAsLong();
+    ServingConfig.CallerLimits limits = decider.config().limits();
+    for (CallerConnection c : List.copyOf(connections)) {
+      c.checkTime(now, limits.headerMillis(), limits.idleMillis());
+    }
+  }
+
+  private static long number(String text, long otherwise) {
+    if (text == null || text.isEmpty()) {
+      return otherwise;
+    }
+    try {
+      return Math.max(0, Long.parseLong(text.strip()));
+    } catch (NumberFormatException e) {
+      return otherwise;
+    }
+  }
+
+  /** Takes the answer of one attempt. */
+  private final class Answer implements WireListener {
+
+    private final LiveCall call;
+    private final int attempt;
+
+    Answer(LiveCall call, int attempt) {
+      this.call = call;
+      this.attempt = attempt;
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+      call.head = head;
+      HttpHeaders h = head.headers();
+      String load = h.get(headers.load(), "");
+      String[] parts = load.split(",");
+      boolean told = parts.length >= 2;
+      AnswerHead answer =
+          new AnswerHead(
+              head.status().code(),
+              h.contains(headers.notRun()),
+              head.status().code() == MISDIRECTED,
+              number(h.get(headers.version()), 0),
+              told ? (int) number(parts[0], 0) : -1,
+              told ? (int) number(parts[1], 0) : 0);
+      apply(decider.head(clock.getAsLong(), call.number, attempt, answer));
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+      if (call.attempt != attempt || !calls.containsKey(call.number)) {
+        return;
+      }
+      if (!call.passing) {
+        if (call.body == Unpooled.EMPTY_BUFFER) {
+          call.body = Unpooled.buffer(bytes.readableBytes());
+        }
+        call.body.writeBytes(bytes);
+        return;
+      }
+      byte[] raw = new byte[bytes.readableBytes()];
+      bytes.readBytes(raw);
+      List<byte[]> events = call.events.accept(raw);
+      for (byte[] e : events) {
+        call.caller.part(e);
+      }
+      if (!events.isEmpty()) {
+        call.caller.flush();
+        decider.progress(clock.getAsLong(), call.number, attempt, call.events.last());
+      }
+    }
+
+    @Override
+    public void end() {
+      if (call.attempt != attempt || !calls.containsKey(call.number)) {
+        return;
+      }
+      long now = clock.getAsLong();
+      if (call.passing && call.events.inEvent()) {
+        apply(decider.failed(now, call.number, attempt, true, "stream ended inside an event"));
+      } else {
+        apply(decider.ended(now, call.number, attempt));
+      }
+    }
+
+    @Override
+    public void failed(boolean sent, String reason) {
+      loop.execute(
+          () -> apply(decider.failed(clock.getAsLong(), call.number, attempt, sent, reason)));
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
@@ -0,0 +1,28 @@
+package org.cornelchute.entry.direct;
+
+import java.util.Collection;
+import java.util.Set;
+import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.ServingConfig;
+
+/** Receives what the platform's table service says; every call comes on the event loop. */
+public interface ServingViews {
+
+  /** Takes the newest configuration. */
+  void configured(ServingConfig config);
+
+  /** Takes the failure domains that are out of service. */
+  void evacuated(Set<String> domains);
+
+  /** Takes a version of a model's weights that operators named. */
+  void versionNamed(String model, long version);
+
+  /** Takes a confirmation of the three above, as of the time of the question. */
+  void confirmed(long asked);
+
+  /** Takes the whole list of endpoints. */
+  void listed(Collection<EndpointSpec> endpoints);
+
+  /** Takes the names of all entries. */
+  void entries(Collection<String> names);
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/http/StatusPage.java
@@ -0,0 +1,100 @@
+package org.cornelchute.net.http;
+
+import com.codahale.metrics.Counting;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Metric;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Sampling;
+import com.codahale.metrics.Snapshot;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** Answers every request on a connection with one page of text, or says that there is none. */
+public final class StatusPage extends ChannelInboundHandlerAdapter {
+
+  private final Supplier<String> page;
+  private boolean keepAlive;
+
+  /** Creates a handler; a null page is answered with status 503. */
+  public StatusPage(Supplier<String> page) {
+    this.page = page;
+  }
+
+  /** Renders metrics as lines of name and value. */
+  public static String render(MetricRegistry metrics) {
+    StringBuilder b = new StringBuilder(1_024);
+    for (Map.Entry<String, Metric> e : metrics.getMetrics().entrySet()) {
+      String name = "cornelchute_" + e.getKey().replace('.', '_');
+      Metric m = e.getValue();
+      if (m instanceof Gauge<?> g) {
+        line(b, name, g.getValue());
+      }
+      if (m instanceof Counting c) {
+        line(b, name + "_total", c.getCount());
+      }
+      if (m instanceof Sampling s) {
+        Snapshot values = s.getSnapshot();
+        line(b, name + "{quantile=\"0.5\"}", values.getMedian());
+        line(b, name + "{quantile=\"0.95\"}", values.get95thPercentile());
+        line(b, name + "{quantile=\"1\"}", values.getMax());
+      }
+    }
+    return b.toString();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (message instanceof HttpRequest r) {
+      keepAlive = HttpUtil.isKeepAlive(r) && r.decoderResult().isSuccess();
+    }
+    boolean last = message instanceof LastHttpContent;
+    ReferenceCountUtil.release(message);
+    if (last) {
+      answer(ctx);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+
+  private void answer(ChannelHandlerContext ctx) {
+    String text = page.get();
+    FullHttpResponse r =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            text == null ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+            text == null
+                ? Unpooled.EMPTY_BUFFER
+                : Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    r.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4");
+    HttpUtil.setContentLength(r, r.content().readableBytes());
+    HttpUtil.setKeepAlive(r, keepAlive);
+    ChannelFuture written = ctx.writeAndFlush(r);
+    if (!keepAlive) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  private static void line(StringBuilder b, String name, Object value) {
+    if (value instanceof Number) {
+      b.append(name).append(' ').append(value).append('\n');
+    }
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/store/RowStore.java
@@ -0,0 +1,23 @@
+package org.cornelchute.net.store;
+
+import io.vavr.control.Either;
+import java.util.function.Consumer;
+import org.cornelchute.core.outcome.Failure;
+
+/** A table service; answers come on the event loop, exactly one for each call. */
+public interface RowStore {
+
+  /** Reads every row of a table. */
+  void read(String table, Consumer<Either<Failure, RowsAnswer>> answer);
+
+  /**
+   * Asks for rows of a table that changed after a version.
+   *
+   * @param waitMillis time that the store may wait for the first change
+   */
+  void follow(
+      String table, long after, long waitMillis, Consumer<Either<Failure, RowsAnswer>> answer);
+
+  /** Writes one row whatever it held before. */
+  void write(String table, String key, byte[] value, Consumer<Either<Failure, Long>> answer);
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/store/RowsAnswer.java
@@ -0,0 +1,12 @@
+package org.cornelchute.net.store;
+
+import java.util.List;
+
+/**
+ * Rows as of one version of the store.
+ *
+ * @param rows the rows, never null
+ * @param version version of the store that they are as of
+ * @param historyLost whether the store no longer knows what changed since the version asked for
+ */
+public record RowsAnswer(List<StoredRow> rows, long version, boolean historyLost) {}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -0,0 +1,173 @@
+package org.cornelchute.net.store;
+
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cornelchute.core.outcome.Failure;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a copy of one table in step with the store by one long question after another.
+ *
+ * <p>A lost history means reading the table afresh. While the store fails, the copy stays as it is
+ * and the questions back off.
+ */
+public final class TableWatch {
+
+  private static final Logger LOG = LoggerFactory.getLogger(TableWatch.class);
+  private static final long FIRST_BACKOFF_MILLIS = 60;
+  private static final long MAX_BACKOFF_MILLIS = 500;
+
+  private final EventLoop loop;
+  private final RowStore store;
+  private final String table;
+  private final long waitMillis;
+  private final LongSupplier clock;
+  private final Random random;
+  private final Listener listener;
+  private final Map<String, StoredRow> rows = new HashMap<>();
+  private long version = -1;
+  private long backoff;
+  private long lostAt;
+  private boolean closed;
+
+  /**
+   * Creates a watch; {@link #start()} asks the first question.
+   *
+   * @param waitMillis longest time between two confirmations of an unchanged table
+   */
+  public TableWatch(
+      EventLoop loop,
+      RowStore store,
+      String table,
+      long waitMillis,
+      LongSupplier clock,
+      long seed,
+      Listener listener) {
+    this.loop = loop;
+    this.store = store;
+    this.table = table;
+    this.waitMillis = waitMillis;
+    this.clock = clock;
+    this.random = new Random(seed);
+    this.listener = listener;
+  }
+
+  /** Reads the table and goes on following it. */
+  public void start() {
+    loop.execute(this::ask);
+  }
+
+  /** Asks no further questions. */
+  public void close() {
+    closed = true;
+  }
+
+  private void ask() {
+    if (closed) {
+      return;
+    }
+    long asked = clock.getAsLong();
+    if (version < 0) {
+      store.read(table, a -> read(asked, a));
+    } else {
+      store.follow(table, version, waitMillis, a -> followed(asked, a));
+    }
+  }
+
+  private void read(long asked, Either<Failure, RowsAnswer> answer) {
+    if (answer.isLeft()) {
+      lost(answer.getLeft());
+      return;
+    }
+    regained();
+    Set<String> changed = new HashSet<>(rows.keySet());
+    rows.clear();
+    for (StoredRow r : answer.get().rows()) {
+      rows.put(r.key(), r);
+      changed.add(r.key());
+    }
+    version = answer.get().version();
+    listener.changed(asked, rows, changed);
+    ask();
+  }
+
+  private void followed(long asked, Either<Failure, RowsAnswer> answer) {
+    if (answer.isLeft()) {
+      lost(answer.getLeft());
+      return;
+    }
+    regained();
+    if (answer.get().historyLost()) {
+      LOG.info("store history lost table={} version={}", table, version);
+      version = -1;
+      ask();
+      return;
+    }
+    Set<String> changed = new HashSet<>();
+    for (StoredRow r : answer.get().rows()) {
+      changed.add(r.key());
+      if (r.deleted()) {
+        rows.remove(r.key());
+      } else {
+        rows.put(r.key(), r);
+      }
+    }
+    version = Math.max(version, answer.get().version());
+    if (changed.isEmpty()) {
+      listener.unchanged(asked);
+    } else {
+      listener.changed(asked, rows, changed);
+    }
+    ask();
+  }
+
+  private void lost(Failure failure) {
+    if (backoff == 0) {
+      lostAt = clock.getAsLong();
+      LOG.warn("store lost table={} version={} cause={}", table, version, failure.message());
+      listener.lost();
+      backoff = FIRST_BACKOFF_MILLIS;
+    }
+    long pause = backoff / 2 + random.nextLong(backoff);
+    backoff = Math.min(MAX_BACKOFF_MILLIS, backoff * 2);
+    loop.schedule(this::ask, pause, TimeUnit.MILLISECONDS);
+  }
+
+  private void regained() {
+    if (backoff > 0) {
+      LOG.info("store regained table={} outMs={}", table, clock.getAsLong() - lostAt);
+      backoff = 0;
+      listener.regained();
+    }
+  }
+
+  /** Learns of the table; called on the event loop. */
+  public interface Listener {
+
+    /**
+     * Handles a change.
+     *
+     * @param asked when the question was asked that this answers
+     * @param rows the whole table, valid during the call
+     * @param changed keys that changed or are gone
+     */
+    void changed(long asked, Map<String, StoredRow> rows, Set<String> changed);
+
+    /** Handles a confirmation that nothing has changed up to {@code asked}. */
+    void unchanged(long asked);
+
+    /** Handles the first question that failed. */
+    default void lost() {}
+
+    /** Handles the first answer after failures. */
+    default void regained() {}
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/cornelchute/net/wire/Listening.java
@@ -0,0 +1,45 @@
+package org.cornelchute.net.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/** Opens listening sockets. */
+public final class Listening {
+
+  private static final int BACKLOG = 1_024;
+
+  private Listening() {}
+
+  /**
+   * Listens on an address; returns once the socket is open.
+   *
+   * @param address {@code ip:port}
+   * @param init prepares each accepted connection
+   */
+  public static void open(EventLoopGroup group, String address, Consumer<Channel> init) {
+    int colon = address.lastIndexOf(':');
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel c) {
+                init.accept(c);
+              }
+            })
+        .bind(
+            new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
+        .syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -0,0 +1,54 @@
+package org.cornelchute.policy.forward;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** What an entry remembers of one call until its caller has an answer. */
+final class Call {
+
+  final CallSpec spec;
+  final RouteSpec route;
+  final ServiceSpec service;
+  final WorkspaceSpec workspace;
+  final Set<String> regions;
+  final Set<String> tried = new HashSet<>();
+  final long arrived;
+  final long end;
+  int attempt;
+
+  /** Attempts of which bytes may have left. */
+  int reached;
+
+  Endpoint endpoint;
+  long dispatched;
+  long lastProgress;
+  long lastEvent;
+  long version;
+
+  /** Whether an attempt was lost that may have run. */
+  boolean mayHaveRun;
+
+  boolean streaming;
+
+  Call(
+      CallSpec spec,
+      RouteSpec route,
+      ServiceSpec service,
+      WorkspaceSpec workspace,
+      Set<String> regions,
+      long now) {
+    this.spec = spec;
+    this.route = route;
+    this.service = service;
+    this.workspace = workspace;
+    this.regions = regions;
+    this.arrived = now;
+    this.lastEvent = spec.lastEvent();
+    this.end = now + Math.min(spec.deadlineMillis(), route.timeoutMillis());
+  }
+
+  int priority() {
+    boolean own = workspace != null && workspace.priority() >= 0;
+    return own ? workspace.priority() : route.priority();
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -0,0 +1,482 @@
+package org.cornelchute.policy.forward;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.cornelchute.core.log.Decision;
+import org.cornelchute.policy.forward.EndpointBook.Choice;
+import org.cornelchute.policy.forward.EndpointBook.Need;
+import org.cornelchute.policy.forward.RouteSpec.ServiceShare;
+
+/**
+ * Brings every call of one entry to exactly one final answer.
+ *
+ * <p>Whether the bytes of an attempt may have left is a fact that the duty reports. Only a call of
+ * which nothing can have run is refused as not run; only one that may be repeated, or that an
+ * endpoint says it did not run, is sent again, inside the route's attempts and this entry's part of
+ * the service's repeats.
+ */
+public final class CallDecider {
+
+  /** Time without a byte from an endpoint after which a stream that waits for it goes elsewhere. */
+  private static final long SILENCE_MILLIS = 900;
+
+  /** Least time left in which sending a call again can still be of use. */
+  private static final long USEFUL_MILLIS = 60;
+
+  private static final long RETRY_AFTER_STALE_MILLIS = 700;
+  private static final long RETRY_AFTER_FULL_MILLIS = 500;
+  private static final long RETRY_AFTER_NONE_MILLIS = 800;
+  private static final int OK = 200;
+  private static final int MULTIPLE = 300;
+  private static final int SERVER_ERROR = 500;
+
+  /** Load per slot up to which endpoints take new calls. */
+  private static final double FULL = 1.0;
+
+  /** Load per slot up to which they take calls that were sent before and may be repeated. */
+  private static final double FULL_FOR_REPEATS = 1.25;
+
+  private final CallOptions options;
+  private final EndpointBook book;
+  private final Freshness freshness = new Freshness();
+  private final VersionGate versions;
+  private final RetryBudget budget;
+  private final Random random;
+  private final Map<Long, Call> calls = new LinkedHashMap<>();
+  private ServingConfig config = ServingConfig.NONE;
+  private boolean listed;
+
+  /** Creates a decider that knows nothing yet. */
+  public CallDecider(CallOptions options, long seed) {
+    this.options = options;
+    this.book = new EndpointBook(options);
+    this.versions = new VersionGate(options.versionGraceMillis());
+    this.budget =
+        new RetryBudget(
+            options.retryRatio(), options.retryAllowance(), options.retryWindowMillis());
+    this.random = new Random(seed);
+  }
+
+  // Accessors
+
+  /** Returns the number of calls without a final answer. */
+  public int size() {
+    return calls.size();
+  }
+
+  /** Returns whether configuration and endpoints are known. */
+  public boolean ready() {
+    return config.version() > 0 && listed;
+  }
+
+  /** Returns the configuration in force, never null. */
+  public ServingConfig config() {
+    return config;
+  }
+
+  // Beliefs
+
+  /** Takes a configuration; one that is not newer is passed over. */
+  public void configured(ServingConfig offered) {
+    if (offered.version() > config.version()) {
+      config = offered;
+    }
+  }
+
+  /** Takes the whole list of endpoints. */
+  public void listed(long now, Collection<EndpointSpec> endpoints) {
+    book.listed(now, endpoints);
+    listed = true;
+  }
+
+  /** Takes the failure domains that are out of service. */
+  public void evacuated(Set<String> domains) {
+    book.evacuated(domains);
+  }
+
+  /** Takes a version of a model's weights that operators named. */
+  public void versionNamed(long learnt, String model, long version) {
+    versions.named(learnt, model, version);
+  }
+
+  /** Takes the entries that send to the same endpoints. */
+  public void entries(Collection<String> names) {
+    book.entries(names);
+  }
+
+  /** Takes a confirmation that configuration and domains are as the store has them. */
+  public void confirmed(long askedAt) {
+    freshness.confirm(askedAt);
+  }
+
+  /** Compares the steady clock with the time of day; see {@link Freshness}. */
+  public void observe(long now, long wallMillis) {
+    freshness.observe(now, wallMillis);
+  }
+
+  // Calls
+
+  /** Handles a new call. */
+  public List<CallEffect> arrive(long now, CallSpec spec) {
+    List<CallEffect> effects = new ArrayList<>(3);
+    long age = freshness.age(now);
+    if (!ready()) {
+      turnAway(effects, spec, Rejection.NOT_READY, "no configuration known", age);
+      return effects;
+    }
+    Optional<RouteSpec> route = config.findRoute(spec.host(), spec.path());
+    if (route.isEmpty()) {
+      deny(effects, spec, Rejection.UNKNOWN_ROUTE, "no route takes host and path", age);
+      return effects;
+    }
+    WorkspaceSpec workspace = null;
+    if (config.keyed() && !route.get().anonymous()) {
+      Optional<WorkspaceSpec> found = config.findWorkspace(spec.key());
+      if (found.isEmpty()) {
+        deny(effects, spec, Rejection.UNKNOWN_KEY, "no workspace holds the key", age);
+        return effects;
+      }
+      if (age > options.keyAgeMillis()) {
+        turnAway(effects, spec, Rejection.NOT_READY, "keys are not confirmed", age);
+        return effects;
+      }
+      workspace = found.get();
+    }
+    Optional<ServiceSpec> service = pickService(route.get());
+    if (service.isEmpty()) {
+      turnAway(effects, spec, Rejection.NO_ENDPOINT, "the route names no known service", age);
+      return effects;
+    }
+    Call c =
+        new Call(spec, route.get(), service.get(), workspace, regions(route.get(), workspace), now);
+    calls.put(spec.number(), c);
+    budget.fresh(now, c.service.name());
+    place(now, effects, c, FULL);
+    return effects;
+  }
+
+  /** Handles the beginning of an endpoint's answer. */
+  public List<CallEffect> head(long now, long number, int attempt, AnswerHead head) {
+    List<CallEffect> effects = new ArrayList<>(3);
+    Call c = find(number, attempt);
+    if (c == null) {
+      return effects;
+    }
+    c.lastProgress = now;
+    Endpoint e = c.endpoint;
+    book.heard(now, e);
+    if (head.running() >= 0) {
+      e.sample(now, head.running(), head.waiting());
+    }
+    if (head.version() > 0) {
+      e.version = head.version();
+    }
+    if (head.notRun() || head.otherInstance()) {
+      refusedByEndpoint(now, effects, c, head);
+    } else if (head.status() >= SERVER_ERROR && !c.streaming && mayRepeat(now, c)) {
+      effects.add(new CallEffect.Abort(number, attempt));
+      again(now, effects, c, "endpoint answered " + head.status());
+    } else if (head.status() >= OK && head.status() < MULTIPLE) {
+      if (c.route.kind() == WorkKind.STREAM) {
+        c.streaming = true;
+        c.version = head.version();
+        effects.add(new CallEffect.Stream(number, attempt));
+      }
+    } else if (c.streaming) {
+      cut(effects, c, "the endpoint did not resume the stream: " + head.status());
+    }
+    return effects;
+  }
+
+  /** Notes events passed on to the caller. */
+  public void progress(long now, long number, int attempt, long lastEvent) {
+    Call c = find(number, attempt);
+    if (c != null) {
+      c.lastProgress = now;
+      c.lastEvent = Math.max(c.lastEvent, lastEvent);
+      c.endpoint.lastHeard = now;
+    }
+  }
+
+  /** Handles the whole end of an endpoint's answer. */
+  public List<CallEffect> ended(long now, long number, int attempt) {
+    List<CallEffect> effects = new ArrayList<>(2);
+    Call c = find(number, attempt);
+    if (c != null) {
+      effects.add(new CallEffect.Deliver(number, attempt));
+      log(effects, "answered", c, "ms=" + (now - c.arrived));
+      forget(c);
+    }
+    return effects;
+  }
+
+  /**
+   * Handles an attempt that ended without a whole answer.
+   *
+   * @param sent whether any of its bytes may have left
+   */
+  public List<CallEffect> failed(long now, long number, int attempt, boolean sent, String why) {
+    List<CallEffect> effects = new ArrayList<>(3);
+    Call c = find(number, attempt);
+    if (c == null) {
+      return effects;
+    }
+    book.strike(now, c.endpoint);
+    if (!sent) {
+      c.reached--;
+      again(now, effects, c, why);
+      return effects;
+    }
+    c.mayHaveRun = true;
+    lost(now, effects, c, why);
+    return effects;
+  }
+
+  /** Handles a caller that went away. */
+  public List<CallEffect> gone(long now, long number) {
+    List<CallEffect> effects = new ArrayList<>(2);
+    Call c = calls.get(number);
+    if (c != null) {
+      if (c.endpoint != null) {
+        effects.add(new CallEffect.Abort(number, c.attempt));
+      }
+      log(effects, "gone", c, "caller left after ms=" + (now - c.arrived));
+      forget(c);
+    }
+    return effects;
+  }
+
+  /** Ends calls whose time is up and moves streams away from silent endpoints. */
+  public List<CallEffect> sweep(long now) {
+    List<CallEffect> effects = new ArrayList<>();
+    for (Call c : new ArrayList<>(calls.values())) {
+      if (now >= c.end) {
+        expire(now, effects, c);
+      } else if (c.route.repeatable() && isSilent(now, c)) {
+        book.strike(now, c.endpoint);
+        if (mayRepeat(now, c)) {
+          effects.add(new CallEffect.Abort(c.spec.number(), c.attempt));
+          c.mayHaveRun = true;
+          again(now, effects, c, "endpoint silent for " + (now - c.endpoint.lastHeard) + " ms");
+        }
+      }
+    }
+    return effects;
+  }
+
+  // Attempts
+
+  private void place(long now, List<CallEffect> effects, Call c, double limit) {
+    long required = c.service.engine().map(e -> versions.required(now, e.model())).orElse(0L);
+    Need need =
+        new Need(c.service, c.regions, required, c.streaming ? c.version : 0, limit, c.tried);
+    Choice choice = book.choose(now, need);
+    if (choice.endpoint().isEmpty()) {
+      String why = "allowed=" + choice.allowed() + " room=" + choice.room();
+      giveUp(effects, c, choice.allowed() == 0 ? Rejection.NO_ENDPOINT : Rejection.OVERLOADED, why);
+      return;
+    }
+    Endpoint e = choice.endpoint().get();
+    c.endpoint = e;
+    c.attempt++;
+    c.reached++;
+    c.dispatched = now;
+    c.lastProgress = now;
+    c.tried.add(e.spec.id());
+    e.own++;
+    e.sent.add(now);
+    long left = c.end - now;
+    long expected = required > 0 || c.streaming ? e.version : 0;
+    int connections = Math.max(2, c.service.maxConnections() * 9 / 10 / book.entries());
+    effects.add(
+        new CallEffect.Dispatch(
+            c.spec.number(),
+            c.attempt,
+            e.spec,
+            connections,
+            left,
+            c.priority(),
+            c.workspace == null ? "" : c.workspace.name(),
+            expected,
+            c.lastEvent));
+    log(effects, "route", c, "load=" + round(e.load(now)) + " allowed=" + choice.allowed());
+  }
+
+  private void refusedByEndpoint(long now, List<CallEffect> effects, Call c, AnswerHead head) {
+    effects.add(new CallEffect.Abort(c.spec.number(), c.attempt));
+    if (head.otherInstance()) {
+      book.strike(now, c.endpoint);
+    }
+    again(now, effects, c, "endpoint refused with " + head.status());
+  }
+
+  private void lost(long now, List<CallEffect> effects, Call c, String why) {
+    if (mayRepeat(now, c)) {
+      again(now, effects, c, why);
+    } else if (c.streaming) {
+      cut(effects, c, why);
+    } else {
+      giveUp(effects, c, Rejection.ANSWER_LOST, why);
+    }
+  }
+
+  /** Sends a call once more if attempts, budget and time allow, or gives it up. */
+  private void again(long now, List<CallEffect> effects, Call c, String why) {
+    boolean counted = c.reached > 0;
+    release(c);
+    log(effects, "again", c, why);
+    if (c.reached >= c.route.maxAttempts() || c.end - now < USEFUL_MILLIS) {
+      giveUp(effects, c, Rejection.OVERLOADED, "no attempt left: " + why);
+    } else if (counted && !budget.spend(now, c.service.name(), book.entries())) {
+      giveUp(effects, c, Rejection.OVERLOADED, "repeats are spent: " + why);
+    } else {
+      place(now, effects, c, FULL_FOR_REPEATS);
+    }
+  }
+
+  private boolean mayRepeat(long now, Call c) {
+    return c.route.repeatable()
+        && c.reached < c.route.maxAttempts()
+        && c.end - now >= USEFUL_MILLIS;
+  }
+
+  private static boolean isSilent(long now, Call c) {
+    long heard = Math.max(c.endpoint.lastHeard, c.dispatched);
+    return c.route.kind() == WorkKind.STREAM
+        && now - c.lastProgress >= SILENCE_MILLIS
+        && now - heard >= SILENCE_MILLIS;
+  }
+
+  // Final answers
+
+  private void expire(long now, List<CallEffect> effects, Call c) {
+    if (c.endpoint != null) {
+      effects.add(new CallEffect.Abort(c.spec.number(), c.attempt));
+      c.mayHaveRun = true;
+    }
+    if (c.streaming) {
+      cut(effects, c, "time is up");
+    } else {
+      giveUp(
+          effects,
+          c,
+          c.mayHaveRun ? Rejection.EXPIRED_SENT : Rejection.EXPIRED_UNSENT,
+          "no answer after " + (now - c.arrived) + " ms");
+    }
+  }
+
+  private void cut(List<CallEffect> effects, Call c, String why) {
+    effects.add(new CallEffect.Cut(c.spec.number(), why));
+    log(effects, "cut", c, why);
+    forget(c);
+  }
+
+  private void giveUp(List<CallEffect> effects, Call c, Rejection rejection, String why) {
+    if (c.streaming) {
+      cut(effects, c, why);
+      return;
+    }
+    Rejection said = rejection.notRun() && c.mayHaveRun ? Rejection.ANSWER_LOST : rejection;
+    effects.add(new CallEffect.Reject(c.spec.number(), said, retryAfter(said), why));
+    log(effects, "refuse", c, said + ": " + why);
+    forget(c);
+  }
+
+  private void deny(
+      List<CallEffect> effects, CallSpec spec, Rejection rejection, String why, long age) {
+    boolean sure = age <= options.denialAgeMillis();
+    turnAway(effects, spec, sure ? rejection : Rejection.NOT_READY, why, age);
+  }
+
+  private void turnAway(
+      List<CallEffect> effects, CallSpec spec, Rejection rejection, String why, long age) {
+    effects.add(new CallEffect.Reject(spec.number(), rejection, retryAfter(rejection), why));
+    String reason = rejection + ": " + why + " ageMs=" + Math.min(age, Integer.MAX_VALUE);
+    effects.add(
+        new CallEffect.Log(
+            new Decision("refuse", spec.id(), "", List.of(), "", reason, config.version())));
+  }
+
+  private static long retryAfter(Rejection rejection) {
+    return switch (rejection) {
+      case NOT_READY -> RETRY_AFTER_STALE_MILLIS;
+      case OVERLOADED -> RETRY_AFTER_FULL_MILLIS;
+      default -> RETRY_AFTER_NONE_MILLIS;
+    };
+  }
+
+  // Helpers
+
+  private Optional<ServiceSpec> pickService(RouteSpec route) {
+    List<ServiceShare> shares = route.services();
+    double all = 0;
+    for (ServiceShare s : shares) {
+      all += s.weight();
+    }
+    double point = shares.size() == 1 ? 0 : random.nextDouble() * all;
+    for (ServiceShare s : shares) {
+      point -= s.weight();
+      if (point < 0 || shares.size() == 1) {
+        return config.findService(s.service());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Set<String> regions(RouteSpec route, WorkspaceSpec workspace) {
+    Set<String> regions = new HashSet<>(route.regions());
+    if (workspace != null && !workspace.regions().isEmpty()) {
+      if (regions.isEmpty()) {
+        regions.addAll(workspace.regions());
+      } else {
+        regions.retainAll(workspace.regions());
+        // No region suits both: a name that no endpoint has keeps the call from all of them.
+        if (regions.isEmpty()) {
+          regions.add("");
+        }
+      }
+    }
+    return regions;
+  }
+
+  private Call find(long number, int attempt) {
+    Call c = calls.get(number);
+    return c == null || c.endpoint == null || c.attempt != attempt ? null : c;
+  }
+
+  private static void release(Call c) {
+    if (c.endpoint != null) {
+      c.endpoint.own--;
+      c.endpoint = null;
+    }
+  }
+
+  private void forget(Call c) {
+    release(c);
+    calls.remove(c.spec.number());
+  }
+
+  private void log(List<CallEffect> effects, String kind, Call c, String reason) {
+    effects.add(
+        new CallEffect.Log(
+            new Decision(
+                kind,
+                c.spec.id(),
+                c.workspace == null ? "" : c.workspace.name(),
+                List.of(),
+                c.endpoint == null ? "" : c.endpoint.spec.id(),
+                c.route.name() + " attempt=" + c.attempt + " " + reason,
+                config.version())));
+  }
+
+  private static double round(double value) {
+    return Math.round(value * 10) / 10.0;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EventCursor.java
@@ -0,0 +1,99 @@
+package org.cornelchute.policy.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Cuts a stream of events at their boundaries, so that one that breaks off can go on elsewhere.
+ *
+ * <p>Only whole events are handed on; an event whose id is not above the last one is dropped, since
+ * it was delivered before.
+ */
+public final class EventCursor {
+
+  private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
+
+  private byte[] partial = new byte[0];
+  private long last;
+
+  /** Creates a cursor; {@code last} is the id of the last event delivered, negative if none. */
+  public EventCursor(long last) {
+    this.last = last;
+  }
+
+  /** Returns the id of the last event handed on, negative if none. */
+  public long last() {
+    return last;
+  }
+
+  /** Returns whether an event has begun and not ended. */
+  public boolean inEvent() {
+    return partial.length > 0;
+  }
+
+  /** Forgets an event that has begun; its endpoint broke off. */
+  public void restart() {
+    partial = new byte[0];
+  }
+
+  /** Takes bytes and returns the whole events that they complete, in order. */
+  public List<byte[]> accept(byte[] bytes) {
+    byte[] all = bytes;
+    if (partial.length > 0) {
+      all = new byte[partial.length + bytes.length];
+      System.arraycopy(partial, 0, all, 0, partial.length);
+      System.arraycopy(bytes, 0, all, partial.length, bytes.length);
+    }
+    List<byte[]> events = new ArrayList<>(2);
+    int start = 0;
+    for (int i = 1; i < all.length; i++) {
+      if (all[i] == '\n' && (all[i - 1] == '\n' || i > 2 && isBlankLine(all, i))) {
+        take(events, all, start, i + 1);
+        start = i + 1;
+      }
+    }
+    partial = Arrays.copyOfRange(all, start, all.length);
+    return events;
+  }
+
+  private void take(List<byte[]> events, byte[] all, int start, int end) {
+    long id = findId(all, start, end);
+    if (id >= 0 && id <= last) {
+      return;
+    }
+    if (id >= 0) {
+      last = id;
+    }
+    events.add(Arrays.copyOfRange(all, start, end));
+  }
+
+  private static boolean isBlankLine(byte[] b, int i) {
+    return b[i - 1] == '\r' && b[i - 2] == '\n';
+  }
+
+  private static long findId(byte[] b, int start, int end) {
+    for (int i = start; i + ID.length < end; i++) {
+      boolean lineStart = i == start || b[i - 1] == '\n';
+      if (lineStart && b[i] == ID[0] && b[i + 1] == ID[1] && b[i + 2] == ID[2]) {
+        return parse(b, i + ID.length, end);
+      }
+    }
+    return -1;
+  }
+
+  private static long parse(byte[] b, int from, int end) {
+    long value = 0;
+    boolean digits = false;
+    for (int i = from; i < end && b[i] != '\n' && b[i] != '\r'; i++) {
+      if (b[i] >= '0' && b[i] <= '9') {
+        value = value * 10 + b[i] - '0';
+        digits = true;
+      } else if (b[i] != ' ') {
+        return -1;
+      }
+    }
+    return digits ? value : -1;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -0,0 +1,169 @@
+package org.cornelchute.policy.weights;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelchute.core.log.Decision;
+
+/**
+ * Brings the one engine beside an agent to the version that operators named last.
+ *
+ * <p>An order is given only for weights of which every chunk was read back from the engine's store
+ * and verified a moment ago, and only if the engine is as it was last seen. Engines that serve an
+ * older version change over one after another inside the time allowed; an empty engine loads at
+ * once.
+ */
+public final class LoadDecider {
+
+  private final LoadOptions options;
+  private long wanted;
+  private long namedAt;
+  private long whole;
+  private int rank;
+  private Engine engine = Engine.UNREACHABLE;
+  private long wholeAt;
+  private Step step = Step.IDLE;
+  private long stepVersion;
+  private long stepBorn;
+  private long notBefore;
+
+  /** Creates a decider that knows neither engine nor version. */
+  public LoadDecider(LoadOptions options) {
+    this.options = options;
+  }
+
+  /** Returns the version that the engine is to be brought to, 0 if none is known. */
+  public long wanted() {
+    return wanted;
+  }
+
+  /** Returns what the engine said last. */
+  public Engine engine() {
+    return engine;
+  }
+
+  /** Takes the version that operators named; one that is not newer is passed over. */
+  public List<LoadEffect> named(long now, long version) {
+    List<LoadEffect> effects = new ArrayList<>(1);
+    if (version > wanted) {
+      wanted = version;
+      namedAt = now;
+      effects.add(new LoadEffect.Fetch(version));
+    }
+    return effects;
+  }
+
+  /** Takes this agent's place in the order in which engines of its region change over, from 0. */
+  public void ranked(int place) {
+    rank = place;
+  }
+
+  /** Handles a version of which every chunk is at hand and verified. */
+  public List<LoadEffect> whole(long now, long version) {
+    if (version == wanted && whole != version) {
+      whole = version;
+      wholeAt = now;
+    }
+    return next(now);
+  }
+
+  /** Takes what the engine says of itself. */
+  public List<LoadEffect> reported(long now, Engine seen) {
+    boolean restarted = seen.born() != engine.born();
+    engine = seen;
+    if (restarted && step != Step.IDLE) {
+      step = Step.IDLE;
+    }
+    if (step == Step.LOADING && !seen.busy()) {
+      step = Step.IDLE;
+      notBefore = seen.version() == stepVersion ? 0 : now + options.pauseMillis();
+    }
+    return next(now);
+  }
+
+  /** Handles the result of putting a version into the engine's store and reading it back. */
+  public List<LoadEffect> staged(long now, long version, boolean verified) {
+    List<LoadEffect> effects = new ArrayList<>(2);
+    if (step != Step.STAGING || version != stepVersion) {
+      return effects;
+    }
+    step = Step.IDLE;
+    boolean same = engine.reachable() && engine.born() == stepBorn && version == wanted;
+    if (!verified || !same) {
+      notBefore = now + options.pauseMillis();
+      return effects;
+    }
+    step = Step.ORDERED;
+    effects.add(new LoadEffect.Order(version, engine.sequence()));
+    log(effects, "order", "sequence=" + engine.sequence() + " loaded=" + engine.version());
+    return effects;
+  }
+
+  /** Handles the answer to an order, or its loss: what became of it shows in the next report. */
+  public List<LoadEffect> ordered(long now, boolean accepted) {
+    if (step == Step.ORDERED) {
+      step = accepted ? Step.LOADING : Step.IDLE;
+      notBefore = now + options.pauseMillis();
+    }
+    return List.of();
+  }
+
+  private List<LoadEffect> next(long now) {
+    List<LoadEffect> effects = new ArrayList<>(2);
+    boolean due = engine.reachable() && engine.version() < wanted && !engine.busy();
+    if (step != Step.IDLE || !due || whole != wanted || now < notBefore || now < turn()) {
+      return effects;
+    }
+    step = Step.STAGING;
+    stepVersion = wanted;
+    stepBorn = engine.born();
+    effects.add(new LoadEffect.Stage(wanted));
+    log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - namedAt));
+    return effects;
+  }
+
+  /** Returns when this engine's turn to change over comes. */
+  private long turn() {
+    if (engine.version() == 0) {
+      return 0;
+    }
+    long latest = Math.max(wholeAt, namedAt + options.latestMillis());
+    return Math.min(latest, wholeAt + rank * options.gapMillis());
+  }
+
+  private void log(List<LoadEffect> effects, String kind, String reason) {
+    effects.add(
+        new LoadEffect.Log(
+            new Decision(kind, "version " + wanted, "", List.of(), "engine", reason, 0)));
+  }
+
+  private enum Step {
+    IDLE,
+    STAGING,
+    ORDERED,
+    LOADING
+  }
+
+  /**
+   * What an engine says of itself.
+   *
+   * @param reachable whether it answered
+   * @param born start of its incarnation in milliseconds since the epoch
+   * @param version version that it has loaded, 0 if none
+   * @param busy whether an order is in progress
+   * @param sequence orders that it has accepted
+   */
+  public record Engine(boolean reachable, long born, long version, boolean busy, long sequence) {
+
+    /** An engine that does not answer. */
+    public static final Engine UNREACHABLE = new Engine(false, 0, 0, false, 0);
+  }
+
+  /**
+   * Limits of the change-over; immutable.
+   *
+   * @param gapMillis time between the turns of two engines of a region
+   * @param latestMillis latest turn, from the time at which a version was named
+   * @param pauseMillis time before a step that failed is tried again
+   */
+  public record LoadOptions(long gapMillis, long latestMillis, long pauseMillis) {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
@@ -0,0 +1,19 @@
+package org.cornelchute.policy.weights;
+
+import org.cornelchute.core.log.Decision;
+
+/** What a {@link LoadDecider} asks its duty to do. */
+public sealed interface LoadEffect {
+
+  /** Fetch and verify the chunks of a version. */
+  record Fetch(long version) implements LoadEffect {}
+
+  /** Put the chunks of a version into the engine's store, read them back and verify them. */
+  record Stage(long version) implements LoadEffect {}
+
+  /** Order the engine to load what lies in its store, if it still is at {@code sequence}. */
+  record Order(long version, long sequence) implements LoadEffect {}
+
+  /** Write a decision to the log. */
+  record Log(Decision decision) implements LoadEffect {}
+}
--- a/policy/src/main/java/org/cornelchute/policy/weights/Manifest.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/Manifest.java
@@ -39,6 +39,14 @@
         Digests.sha256(text), model, version, weights.length, chunkBytes, List.copyOf(chunks));
   }
 
+  /** Describes weights by the digests of their chunks, which are all of one size. */
+  public static Either<Failure, Manifest> ofDigests(
+      String model, String version, int chunkBytes, List<String> digests) {
+    Manifest m =
+        new Manifest("", model, version, (long) chunkBytes * digests.size(), chunkBytes, digests);
+    return parse(m.text());
+  }
+
   /** Parses the text form and checks it. */
   public static Either<Failure, Manifest> parse(String text) {
     String[] lines = text.split("\n");
