--- a/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
@@ -111,7 +111,8 @@
             who.region(),
             settings::originRegion,
             settings.linkBytesPerSecond(),
-            settings.swarm());
+            settings.swarm(),
+            false);
     this.weights =
         new WeightsDuty(
             place,
--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -114,6 +114,11 @@
               public void tick() {
                 WeightsDuty.this.tick();
               }
+
+              @Override
+              public boolean idle() {
+                return versions.values().stream().allMatch(v -> v.swarm.isComplete());
+              }
             },
             metrics,
             fatal);
@@ -207,8 +212,10 @@
     for (HeldVersion old : versions.values()) {
       held = v.reuse(old);
     }
-    // What was being fetched and is wanted no more must not be fetched to its end.
-    versions.values().removeIf(old -> !old.swarm.isComplete());
+    if (!place.finishesSuperseded()) {
+      // What was being fetched and is wanted no more must not be fetched to its end.
+      versions.values().removeIf(old -> !old.swarm.isComplete());
+    }
     v.swarm =
         new SwarmDecider(
             place.id(),
@@ -231,7 +238,8 @@
   private List<Member> wanting(String digest) {
     List<Member> wanting = new ArrayList<>();
     for (Member m : members) {
-      if (m.wants().equals(digest) || digest.equals(newest) && assigned.contains(m.id())) {
+      boolean shared = digest.equals(newest) || place.finishesSuperseded();
+      if (m.wants().equals(digest) || shared && assigned.contains(m.id())) {
         wanting.add(m);
       }
     }
@@ -334,13 +342,16 @@
    * @param originRegion region of the origin of weights, asked for when a version begins
    * @param linkBytesPerSecond rate of the VM's link each way, 0 for no limit
    * @param swarm limits of the exchange
+   * @param finishesSuperseded whether a version is fetched to its end although a newer one is
+   *     wanted, since each must be in force in its own time
    */
   public record Place(
       String id,
       String region,
       Supplier<String> originRegion,
       long linkBytesPerSecond,
-      SwarmOptions swarm) {}
+      SwarmOptions swarm,
+      boolean finishesSuperseded) {}
 
   /** Reads chunks from outside the swarm. */
   public interface ChunkSource {
--- a/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
@@ -15,7 +15,4 @@
 
   /** Returns the origin of weights. */
   WeightOrigin origin();
-
-  /** Asks for the list of agents once more; the views hear of it. */
-  void refreshAgents();
 }
--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -71,7 +71,8 @@
             settings.region(),
             () -> platform.origin().region(),
             (long) (settings.linkBytesPerSecond() * LINK_SHARE),
-            SwarmOptions.DEFAULTS.withImporters(IMPORTERS));
+            SwarmOptions.DEFAULTS.withImporters(IMPORTERS),
+            true);
     this.weights =
         new WeightsDuty(
             place,
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -31,7 +31,6 @@
   private static final long REPORT_MILLIS = 250;
   private static final long CALM_REPORT_MILLIS = 500;
   private static final long MANIFEST_RETRY_MILLIS = 250;
-  private static final long REFRESH_MILLIS = 2_000;
 
   /** Chunks on their way to or from the engine's store at once. */
   private static final int STAGING_WIDTH = 4;
@@ -70,8 +69,6 @@
 
   void start() {
     report();
-    loop.scheduleWithFixedDelay(
-        this::refresh, REFRESH_MILLIS, REFRESH_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   // Views
@@ -136,7 +133,7 @@
 
   /** Reads a manifest until two readings agree, since what comes from the origin may be spoilt. */
   private void fetchManifest(long version, Manifest before) {
-    if (version < decider.wanted()) {
+    if (!decider.isOpen(version)) {
       return;
     }
     platform
@@ -161,9 +158,8 @@
 
   private void begin(long version, Manifest manifest) {
     manifests.put(version, manifest);
-    manifests.keySet().removeIf(v -> v < version - 1);
+    manifests.keySet().removeIf(v -> !decider.isOpen(v));
     weights.begin(manifest);
-    platform.refreshAgents();
     if (decider.engine().version() == version) {
       readBack(manifest);
     }
@@ -286,12 +282,6 @@
     }
   }
 
-  private void refresh() {
-    if (wholeVersion < decider.wanted()) {
-      platform.refreshAgents();
-    }
-  }
-
   /** Does one step for each chunk, a few at a time, and then says whether all of them succeeded. */
   private abstract static class Sequence {
 
--- a/core/src/main/java/org/cornelchute/core/duty/Duty.java
+++ b/core/src/main/java/org/cornelchute/core/duty/Duty.java
@@ -21,9 +21,12 @@
  */
 public final class Duty<M> implements Service {
 
-  /** How long an idle duty sleeps between ticks, unless a message wakes it. */
+  /** How long a sender waits for space in a full ring. */
   private static final long WAIT_FOR_SPACE_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
 
+  /** How much longer a duty sleeps that has nothing to do. */
+  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
 
   private final String name;
@@ -125,7 +128,7 @@
           nextTick = now + tickNanos;
         }
         if (m == null) {
-          park(nextTick - now);
+          park(nextTick - now + (handler.idle() ? IDLE_NANOS : 0));
         }
       }
     } catch (RuntimeException | Error e) {
@@ -157,6 +160,11 @@
 
     /** Called when the tick interval has passed. */
     default void tick() {}
+
+    /** Returns whether ticks have nothing to do until a message comes, so that they may be rare. */
+    default boolean idle() {
+      return false;
+    }
   }
 
   /** Receives broken invariants; a daemon's implementation ends the process. */
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -29,6 +29,7 @@
   private final RowStore store;
   private final String table;
   private final long waitMillis;
+  private final long settleMillis;
   private final LongSupplier clock;
   private final Random random;
   private final Listener listener;
@@ -42,12 +43,14 @@
    * Creates a watch; {@link #start()} asks the first question.
    *
    * @param waitMillis longest time between two confirmations of an unchanged table
+   * @param settleMillis pause after a change, so that changes that come in a burst cost one call
    */
   public TableWatch(
       EventLoop loop,
       RowStore store,
       String table,
       long waitMillis,
+      long settleMillis,
       LongSupplier clock,
       long seed,
       Listener listener) {
@@ -55,6 +58,7 @@
     this.store = store;
     this.table = table;
     this.waitMillis = waitMillis;
+    this.settleMillis = settleMillis;
     this.clock = clock;
     this.random = new Random(seed);
     this.listener = listener;
@@ -125,6 +129,10 @@
       listener.unchanged(asked);
     } else {
       listener.changed(asked, rows, changed);
+      if (settleMillis > 0) {
+        loop.schedule(this::ask, settleMillis, TimeUnit.MILLISECONDS);
+        return;
+      }
     }
     ask();
   }
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 import org.cornelchute.core.log.Decision;
 
 /**
@@ -15,12 +16,10 @@
 public final class LoadDecider {
 
   private final LoadOptions options;
-  private long wanted;
-  private long namedAt;
-  private long whole;
+  private final TreeMap<Long, Long> namedAt = new TreeMap<>();
+  private final TreeMap<Long, Long> wholeAt = new TreeMap<>();
   private int rank;
   private Engine engine = Engine.UNREACHABLE;
-  private long wholeAt;
   private Step step = Step.IDLE;
   private long stepVersion;
   private long stepBorn;
@@ -33,7 +32,13 @@
 
   /** Returns the version that the engine is to be brought to, 0 if none is known. */
   public long wanted() {
-    return wanted;
+    return namedAt.isEmpty() ? 0 : namedAt.lastKey();
+  }
+
+  /** Returns whether a version may still be of use: it is wanted, or the last before that. */
+  public boolean isOpen(long version) {
+    Long newer = namedAt.higherKey(version);
+    return newer == null || newer.equals(namedAt.lastKey());
   }
 
   /** Returns what the engine said last. */
@@ -44,9 +49,8 @@
   /** Takes the version that operators named; one that is not newer is passed over. */
   public List<LoadEffect> named(long now, long version) {
     List<LoadEffect> effects = new ArrayList<>(1);
-    if (version > wanted) {
-      wanted = version;
-      namedAt = now;
+    if (version > wanted()) {
+      namedAt.put(version, now);
       effects.add(new LoadEffect.Fetch(version));
     }
     return effects;
@@ -59,10 +63,7 @@
 
   /** Handles a version of which every chunk is at hand and verified. */
   public List<LoadEffect> whole(long now, long version) {
-    if (version == wanted && whole != version) {
-      whole = version;
-      wholeAt = now;
-    }
+    wholeAt.putIfAbsent(version, now);
     return next(now);
   }
 
@@ -87,7 +88,7 @@
       return effects;
     }
     step = Step.IDLE;
-    boolean same = engine.reachable() && engine.born() == stepBorn && version == wanted;
+    boolean same = engine.reachable() && engine.born() == stepBorn;
     if (!verified || !same) {
       notBefore = now + options.pauseMillis();
       return effects;
@@ -109,31 +110,45 @@
 
   private List<LoadEffect> next(long now) {
     List<LoadEffect> effects = new ArrayList<>(2);
-    boolean due = engine.reachable() && engine.version() < wanted && !engine.busy();
-    if (step != Step.IDLE || !due || whole != wanted || now < notBefore || now < turn()) {
+    if (step != Step.IDLE || !engine.reachable() || engine.busy() || wholeAt.isEmpty()) {
+      return effects;
+    }
+    long version = wholeAt.lastKey();
+    if (engine.version() >= version || now < notBefore || now < turn(version)) {
       return effects;
     }
     step = Step.STAGING;
-    stepVersion = wanted;
+    stepVersion = version;
     stepBorn = engine.born();
-    effects.add(new LoadEffect.Stage(wanted));
-    log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - namedAt));
+    effects.add(new LoadEffect.Stage(version));
+    log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - learntAt(version)));
     return effects;
   }
 
-  /** Returns when this engine's turn to change over comes. */
-  private long turn() {
+  /**
+   * Returns when this engine's turn to change over comes.
+   *
+   * <p>A version that is wanted no more is loaded only where its time would run out before the next
+   * one is likely to be at hand.
+   */
+  private long turn(long version) {
     if (engine.version() == 0) {
       return 0;
     }
-    long latest = Math.max(wholeAt, namedAt + options.latestMillis());
-    return Math.min(latest, wholeAt + rank * options.gapMillis());
+    long latest = learntAt(version) + options.latestMillis();
+    long own = wholeAt.get(version) + rank * options.gapMillis();
+    long turn = version < wanted() ? latest : Math.min(latest, own);
+    return Math.max(turn, wholeAt.get(version));
+  }
+
+  private long learntAt(long version) {
+    return namedAt.getOrDefault(version, 0L);
   }
 
   private void log(List<LoadEffect> effects, String kind, String reason) {
+    String subject = "version " + stepVersion;
     effects.add(
-        new LoadEffect.Log(
-            new Decision(kind, "version " + wanted, "", List.of(), "engine", reason, 0)));
+        new LoadEffect.Log(new Decision(kind, subject, "", List.of(), "engine", reason, 0)));
   }
 
   private enum Step {
