--- a/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/AgentDaemon.java
@@ -111,6 +111,7 @@
             who.region(),
             settings::originRegion,
             settings.linkBytesPerSecond(),
+            false,
             settings.swarm(),
             false);
     this.weights =
--- a/agent/src/main/java/org/cornelchute/agent/HeldVersion.java
+++ b/agent/src/main/java/org/cornelchute/agent/HeldVersion.java
@@ -12,6 +12,9 @@
   final byte[][] chunks;
   SwarmDecider swarm;
 
+  /** Chunks that did not verify. */
+  int spoilt;
+
   HeldVersion(Manifest manifest) {
     this.manifest = manifest;
     this.chunks = new byte[manifest.chunks().size()][];
--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -46,6 +46,7 @@
 
   private static final int RING = 1 << 14;
   private static final long TICK_MILLIS = 50;
+  private static final int SPOILT_BEFORE_DOUBT = 3;
   private static final int VERSIONS_KEPT = 2;
 
   private final Place place;
@@ -92,7 +93,7 @@
     this.listener = listener;
     this.client = new FrameClient(place.id(), codec, new PeerAnswers());
     this.up = new LinkLimiter(place.linkBytesPerSecond());
-    this.down = new LinkLimiter(place.linkBytesPerSecond());
+    this.down = new LinkLimiter(place.linkIsLimited() ? 0 : place.linkBytesPerSecond());
     this.fromOrigin = metrics.meter("weights.origin.bytes");
     this.fromPeers = metrics.meter("weights.peer.bytes");
     this.corrupt = metrics.meter("weights.corrupt.chunks");
@@ -319,6 +320,10 @@
     boolean valid = v.manifest.verifies(chunk, bytes);
     if (!valid) {
       corrupt.mark();
+      v.spoilt++;
+      if (v.spoilt % SPOILT_BEFORE_DOUBT == 0) {
+        listener.doubted(v.manifest);
+      }
     } else if (v.chunks[chunk] == null) {
       v.chunks[chunk] = bytes;
     }
@@ -341,6 +346,8 @@
    * @param region region it stands in
    * @param originRegion region of the origin of weights, asked for when a version begins
    * @param linkBytesPerSecond rate of the VM's link each way, 0 for no limit
+   * @param linkIsLimited whether the link itself keeps to its rate, so that what comes in needs no
+   *     limit here
    * @param swarm limits of the exchange
    * @param finishesSuperseded whether a version is fetched to its end although a newer one is
    *     wanted, since each must be in force in its own time
@@ -350,6 +357,7 @@
       String region,
       Supplier<String> originRegion,
       long linkBytesPerSecond,
+      boolean linkIsLimited,
       SwarmOptions swarm,
       boolean finishesSuperseded) {}
 
@@ -365,6 +373,9 @@
 
     /** Handles a version of which every chunk is held and verified. */
     void complete(Manifest manifest);
+
+    /** Handles a version of which so many chunks did not verify that its manifest may be spoilt. */
+    default void doubted(Manifest manifest) {}
   }
 
   /** Handles losses; agents answer over their own connections. */
--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -29,9 +29,16 @@
   private static final Logger LOG = LoggerFactory.getLogger(DirectAgentDaemon.class);
 
   /** Part of the link that weights may take; the rest is for answers of the engine. */
-  private static final double LINK_SHARE = 0.92;
+  private static final double LINK_SHARE = 0.98;
 
-  private static final int IMPORTERS = 4;
+  private static final int IMPORTERS = 8;
+  private static final int NEIGHBOURS = 16;
+  private static final int IN_FLIGHT = 4;
+  private static final int IMPORTS_IN_FLIGHT = 2;
+  private static final int PER_PEER = 1;
+  private static final int UPLOAD_QUEUE = 3;
+  private static final long TAKEOVER_MILLIS = 1_000;
+  private static final long TIMEOUT_MILLIS = 3_000;
   private static final long TURN_GAP_MILLIS = 250;
   private static final long PAUSE_MILLIS = 200;
 
@@ -71,7 +78,17 @@
             settings.region(),
             () -> platform.origin().region(),
             (long) (settings.linkBytesPerSecond() * LINK_SHARE),
-            SwarmOptions.DEFAULTS.withImporters(IMPORTERS),
+            true,
+            new SwarmOptions(
+                IMPORTERS,
+                NEIGHBOURS,
+                IN_FLIGHT,
+                IMPORTS_IN_FLIGHT,
+                PER_PEER,
+                UPLOAD_QUEUE,
+                TAKEOVER_MILLIS,
+                TIMEOUT_MILLIS,
+                0),
             true);
     this.weights =
         new WeightsDuty(
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -115,12 +115,21 @@
         });
   }
 
+  @Override
+  public void doubted(Manifest manifest) {
+    loop.execute(
+        () -> {
+          LOG.warn("chunks do not verify, reading the manifest again digest={}", manifest.digest());
+          fetchManifest(Long.parseLong(manifest.version()));
+        });
+  }
+
   // Effects
 
   private void apply(List<LoadEffect> effects) {
     for (LoadEffect e : effects) {
       if (e instanceof LoadEffect.Fetch f) {
-        fetchManifest(f.version(), null);
+        fetchManifest(f.version());
       } else if (e instanceof LoadEffect.Stage s) {
         stage(s.version());
       } else if (e instanceof LoadEffect.Order o) {
@@ -131,8 +140,7 @@
     }
   }
 
-  /** Reads a manifest until two readings agree, since what comes from the origin may be spoilt. */
-  private void fetchManifest(long version, Manifest before) {
+  private void fetchManifest(long version) {
     if (!decider.isOpen(version)) {
       return;
     }
@@ -142,21 +150,20 @@
             model,
             version,
             r -> {
-              boolean agreed = r.isRight() && before != null && r.get().equals(before);
-              if (agreed) {
+              if (r.isRight()) {
                 begin(version, r.get());
                 return;
               }
-              if (r.isLeft()) {
-                LOG.warn("manifest failed version={} cause={}", version, r.getLeft().message());
-              }
-              Manifest last = r.getOrElse(before);
-              long pause = r.isLeft() ? MANIFEST_RETRY_MILLIS : 0;
-              loop.schedule(() -> fetchManifest(version, last), pause, TimeUnit.MILLISECONDS);
+              LOG.warn("manifest failed version={} cause={}", version, r.getLeft().message());
+              loop.schedule(
+                  () -> fetchManifest(version), MANIFEST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             });
   }
 
   private void begin(long version, Manifest manifest) {
+    if (manifest.equals(manifests.get(version))) {
+      return;
+    }
     manifests.put(version, manifest);
     manifests.keySet().removeIf(v -> !decider.isOpen(v));
     weights.begin(manifest);
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -37,11 +37,20 @@
   private long sequence;
 
   FakeSwarm(int agents, int regions, SwarmOptions options, long seed) {
+    this(
+        agents,
+        regions,
+        new Links(CHUNKS, DEADLINE_MILLIS / 4 / CHUNKS, DEADLINE_MILLIS / 2 / CHUNKS),
+        options,
+        seed);
+  }
+
+  FakeSwarm(int agents, int regions, Links links, SwarmOptions options, long seed) {
     this.options = options;
     this.random = new Random(seed);
-    this.manifest = Manifest.of("m", "v1", new byte[CHUNKS * 16], 16);
-    this.chunkMillisOrigin = DEADLINE_MILLIS / 4 / CHUNKS;
-    this.chunkMillisLink = DEADLINE_MILLIS / 2 / CHUNKS;
+    this.manifest = Manifest.of("m", "v1", new byte[links.chunks() * 16], 16);
+    this.chunkMillisOrigin = links.originMillis();
+    this.chunkMillisLink = links.linkMillis();
     for (int i = 0; i < agents; i++) {
       start("a" + i, "r" + i % regions, 1);
     }
@@ -198,6 +207,15 @@
     events.add(new Event(when, sequence++, action));
   }
 
+  /**
+   * Rates of a swarm.
+   *
+   * @param chunks chunks of the version
+   * @param originMillis time that the origin sends one chunk
+   * @param linkMillis time that one chunk takes on an agent's link, each way
+   */
+  record Links(int chunks, double originMillis, double linkMillis) {}
+
   static final class Node {
     Member member;
     SwarmDecider decider;
