Let calls wait briefly for room, keep places for calls that can be in time, forgive lapsed entries

Cause: under a burst calls queued in engines and came late; a caller's second call earned little and took the place of a fresh one; one lost answer took an endpoint out although no other was left. Ruled out: longer queues at engines, since a call bound early waits for the wrong engine.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -225,6 +225,11 @@
     decider.listed(clock.getAsLong(), endpoints);
   }
 
+  @Override
+  public void listRegained() {
+    decider.listRegained(clock.getAsLong());
+  }
+
   @Override
   public void entries(Collection<String> names) {
     decider.entries(names);
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
@@ -23,6 +23,9 @@
   /** Takes the whole list of endpoints. */
   void listed(Collection<EndpointSpec> endpoints);
 
+  /** Notes that the list of endpoints can be had again after an outage. */
+  void listRegained();
+
   /** Takes the names of all entries. */
   void entries(Collection<String> names);
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/Call.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -14,6 +14,13 @@
   final Set<String> tried = new HashSet<>();
   final long arrived;
   final long end;
+
+  /** Time that the caller waited before, in earlier calls for the same thing. */
+  final long waitedBefore;
+
+  /** When it stops waiting for room at an endpoint, 0 if it does not wait. */
+  long waitsUntil;
+
   int attempt;
 
   /** Attempts of which bytes may have left. */
@@ -36,6 +43,7 @@
       ServiceSpec service,
       WorkspaceSpec workspace,
       Set<String> regions,
+      long waitedBefore,
       long now) {
     this.spec = spec;
     this.route = route;
@@ -43,10 +51,16 @@
     this.workspace = workspace;
     this.regions = regions;
     this.arrived = now;
+    this.waitedBefore = waitedBefore;
     this.lastEvent = spec.lastEvent();
     this.end = now + Math.min(spec.deadlineMillis(), route.timeoutMillis());
   }
 
+  /** Returns the time that is left until the answer, or its first event, comes late. */
+  long untilLate(long now) {
+    return route.targetMillis() - waitedBefore - (now - arrived);
+  }
+
   int priority() {
     boolean own = workspace != null && workspace.priority() >= 0;
     return own ? workspace.priority() : route.priority();
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,18 +32,31 @@
   private static final long USEFUL_MILLIS = 60;
 
   private static final long RETRY_AFTER_STALE_MILLIS = 700;
-  private static final long RETRY_AFTER_FULL_MILLIS = 500;
+  private static final int RETRY_AFTER_FULL_MILLIS = 600;
+  private static final int RETRY_AFTER_SPREAD_MILLIS = 900;
   private static final long RETRY_AFTER_NONE_MILLIS = 800;
   private static final int OK = 200;
   private static final int MULTIPLE = 300;
   private static final int SERVER_ERROR = 500;
 
-  /** Load per slot up to which endpoints take new calls. */
+  /** Load per slot up to which endpoints take calls that can still be answered in time. */
   private static final double FULL = 1.0;
 
+  /** Load per slot up to which they take calls that come late in any case. */
+  private static final double FULL_FOR_LATE = 0.8;
+
   /** Load per slot up to which they take calls that were sent before and may be repeated. */
   private static final double FULL_FOR_REPEATS = 1.25;
 
+  /** Part of the time until a call comes late in which it may wait for room. */
+  private static final double WAIT_SHARE = 0.5;
+
+  /** Time until a call comes late below which it is held to come late in any case. */
+  private static final long HOPELESS_MILLIS = 60;
+
+  /** How much shorter a caller's deadline may be than the usual one on its first call. */
+  private static final long DEADLINE_SLACK_MILLIS = 100;
+
   private final CallOptions options;
   private final EndpointBook book;
   private final Freshness freshness = new Freshness();
@@ -50,6 +64,8 @@
   private final RetryBudget budget;
   private final Random random;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
+  private final List<Call> waiting = new ArrayList<>();
+  private final Map<String, Long> usualDeadlines = new HashMap<>();
   private ServingConfig config = ServingConfig.NONE;
   private boolean listed;
 
@@ -96,6 +112,11 @@
     listed = true;
   }
 
+  /** Notes that the list of endpoints can be had again after an outage. */
+  public void listRegained(long now) {
+    book.regained(now);
+  }
+
   /** Takes the failure domains that are out of service. */
   public void evacuated(Set<String> domains) {
     book.evacuated(domains);
@@ -155,10 +176,17 @@
       return effects;
     }
     Call c =
-        new Call(spec, route.get(), service.get(), workspace, regions(route.get(), workspace), now);
+        new Call(
+            spec,
+            route.get(),
+            service.get(),
+            workspace,
+            regions(route.get(), workspace),
+            waitedBefore(route.get(), spec),
+            now);
     calls.put(spec.number(), c);
     budget.fresh(now, c.service.name());
-    place(now, effects, c, FULL);
+    place(now, effects, c, c.untilLate(now) < HOPELESS_MILLIS ? FULL_FOR_LATE : FULL);
     return effects;
   }
 
@@ -192,6 +220,7 @@
     } else if (c.streaming) {
       cut(effects, c, "the endpoint did not resume the stream: " + head.status());
     }
+    admit(now, effects);
     return effects;
   }
 
@@ -213,6 +242,7 @@
       effects.add(new CallEffect.Deliver(number, attempt));
       log(effects, "answered", c, "ms=" + (now - c.arrived));
       forget(c);
+      admit(now, effects);
     }
     return effects;
   }
@@ -236,6 +266,7 @@
     }
     c.mayHaveRun = true;
     lost(now, effects, c, why);
+    admit(now, effects);
     return effects;
   }
 
@@ -249,6 +280,7 @@
       }
       log(effects, "gone", c, "caller left after ms=" + (now - c.arrived));
       forget(c);
+      admit(now, effects);
     }
     return effects;
   }
@@ -256,9 +288,14 @@
   /** Ends calls whose time is up and moves streams away from silent endpoints. */
   public List<CallEffect> sweep(long now) {
     List<CallEffect> effects = new ArrayList<>();
+    book.sweep(now);
     for (Call c : new ArrayList<>(calls.values())) {
       if (now >= c.end) {
         expire(now, effects, c);
+      } else if (c.waitsUntil > 0) {
+        if (now >= c.waitsUntil) {
+          giveUp(effects, c, Rejection.OVERLOADED, "no room in " + (now - c.arrived) + " ms");
+        }
       } else if (c.route.repeatable() && isSilent(now, c)) {
         book.strike(now, c.endpoint);
         if (mayRepeat(now, c)) {
@@ -268,21 +305,67 @@
         }
       }
     }
+    admit(now, effects);
     return effects;
   }
 
   // Attempts
 
+  /** Sends calls that wait for room, the most urgent first, as far as there is room. */
+  private void admit(long now, List<CallEffect> effects) {
+    Set<String> full = new HashSet<>();
+    for (Call c : List.copyOf(waiting)) {
+      if (full.contains(c.service.name()) || c.waitsUntil == 0) {
+        continue;
+      }
+      Choice choice = choose(now, c, FULL);
+      if (choice.endpoint().isPresent()) {
+        waiting.remove(c);
+        c.waitsUntil = 0;
+        dispatch(now, effects, c, choice);
+      } else {
+        full.add(c.service.name());
+      }
+    }
+  }
+
+  /** Lets a call wait for room if it can then still be answered in time. */
+  private boolean enqueue(long now, Call c) {
+    long wait = (long) (c.untilLate(now) * WAIT_SHARE);
+    if (wait <= 0 || c.reached > 0) {
+      return false;
+    }
+    c.waitsUntil = now + wait;
+    int at = waiting.size();
+    while (at > 0 && waiting.get(at - 1).priority() > c.priority()) {
+      at--;
+    }
+    waiting.add(at, c);
+    return true;
+  }
+
   private void place(long now, List<CallEffect> effects, Call c, double limit) {
-    long required = c.service.engine().map(e -> versions.required(now, e.model())).orElse(0L);
-    Need need =
-        new Need(c.service, c.regions, required, c.streaming ? c.version : 0, limit, c.tried);
-    Choice choice = book.choose(now, need);
-    if (choice.endpoint().isEmpty()) {
-      String why = "allowed=" + choice.allowed() + " room=" + choice.room();
-      giveUp(effects, c, choice.allowed() == 0 ? Rejection.NO_ENDPOINT : Rejection.OVERLOADED, why);
-      return;
+    Choice choice = choose(now, c, limit);
+    if (choice.endpoint().isPresent()) {
+      dispatch(now, effects, c, choice);
+    } else if (choice.allowed() == 0) {
+      giveUp(effects, c, Rejection.NO_ENDPOINT, "no endpoint may serve it");
+    } else if (!enqueue(now, c)) {
+      giveUp(effects, c, Rejection.OVERLOADED, "no room, allowed=" + choice.allowed());
     }
+  }
+
+  private Choice choose(long now, Call c, double limit) {
+    long version = c.streaming ? c.version : 0;
+    return book.choose(
+        now, new Need(c.service, c.regions, required(now, c), version, limit, c.tried));
+  }
+
+  private long required(long now, Call c) {
+    return c.service.engine().map(e -> versions.required(now, e.model())).orElse(0L);
+  }
+
+  private void dispatch(long now, List<CallEffect> effects, Call c, Choice choice) {
     Endpoint e = choice.endpoint().get();
     c.endpoint = e;
     c.attempt++;
@@ -293,7 +376,7 @@
     e.own++;
     e.sent.add(now);
     long left = c.end - now;
-    long expected = required > 0 || c.streaming ? e.version : 0;
+    long expected = required(now, c) > 0 || c.streaming ? e.version : 0;
     int connections = Math.max(2, c.service.maxConnections() * 9 / 10 / book.entries());
     effects.add(
         new CallEffect.Dispatch(
@@ -311,9 +394,7 @@
 
   private void refusedByEndpoint(long now, List<CallEffect> effects, Call c, AnswerHead head) {
     effects.add(new CallEffect.Abort(c.spec.number(), c.attempt));
-    if (head.otherInstance()) {
-      book.strike(now, c.endpoint);
-    }
+    book.strike(now, c.endpoint);
     again(now, effects, c, "endpoint refused with " + head.status());
   }
 
@@ -404,16 +485,23 @@
             new Decision("refuse", spec.id(), "", List.of(), "", reason, config.version())));
   }
 
-  private static long retryAfter(Rejection rejection) {
+  private long retryAfter(Rejection rejection) {
     return switch (rejection) {
       case NOT_READY -> RETRY_AFTER_STALE_MILLIS;
-      case OVERLOADED -> RETRY_AFTER_FULL_MILLIS;
+      case OVERLOADED -> RETRY_AFTER_FULL_MILLIS + random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
       default -> RETRY_AFTER_NONE_MILLIS;
     };
   }
 
   // Helpers
 
+  /** Returns how long a caller has waited already, from how much less it still waits than usual. */
+  private long waitedBefore(RouteSpec route, CallSpec spec) {
+    long usual = usualDeadlines.merge(route.name(), spec.deadlineMillis(), Math::max);
+    long waited = usual - spec.deadlineMillis();
+    return waited > DEADLINE_SLACK_MILLIS ? waited : 0;
+  }
+
   private Optional<ServiceSpec> pickService(RouteSpec route) {
     List<ServiceShare> shares = route.services();
     double all = 0;
@@ -460,6 +548,10 @@
 
   private void forget(Call c) {
     release(c);
+    if (c.waitsUntil > 0) {
+      c.waitsUntil = 0;
+      waiting.remove(c);
+    }
     calls.remove(c.spec.number());
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -17,6 +17,10 @@
   long avoidUntil;
   long lastHeard;
   int strikes;
+
+  /** When it is dropped as its entry lapsed, 0 while it is listed. */
+  long goneAt;
+
   private double foreign;
   private long foreignAt;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointBook.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointBook.java
@@ -17,12 +17,22 @@
 final class EndpointBook {
 
   /** How much more load a nearer endpoint may have and still be preferred, in calls. */
-  private static final double FAR_PENALTY = 1.0;
+  private static final double FAR_PENALTY = 4.0;
 
   /** Part of a cold endpoint's limit that is used; the rest covers calls that bunch on the way. */
   private static final double SAFE_SHARE = 0.8;
 
-  private static final double FIRST_STRIKE_MILLIS = 400;
+  private static final double FIRST_STRIKE_MILLIS = 200;
+
+  /** Time in which endpoints whose entries lapsed with the store are listed again. */
+  private static final long LAPSE_MILLIS = 1_700;
+
+  /**
+   * Endpoints missing at once, and their share of all, above which they are held to have lapsed.
+   */
+  private static final int LAPSE_COUNT = 4;
+
+  private static final double LAPSE_SHARE = 0.3;
   private static final int MAX_STRIKES = 4;
 
   private final CallOptions options;
@@ -30,6 +40,7 @@
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
   private Set<String> evacuated = Set.of();
   private List<String> entries;
+  private long settlesAt;
 
   EndpointBook(CallOptions options) {
     this.options = options;
@@ -75,7 +86,47 @@
       }
       e.spec = s;
     }
-    byId.keySet().retainAll(present);
+    miss(now, present);
+    index();
+  }
+
+  /** Notes that the directory answers again after an outage, in which entries may have lapsed. */
+  void regained(long now) {
+    settlesAt = now + LAPSE_MILLIS;
+  }
+
+  /** Drops endpoints that lapsed and did not come back. */
+  void sweep(long now) {
+    if (byId.values().removeIf(e -> e.goneAt > 0 && now >= e.goneAt)) {
+      index();
+    }
+  }
+
+  /** Drops endpoints that are listed no more; where many lapse at once, they get time to return. */
+  private void miss(long now, Set<String> present) {
+    int missing = 0;
+    for (Endpoint e : byId.values()) {
+      if (present.contains(e.spec.id())) {
+        e.goneAt = 0;
+      } else {
+        missing++;
+      }
+    }
+    boolean lapsed =
+        now < settlesAt || missing >= LAPSE_COUNT && missing >= LAPSE_SHARE * byId.size();
+    for (Endpoint e : List.copyOf(byId.values())) {
+      if (present.contains(e.spec.id())) {
+        continue;
+      }
+      if (!lapsed && e.goneAt == 0) {
+        byId.remove(e.spec.id());
+      } else if (e.goneAt == 0) {
+        e.goneAt = now + LAPSE_MILLIS;
+      }
+    }
+  }
+
+  private void index() {
     byService.clear();
     for (Endpoint e : byId.values()) {
       byService.computeIfAbsent(e.spec.service(), s -> new ArrayList<>()).add(e);
@@ -89,30 +140,33 @@
    * @return the choice, or why there is none
    */
   Choice choose(long now, Need need) {
-    Endpoint best = null;
-    double least = Double.MAX_VALUE;
-    int allowed = 0;
-    int room = 0;
+    List<Endpoint> sound = new ArrayList<>();
+    List<Endpoint> doubtful = new ArrayList<>();
     for (Endpoint e : byService.getOrDefault(need.service().name(), List.of())) {
-      if (!mayServe(now, e, need)) {
-        continue;
+      if (mayServe(e, need)) {
+        (now < e.avoidUntil ? doubtful : sound).add(e);
       }
-      allowed++;
-      if (need.tried().contains(e.spec.id()) || e.isCold(now) && !coldRoom(now, e, need)) {
+    }
+    // Endpoints that just failed are used only where there are no others at all.
+    return leastLoaded(now, need, sound.isEmpty() ? doubtful : sound);
+  }
+
+  private Choice leastLoaded(long now, Need need, List<Endpoint> candidates) {
+    Endpoint best = null;
+    double least = Double.MAX_VALUE;
+    for (Endpoint e : candidates) {
+      boolean passed = need.tried().contains(e.spec.id());
+      if (passed || e.isCold(now) && !coldRoom(now, e, need)) {
         continue;
       }
       double load = e.load(now);
-      if (load >= need.limitPerSlot() * e.spec.slots()) {
-        continue;
-      }
-      room++;
-      double score = load / Math.max(1, e.spec.slots()) + penalty(e);
-      if (score < least) {
+      double score = load / e.spec.slots() + penalty(e);
+      if (load < need.limitPerSlot() * e.spec.slots() && score < least) {
         least = score;
         best = e;
       }
     }
-    return new Choice(Optional.ofNullable(best), allowed, room);
+    return new Choice(Optional.ofNullable(best), candidates.size());
   }
 
   /** Notes that an endpoint failed or kept silent, so that others are preferred for a while. */
@@ -128,8 +182,8 @@
     e.avoidUntil = 0;
   }
 
-  private boolean mayServe(long now, Endpoint e, Need need) {
-    if (e.spec.draining() || evacuated.contains(e.spec.domain()) || now < e.avoidUntil) {
+  private boolean mayServe(Endpoint e, Need need) {
+    if (e.spec.draining() || evacuated.contains(e.spec.domain())) {
       return false;
     }
     if (!need.regions().isEmpty() && !need.regions().contains(e.spec.region())) {
@@ -190,8 +244,7 @@
    * Result of a choice.
    *
    * @param endpoint the endpoint, empty if none has room
-   * @param allowed endpoints that may serve the call
-   * @param room endpoints of these that have room
+   * @param allowed endpoints that may serve the call, full or not
    */
-  record Choice(Optional<Endpoint> endpoint, int allowed, int room) {}
+  record Choice(Optional<Endpoint> endpoint, int allowed) {}
 }
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -0,0 +1,304 @@
+package org.cornelchute.policy.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.cornelchute.policy.forward.Fixture.dispatch;
+import static org.cornelchute.policy.forward.Fixture.engine;
+import static org.cornelchute.policy.forward.Fixture.find;
+import static org.cornelchute.policy.forward.Fixture.head;
+import static org.cornelchute.policy.forward.Fixture.notRun;
+import static org.cornelchute.policy.forward.Fixture.plain;
+import static org.cornelchute.policy.forward.Fixture.rejection;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The life of a call that goes straight to an endpoint, one promise at a time. */
+class CallDeciderTest {
+
+  /** What is believed has an age. */
+  @Nested
+  class Beliefs {
+
+    @Test
+    void refusesAsNotReadyWhileNoConfigurationIsKnown() {
+      Fixture f = new Fixture();
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NOT_READY);
+    }
+
+    @Test
+    void deniesAnUnknownRouteOrKeyOnlyOnFreshConfiguration() {
+      Fixture f = new Fixture().known(plain("p1"));
+      assertThat(rejection(f.call("/x/"))).isEqualTo(Rejection.UNKNOWN_ROUTE);
+      assertThat(rejection(f.decider.arrive(f.now, f.spec("/c/", "other", 1_500))))
+          .isEqualTo(Rejection.UNKNOWN_KEY);
+      f.now += 2_400;
+      assertThat(rejection(f.call("/x/"))).isEqualTo(Rejection.NOT_READY);
+      assertThat(rejection(f.decider.arrive(f.now, f.spec("/c/", "other", 1_500))))
+          .isEqualTo(Rejection.NOT_READY);
+    }
+
+    @Test
+    void stopsKeyedCallsWhenKeysWereNotConfirmedInTime() {
+      Fixture f = new Fixture().known(plain("p1"));
+      f.now += 4_800;
+      assertThat(rejection(f.call("/c/"))).isEqualTo(Rejection.NOT_READY);
+      f.decider.confirmed(f.now - 10);
+      assertThat(find(f.call("/c/"), CallEffect.Dispatch.class)).isPresent();
+    }
+
+    @Test
+    void holdsBeliefsForUnconfirmedAfterTheProcessWasSuspended() {
+      Fixture f = new Fixture().known(plain("p1"));
+      f.decider.observe(f.now, 5_000_000);
+      f.decider.confirmed(f.now);
+      f.now += 100;
+      f.decider.observe(f.now, 5_006_100);
+      assertThat(rejection(f.call("/c/"))).isEqualTo(Rejection.NOT_READY);
+      // An answer to a question from before the suspension proves nothing.
+      f.decider.confirmed(f.now - 50);
+      assertThat(rejection(f.call("/c/"))).isEqualTo(Rejection.NOT_READY);
+      f.decider.confirmed(f.now);
+      assertThat(find(f.call("/c/"), CallEffect.Dispatch.class)).isPresent();
+    }
+
+    @Test
+    void neverGoesBackToAnOlderConfiguration() {
+      Fixture f = new Fixture().known(plain("p1"));
+      f.decider.configured(Fixture.config(3, Map.of()));
+      f.decider.configured(
+          Fixture.config(2, Map.of(Fixture.KEY, new WorkspaceSpec("w", 0, List.of()))));
+      assertThat(f.decider.config().version()).isEqualTo(3);
+      assertThat(rejection(f.call("/c/"))).isEqualTo(Rejection.UNKNOWN_KEY);
+    }
+
+    @Test
+    void takesTheRouteWithTheLongestPrefix() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch d = dispatch(f.call("/c/deep/er"));
+      List<CallEffect> lost = f.decider.failed(f.now, d.call(), d.attempt(), true, "reset");
+      assertThat(rejection(lost)).isEqualTo(Rejection.ANSWER_LOST);
+    }
+  }
+
+  /** What may be sent again. */
+  @Nested
+  class Repeats {
+
+    @Test
+    void sendsAnUnrepeatableCallAgainOnlyIfItCertainlyDidNotRun() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch d = dispatch(f.call("/o/"));
+      List<CallEffect> again = f.decider.head(f.now, d.call(), d.attempt(), notRun());
+      CallEffect.Dispatch second = dispatch(again);
+      assertThat(second.endpoint().id()).isNotEqualTo(d.endpoint().id());
+      List<CallEffect> lost = f.decider.failed(f.now, d.call(), second.attempt(), true, "reset");
+      assertThat(rejection(lost)).isEqualTo(Rejection.ANSWER_LOST);
+      assertThat(rejection(lost).notRun()).isFalse();
+    }
+
+    @Test
+    void neverSaysNotRunWhereItMayHaveRun() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch d = dispatch(f.call("/c/"));
+      CallEffect.Dispatch second =
+          dispatch(f.decider.failed(f.now, d.call(), d.attempt(), true, "reset"));
+      List<CallEffect> end = f.decider.head(f.now, d.call(), second.attempt(), notRun());
+      assertThat(rejection(end).notRun()).isFalse();
+    }
+
+    @Test
+    void saysNotRunWhereNoEndpointTookIt() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch d = dispatch(f.call("/o/"));
+      CallEffect.Dispatch second = dispatch(f.decider.head(f.now, d.call(), d.attempt(), notRun()));
+      assertThat(rejection(f.decider.head(f.now, d.call(), second.attempt(), notRun())).notRun())
+          .isTrue();
+    }
+
+    @Test
+    void repeatsAnIdempotentCallAfterAnErrorOfTheEndpoint() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch d = dispatch(f.call("/c/"));
+      assertThat(find(f.decider.head(f.now, d.call(), 1, head(500)), CallEffect.Dispatch.class))
+          .isPresent();
+      CallEffect.Dispatch o = dispatch(f.call("/o/"));
+      assertThat(f.decider.head(f.now, o.call(), 1, head(500))).isEmpty();
+      assertThat(find(f.decider.ended(f.now, o.call(), 1), CallEffect.Deliver.class)).isPresent();
+    }
+
+    @Test
+    void keepsRepeatsInsideThisEntrysPart() {
+      RetryBudget budget = new RetryBudget(0.16, 80, 10_000);
+      int repeats = 0;
+      int calls = 200;
+      for (int i = 0; i < calls; i++) {
+        budget.fresh(1_000 + i * 10, "plain");
+        repeats += budget.spend(1_000 + i * 10, "plain", 4) ? 1 : 0;
+      }
+      assertThat(repeats).isBetween(10, (int) (0.16 * calls + 80 / 4.0));
+      assertThat(budget.spend(3_100, "plain", 4)).isFalse();
+      assertThat(budget.spend(14_100, "plain", 4)).isTrue();
+    }
+
+    @Test
+    void usesAnEndpointThatJustFailedWhereThereIsNoOther() {
+      Fixture f = new Fixture().known(plain("p1"));
+      CallEffect.Dispatch d = dispatch(f.call("/o/"));
+      f.decider.failed(f.now, d.call(), 1, true, "reset");
+      assertThat(dispatch(f.call("/c/")).endpoint().id()).isEqualTo("p1");
+    }
+  }
+
+  /** Streams go on elsewhere without a gap, or end visibly. */
+  @Nested
+  class Streams {
+
+    @Test
+    void resumesOnTheSameVersionAfterTheLastEventDelivered() {
+      Fixture f =
+          new Fixture().known(engine("a", "d1", 2), engine("b", "d1", 2), engine("c", "d1", 3));
+      CallEffect.Dispatch d = dispatch(f.call("/s/"));
+      long version = d.endpoint().version();
+      f.decider.head(f.now, d.call(), 1, new AnswerHead(200, false, false, version, -1, 0));
+      f.decider.progress(f.now, d.call(), 1, 4);
+      List<CallEffect> lost = f.decider.failed(f.now, d.call(), 1, true, "reset");
+      if (version == 3) {
+        assertThat(find(lost, CallEffect.Cut.class)).isPresent();
+        return;
+      }
+      CallEffect.Dispatch second = dispatch(lost);
+      assertThat(second.resumeAfter()).isEqualTo(4);
+      assertThat(second.expectedVersion()).isEqualTo(version);
+      assertThat(second.endpoint().version()).isEqualTo(version);
+    }
+
+    @Test
+    void leavesSilentEndpoints() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1), engine("b", "d1", 1));
+      CallEffect.Dispatch d = dispatch(f.call("/s/"));
+      f.now += 1_000;
+      CallEffect.Dispatch second = dispatch(f.decider.sweep(f.now));
+      assertThat(second.endpoint().id()).isNotEqualTo(d.endpoint().id());
+    }
+
+    @Test
+    void endsCallsAtTheirTimeout() {
+      Fixture f = new Fixture().known(plain("p1"));
+      CallEffect.Dispatch d = dispatch(f.call("/o/"));
+      f.now += Fixture.TIMEOUT_MILLIS;
+      List<CallEffect> ended = f.decider.sweep(f.now);
+      assertThat(rejection(ended)).isEqualTo(Rejection.EXPIRED_SENT);
+      assertThat(find(ended, CallEffect.Abort.class).orElseThrow().attempt())
+          .isEqualTo(d.attempt());
+    }
+  }
+
+  /** Where a call may go. */
+  @Nested
+  class Places {
+
+    @Test
+    void keepsAwayFromDrainingEvacuatedAndEmptyEndpoints() {
+      EndpointSpec draining =
+          new EndpointSpec("x", "engines", "10.0.0.1:80", "d1", "r1", 16, true, 0, 1, "m", 1);
+      Fixture f = new Fixture().known(draining, engine("y", "d2", 1), engine("z", "d1", 0));
+      f.decider.evacuated(Set.of("d2"));
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+      f.decider.evacuated(Set.of());
+      assertThat(dispatch(f.call("/s/")).endpoint().id()).isEqualTo("y");
+    }
+
+    @Test
+    void requiresNamedVersionsOnceTheirTimeIsUp() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      f.decider.versionNamed(f.now, "m", 2);
+      assertThat(dispatch(f.call("/s/")).expectedVersion()).isZero();
+      f.now += 7_000;
+      f.decider.confirmed(f.now);
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+      f.decider.listed(f.now, List.of(engine("a", "d1", 2)));
+      assertThat(dispatch(f.call("/s/")).expectedVersion()).isEqualTo(2);
+    }
+
+    @Test
+    void keepsColdEndpointsInsideThisEntrysPart() {
+      EndpointSpec cold =
+          new EndpointSpec("x", "engines", "10.0.0.1:80", "d1", "r1", 99, false, 3_000, 1, "m", 1);
+      Fixture f = new Fixture();
+      f.decider.entries(List.of("e1", "e2", "e3", "e4", "e5", "e6"));
+      f.known(cold);
+      int sent = 0;
+      for (int i = 0; i < 30; i++) {
+        sent += find(f.call("/s/"), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
+      }
+      assertThat(sent * 6).isLessThanOrEqualTo((int) (26 * 1.5 + 5));
+      assertThat(sent).isPositive();
+    }
+
+    @Test
+    void keepsEndpointsWhoseEntriesLapsedWithTheStore() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1), plain("p1"));
+      f.decider.listRegained(f.now);
+      f.decider.listed(f.now, List.of());
+      assertThat(find(f.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      f.now += 1_900;
+      f.decider.sweep(f.now);
+      f.decider.confirmed(f.now);
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+    }
+
+    @Test
+    void forgetsAnEndpointThatLeftWhileTheStoreIsWell() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1), engine("b", "d1", 1));
+      f.decider.listed(f.now, List.of(engine("b", "d1", 1)));
+      assertThat(dispatch(f.call("/s/")).endpoint().id()).isEqualTo("b");
+    }
+  }
+
+  /** Bursts: more calls come than endpoints have places. */
+  @Nested
+  class Overload {
+
+    @Test
+    void letsFreshCallsWaitBrieflyAndSendsThemAsPlacesFree() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      CallEffect.Dispatch first = null;
+      for (int i = 0; i < 16; i++) {
+        first = dispatch(f.call("/s/"));
+      }
+      List<CallEffect> waits = f.call("/s/");
+      assertThat(waits).isEmpty();
+      f.now += 100;
+      List<CallEffect> freed = f.decider.ended(f.now, first.call(), 1);
+      assertThat(dispatch(freed).call()).isEqualTo(f.last());
+    }
+
+    @Test
+    void refusesWaitingCallsBeforeTheyComeLate() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      for (int i = 0; i < 17; i++) {
+        f.call("/s/");
+      }
+      f.now += Fixture.TARGET_MILLIS / 2;
+      List<CallEffect> swept = f.decider.sweep(f.now);
+      CallEffect.Reject r = find(swept, CallEffect.Reject.class).orElseThrow();
+      assertThat(r.rejection()).isEqualTo(Rejection.OVERLOADED);
+      assertThat(r.retryAfterMillis()).isPositive();
+    }
+
+    @Test
+    void keepsPlacesForCallsThatCanStillBeInTime() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      for (int i = 0; i < 13; i++) {
+        f.call("/s/");
+      }
+      // A caller that waits a second less than usual asks for the second time: it is late already.
+      assertThat(rejection(f.call("/s/", Fixture.TIMEOUT_MILLIS - 1_000)))
+          .isEqualTo(Rejection.OVERLOADED);
+      assertThat(find(f.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -0,0 +1,121 @@
+package org.cornelchute.policy.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A configuration with one engine service and one plain service, and shorthand for inputs. */
+final class Fixture {
+
+  static final String KEY = "key-1";
+  static final long TARGET_MILLIS = 400;
+  static final long TIMEOUT_MILLIS = 6_000;
+  static final EngineSpec ENGINE = new EngineSpec("m", 8.87, 0.04, 19.1, 5, 977, 94);
+  static final ServiceSpec ENGINES =
+      new ServiceSpec("engines", 314, 3_000, 26, Optional.of(ENGINE));
+  static final ServiceSpec PLAIN = new ServiceSpec("plain", 110, 0, 0, Optional.empty());
+  static final CallOptions OPTIONS =
+      new CallOptions("e1", "d1", "r1", 4_700, 2_300, 7_000, 0.16, 80, 10_000, 1.5, 5);
+
+  final CallDecider decider;
+  final List<EndpointSpec> endpoints = new ArrayList<>();
+  long now = 1_000_000;
+  private long numbers;
+
+  Fixture() {
+    this(OPTIONS);
+  }
+
+  Fixture(CallOptions options) {
+    decider = new CallDecider(options, 7);
+  }
+
+  /** Makes configuration, directory and freshness known. */
+  Fixture known(EndpointSpec... listed) {
+    decider.configured(config(1, Map.of(KEY, new WorkspaceSpec("w1", 1, List.of()))));
+    endpoints.addAll(List.of(listed));
+    decider.listed(now, endpoints);
+    decider.evacuated(Set.of());
+    decider.confirmed(now);
+    return this;
+  }
+
+  static ServingConfig config(long version, Map<String, WorkspaceSpec> keys) {
+    return new ServingConfig(
+        version,
+        List.of(
+            route("stream", "/s/", WorkKind.STREAM, true, "engines", 2),
+            route("order", "/o/", WorkKind.NON_IDEMPOTENT, false, "plain", 2),
+            route("check", "/c/", WorkKind.IDEMPOTENT, false, "plain", 2),
+            route("longer", "/c/deep/", WorkKind.NON_IDEMPOTENT, false, "plain", 1)),
+        List.of(ENGINES, PLAIN),
+        true,
+        keys,
+        ServingConfig.CallerLimits.DEFAULTS);
+  }
+
+  private static RouteSpec route(
+      String name, String prefix, WorkKind kind, boolean resumable, String service, int attempts) {
+    return new RouteSpec(
+        name,
+        "h",
+        prefix,
+        kind,
+        resumable,
+        TIMEOUT_MILLIS,
+        TARGET_MILLIS,
+        1,
+        attempts,
+        false,
+        List.of(),
+        List.of(new RouteSpec.ServiceShare(service, 1)));
+  }
+
+  static EndpointSpec engine(String id, String domain, long version) {
+    return new EndpointSpec(
+        id, "engines", "10.0.0.1:80", domain, domain, 16, false, 0, 1, "m", version);
+  }
+
+  static EndpointSpec plain(String id) {
+    return new EndpointSpec(id, "plain", "10.0.0.2:80", "d1", "r1", 6, false, 0, 1, "", 0);
+  }
+
+  /** Sends a call whose caller waits as long as callers do at first. */
+  List<CallEffect> call(String path) {
+    return call(path, TIMEOUT_MILLIS);
+  }
+
+  List<CallEffect> call(String path, long deadlineMillis) {
+    return decider.arrive(now, spec(path, KEY, deadlineMillis));
+  }
+
+  CallSpec spec(String path, String key, long deadlineMillis) {
+    return new CallSpec(++numbers, "id-" + numbers, "h", path, key, deadlineMillis, 977, 94, 0, -1);
+  }
+
+  long last() {
+    return numbers;
+  }
+
+  static AnswerHead head(int status) {
+    return new AnswerHead(status, false, false, 0, -1, 0);
+  }
+
+  static AnswerHead notRun() {
+    return new AnswerHead(503, true, false, 0, -1, 0);
+  }
+
+  static <T extends CallEffect> Optional<T> find(List<CallEffect> effects, Class<T> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast).findFirst();
+  }
+
+  static CallEffect.Dispatch dispatch(List<CallEffect> effects) {
+    return find(effects, CallEffect.Dispatch.class).orElseThrow();
+  }
+
+  static Rejection rejection(List<CallEffect> effects) {
+    return find(effects, CallEffect.Reject.class).orElseThrow().rejection();
+  }
+}
