--- a/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
@@ -15,4 +15,7 @@
 
   /** Returns the origin of weights. */
   WeightOrigin origin();
+
+  /** Tells the entries that the engine beside is about to change over to a version. */
+  void announceChange(long version);
 }
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -130,6 +130,8 @@
     for (LoadEffect e : effects) {
       if (e instanceof LoadEffect.Fetch f) {
         fetchManifest(f.version());
+      } else if (e instanceof LoadEffect.Announce a) {
+        platform.announceChange(a.version());
       } else if (e instanceof LoadEffect.Stage s) {
         stage(s.version());
       } else if (e instanceof LoadEffect.Order o) {
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -230,6 +230,11 @@
     decider.listRegained(clock.getAsLong());
   }
 
+  @Override
+  public void changing(Map<String, Long> versionByHost) {
+    decider.changing(clock.getAsLong(), versionByHost);
+  }
+
   @Override
   public void entries(Collection<String> names) {
     decider.entries(names);
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -35,6 +35,7 @@
   private static final long MARGIN_MILLIS = 300;
 
   private static final long VERSION_MARGIN_MILLIS = 1_000;
+  private static final long FINAL_MARGIN_MILLIS = 450;
   private static final double RETRY_SHARE = 0.8;
 
   /** Time that balancers need to stop sending new connections. */
@@ -135,6 +136,7 @@
         s.keyAgeMillis() - MARGIN_MILLIS,
         s.configMillis() + MARGIN_MILLIS,
         s.versionMillis() > 0 ? s.versionMillis() - VERSION_MARGIN_MILLIS : Long.MAX_VALUE / 4,
+        s.versionMillis() > 0 ? s.versionMillis() - FINAL_MARGIN_MILLIS : Long.MAX_VALUE / 4,
         s.retryRatio() * RETRY_SHARE,
         s.retryAllowance() * RETRY_SHARE,
         s.retryWindowMillis(),
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
@@ -1,6 +1,7 @@
 package org.cornelchute.entry.direct;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Set;
 import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -26,6 +27,9 @@
   /** Notes that the list of endpoints can be had again after an outage. */
   void listRegained();
 
+  /** Takes the hosts whose engines change over to other weights, with the version to come. */
+  void changing(Map<String, Long> versionByHost);
+
   /** Takes the names of all entries. */
   void entries(Collection<String> names);
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -73,7 +73,7 @@
   public CallDecider(CallOptions options, long seed) {
     this.options = options;
     this.book = new EndpointBook(options);
-    this.versions = new VersionGate(options.versionGraceMillis());
+    this.versions = new VersionGate();
     this.budget =
         new RetryBudget(
             options.retryRatio(), options.retryAllowance(), options.retryWindowMillis());
@@ -127,6 +127,11 @@
     versions.named(learnt, model, version);
   }
 
+  /** Takes the hosts whose engines change over to other weights, with the version to come. */
+  public void changing(long now, Map<String, Long> versionByHost) {
+    book.changing(now, versionByHost);
+  }
+
   /** Takes the entries that send to the same endpoints. */
   public void entries(Collection<String> names) {
     book.entries(names);
@@ -296,6 +301,10 @@
         if (now >= c.waitsUntil) {
           giveUp(effects, c, Rejection.OVERLOADED, "no room in " + (now - c.arrived) + " ms");
         }
+      } else if (!c.streaming && isOutdated(now, c)) {
+        effects.add(new CallEffect.Abort(c.spec.number(), c.attempt));
+        c.mayHaveRun = true;
+        lost(now, effects, c, "endpoint still has version " + c.endpoint.version);
       } else if (c.route.repeatable() && isSilent(now, c)) {
         book.strike(now, c.endpoint);
         if (mayRepeat(now, c)) {
@@ -358,11 +367,18 @@
   private Choice choose(long now, Call c, double limit) {
     long version = c.streaming ? c.version : 0;
     return book.choose(
-        now, new Need(c.service, c.regions, required(now, c), version, limit, c.tried));
+        now,
+        new Need(
+            c.service,
+            c.regions,
+            required(now, c, options.versionGraceMillis()),
+            version,
+            limit,
+            c.tried));
   }
 
-  private long required(long now, Call c) {
-    return c.service.engine().map(e -> versions.required(now, e.model())).orElse(0L);
+  private long required(long now, Call c, long graceMillis) {
+    return c.service.engine().map(e -> versions.required(now, e.model(), graceMillis)).orElse(0L);
   }
 
   private void dispatch(long now, List<CallEffect> effects, Call c, Choice choice) {
@@ -376,7 +392,8 @@
     e.own++;
     e.sent.add(now);
     long left = c.end - now;
-    long expected = required(now, c) > 0 || c.streaming ? e.version : 0;
+    long expected =
+        required(now, c, options.versionGraceMillis()) > 0 || c.streaming ? e.version : 0;
     int connections = Math.max(2, c.service.maxConnections() * 9 / 10 / book.entries());
     effects.add(
         new CallEffect.Dispatch(
@@ -428,6 +445,11 @@
         && c.end - now >= USEFUL_MILLIS;
   }
 
+  /** Returns whether a call did not begin in time on weights that have been superseded. */
+  private boolean isOutdated(long now, Call c) {
+    return c.endpoint.version < required(now, c, options.versionFinalMillis());
+  }
+
   private static boolean isSilent(long now, Call c) {
     long heard = Math.max(c.endpoint.lastHeard, c.dispatched);
     return c.route.kind() == WorkKind.STREAM
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallOptions.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallOptions.java
@@ -9,7 +9,9 @@
  * @param keyAgeMillis age of the configuration beyond which keyed calls are refused
  * @param denialAgeMillis age of the configuration beyond which an unknown route or key is refused
  *     as not ready, since it may have been added
- * @param versionGraceMillis time from learning of new weights until only these may begin a call
+ * @param versionGraceMillis time from learning of new weights until calls are sent to these only
+ * @param versionFinalMillis time from learning of new weights until calls that did not begin are
+ *     taken back from endpoints with older ones
  * @param retryRatio repeats that a service may get, as a share of fresh calls
  * @param retryAllowance repeats that a service may get besides, from all entries
  * @param retryWindowMillis span over which repeats are counted
@@ -23,6 +25,7 @@
     long keyAgeMillis,
     long denialAgeMillis,
     long versionGraceMillis,
+    long versionFinalMillis,
     double retryRatio,
     double retryAllowance,
     long retryWindowMillis,
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -21,6 +21,10 @@
   /** When it is dropped as its entry lapsed, 0 while it is listed. */
   long goneAt;
 
+  /** Version that its engine changes over to, and until when that is believed. */
+  long changingTo;
+
+  long changingUntil;
   private double foreign;
   private long foreignAt;
 
@@ -42,6 +46,16 @@
     return own + foreign * Math.exp(-age / FOREIGN_FADE_MILLIS);
   }
 
+  /** Returns whether its engine finishes what runs, to load other weights then. */
+  boolean isChanging(long now) {
+    return version > 0 && version < changingTo && now < changingUntil;
+  }
+
+  /** Returns the host part of its address. */
+  String host() {
+    return spec.address().substring(0, spec.address().lastIndexOf(':'));
+  }
+
   boolean isCold(long now) {
     return now < coldUntil;
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointBook.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointBook.java
@@ -33,6 +33,10 @@
   private static final int LAPSE_COUNT = 4;
 
   private static final double LAPSE_SHARE = 0.3;
+
+  /** Longest time that an engine is held to be changing over. */
+  private static final long CHANGE_MILLIS = 4_000;
+
   private static final int MAX_STRIKES = 4;
 
   private final CallOptions options;
@@ -66,6 +70,17 @@
     evacuated = Set.copyOf(domains);
   }
 
+  /** Takes the hosts whose engines change over, with the version to come. */
+  void changing(long now, Map<String, Long> versionByHost) {
+    for (Endpoint e : byId.values()) {
+      long to = versionByHost.getOrDefault(e.host(), 0L);
+      if (to > e.changingTo) {
+        e.changingTo = to;
+        e.changingUntil = now + CHANGE_MILLIS;
+      }
+    }
+  }
+
   /** Takes the whole directory; beliefs on incarnations that are still listed stay. */
   void listed(long now, Collection<EndpointSpec> all) {
     Set<String> present = new HashSet<>();
@@ -143,7 +158,7 @@
     List<Endpoint> sound = new ArrayList<>();
     List<Endpoint> doubtful = new ArrayList<>();
     for (Endpoint e : byService.getOrDefault(need.service().name(), List.of())) {
-      if (mayServe(e, need)) {
+      if (mayServe(e, need) && !e.isChanging(now)) {
         (now < e.avoidUntil ? doubtful : sound).add(e);
       }
     }
--- a/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
@@ -7,29 +7,25 @@
 /** Tells which version of a model's weights a new call must begin on at least. */
 final class VersionGate {
 
-  private final long graceMillis;
-  private final Map<String, TreeMap<Long, Long>> dueByModel = new HashMap<>();
-
-  /** Creates a gate; a version is required this long after it was learnt. */
-  VersionGate(long graceMillis) {
-    this.graceMillis = graceMillis;
-  }
+  private final Map<String, TreeMap<Long, Long>> learntByModel = new HashMap<>();
 
   /** Takes a version that was learnt at a time. */
   void named(long learnt, String model, long version) {
-    dueByModel
-        .computeIfAbsent(model, m -> new TreeMap<>())
-        .putIfAbsent(version, learnt + graceMillis);
+    learntByModel.computeIfAbsent(model, m -> new TreeMap<>()).putIfAbsent(version, learnt);
   }
 
-  /** Returns the lowest version that may begin a call now; 0 if any may. */
-  long required(long now, String model) {
-    TreeMap<Long, Long> due = dueByModel.get(model);
-    if (due == null) {
+  /**
+   * Returns the lowest version that may begin a call now; 0 if any may.
+   *
+   * @param graceMillis time from learning of a version until it is required
+   */
+  long required(long now, String model, long graceMillis) {
+    TreeMap<Long, Long> learnt = learntByModel.get(model);
+    if (learnt == null) {
       return 0;
     }
-    for (Map.Entry<Long, Long> e : due.descendingMap().entrySet()) {
-      if (now >= e.getValue()) {
+    for (Map.Entry<Long, Long> e : learnt.descendingMap().entrySet()) {
+      if (now - e.getValue() >= graceMillis) {
         return e.getKey();
       }
     }
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -120,6 +120,9 @@
     step = Step.STAGING;
     stepVersion = version;
     stepBorn = engine.born();
+    if (engine.version() > 0) {
+      effects.add(new LoadEffect.Announce(version));
+    }
     effects.add(new LoadEffect.Stage(version));
     log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - learntAt(version)));
     return effects;
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
@@ -8,6 +8,9 @@
   /** Fetch and verify the chunks of a version. */
   record Fetch(long version) implements LoadEffect {}
 
+  /** Tell the entries that the engine is about to change over, so that they send no more to it. */
+  record Announce(long version) implements LoadEffect {}
+
   /** Put the chunks of a version into the engine's store, read them back and verify them. */
   record Stage(long version) implements LoadEffect {}
 
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -223,6 +223,32 @@
       assertThat(dispatch(f.call("/s/")).expectedVersion()).isEqualTo(2);
     }
 
+    @Test
+    void takesBackCallsThatDidNotBeginOnTheNamedVersionInTime() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1), engine("b", "d1", 2));
+      f.decider.evacuated(Set.of());
+      f.decider.versionNamed(f.now, "m", 2);
+      f.now += 6_900;
+      f.decider.confirmed(f.now);
+      CallEffect.Dispatch old = dispatch(f.call("/s/"));
+      while (!old.endpoint().id().equals("a")) {
+        old = dispatch(f.call("/s/"));
+      }
+      f.now += 700;
+      List<CallEffect> swept = f.decider.sweep(f.now);
+      assertThat(find(swept, CallEffect.Abort.class).orElseThrow().call()).isEqualTo(old.call());
+      assertThat(dispatch(swept).endpoint().id()).isEqualTo("b");
+    }
+
+    @Test
+    void keepsAwayFromEnginesThatChangeOver() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      f.decider.changing(f.now, Map.of("10.0.0.1", 2L));
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+      f.decider.listed(f.now, List.of(engine("a", "d1", 2)));
+      assertThat(find(f.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+    }
+
     @Test
     void keepsColdEndpointsInsideThisEntrysPart() {
       EndpointSpec cold =
--- a/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -17,7 +17,7 @@
       new ServiceSpec("engines", 314, 3_000, 26, Optional.of(ENGINE));
   static final ServiceSpec PLAIN = new ServiceSpec("plain", 110, 0, 0, Optional.empty());
   static final CallOptions OPTIONS =
-      new CallOptions("e1", "d1", "r1", 4_700, 2_300, 7_000, 0.16, 80, 10_000, 1.5, 5);
+      new CallOptions("e1", "d1", "r1", 4_700, 2_300, 7_000, 7_600, 0.16, 80, 10_000, 1.5, 5);
 
   final CallDecider decider;
   final List<EndpointSpec> endpoints = new ArrayList<>();
