--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -83,7 +83,9 @@
 
   @Override
   public void versionNamed(String name, long version) {
-    modelKnown(name);
+    if (model.isEmpty()) {
+      model = name;
+    }
     if (name.equals(model)) {
       apply(decider.named(clock.getAsLong(), version));
     }
