Balance imports over regions, ask refused callers back late, count stagings

The result of a staging counted for a later one when the engine restarted between (test givesNoOrderToAnEngineThatStartedAnewMeanwhile failed first).

--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -28,8 +28,8 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(DirectAgentDaemon.class);
 
-  /** Part of the link that weights may take; the rest is for answers of the engine. */
-  private static final double LINK_SHARE = 0.98;
+  /** Part of the link that chunks may take; the rest is for headers and the engine's answers. */
+  private static final double LINK_SHARE = 0.88;
 
   private static final int IMPORTERS = 8;
   private static final int NEIGHBOURS = 16;
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -135,7 +135,7 @@
       } else if (e instanceof LoadEffect.Announce a) {
         platform.announceChange(a.version());
       } else if (e instanceof LoadEffect.Stage s) {
-        stage(s.version());
+        stage(s);
       } else if (e instanceof LoadEffect.Order o) {
         order(o);
       } else if (e instanceof LoadEffect.Log l) {
@@ -199,13 +199,17 @@
     }.run();
   }
 
-  private void stage(long version) {
-    Manifest manifest = manifests.get(version);
-    weights.withWhole(
-        manifest.digest(), chunks -> loop.execute(() -> put(manifest, version, chunks)));
+  private void stage(LoadEffect.Stage s) {
+    Manifest manifest = manifests.get(s.version());
+    if (manifest == null) {
+      LOG.warn("staging given up, manifest forgotten version={}", s.version());
+      apply(decider.staged(clock.getAsLong(), s.number(), false));
+      return;
+    }
+    weights.withWhole(manifest.digest(), chunks -> loop.execute(() -> put(manifest, s, chunks)));
   }
 
-  private void put(Manifest manifest, long version, List<byte[]> chunks) {
+  private void put(Manifest manifest, LoadEffect.Stage s, List<byte[]> chunks) {
     new Sequence(chunks.size()) {
       @Override
       void step(int chunk) {
@@ -215,16 +219,16 @@
       @Override
       void finished(boolean all) {
         if (all) {
-          verify(manifest, version);
+          verify(manifest, s);
         } else {
-          LOG.warn("staging failed version={}", version);
-          apply(decider.staged(clock.getAsLong(), version, false));
+          LOG.warn("staging failed version={}", s.version());
+          apply(decider.staged(clock.getAsLong(), s.number(), false));
         }
       }
     }.run();
   }
 
-  private void verify(Manifest manifest, long version) {
+  private void verify(Manifest manifest, LoadEffect.Stage s) {
     new Sequence(manifest.chunks().size()) {
       @Override
       void step(int chunk) {
@@ -236,9 +240,9 @@
       @Override
       void finished(boolean all) {
         if (!all) {
-          LOG.warn("staged chunks do not verify version={}", version);
+          LOG.warn("staged chunks do not verify version={}", s.version());
         }
-        apply(decider.staged(clock.getAsLong(), version, all));
+        apply(decider.staged(clock.getAsLong(), s.number(), all));
       }
     }.run();
   }
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -34,8 +34,8 @@
   /** Part of a bound that is left for the way of a message and for timers that fire late. */
   private static final long MARGIN_MILLIS = 300;
 
-  private static final long VERSION_MARGIN_MILLIS = 1_000;
-  private static final long FINAL_MARGIN_MILLIS = 450;
+  private static final long VERSION_MARGIN_MILLIS = 600;
+  private static final long FINAL_MARGIN_MILLIS = 400;
   private static final double RETRY_SHARE = 0.8;
 
   /** Time that balancers need to stop sending new connections. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -31,10 +31,15 @@
   /** Least time left in which sending a call again can still be of use. */
   private static final long USEFUL_MILLIS = 60;
 
-  private static final long RETRY_AFTER_STALE_MILLIS = 700;
-  private static final int RETRY_AFTER_FULL_MILLIS = 600;
-  private static final int RETRY_AFTER_SPREAD_MILLIS = 900;
-  private static final long RETRY_AFTER_NONE_MILLIS = 800;
+  /** Longest time after which a refused caller is asked back. */
+  private static final long RETRY_AFTER_MILLIS = 2_000;
+
+  /** Part of the time that a caller has left after which it is asked back; it honours a third. */
+  private static final double RETRY_AFTER_SHARE = 0.32;
+
+  /** Least part of that time, so that callers that are refused together do not return together. */
+  private static final double RETRY_AFTER_SPREAD = 0.6;
+
   private static final int OK = 200;
   private static final int MULTIPLE = 300;
   private static final int SERVER_ERROR = 500;
@@ -299,7 +304,7 @@
         expire(now, effects, c);
       } else if (c.waitsUntil > 0) {
         if (now >= c.waitsUntil) {
-          giveUp(effects, c, Rejection.OVERLOADED, "no room in " + (now - c.arrived) + " ms");
+          giveUp(now, effects, c, Rejection.OVERLOADED, "no room in " + (now - c.arrived) + " ms");
         }
       } else if (!c.streaming && isOutdated(now, c)) {
         effects.add(new CallEffect.Abort(c.spec.number(), c.attempt));
@@ -358,9 +363,9 @@
     if (choice.endpoint().isPresent()) {
       dispatch(now, effects, c, choice);
     } else if (choice.allowed() == 0) {
-      giveUp(effects, c, Rejection.NO_ENDPOINT, "no endpoint may serve it");
+      giveUp(now, effects, c, Rejection.NO_ENDPOINT, "no endpoint may serve it");
     } else if (!enqueue(now, c)) {
-      giveUp(effects, c, Rejection.OVERLOADED, "no room, allowed=" + choice.allowed());
+      giveUp(now, effects, c, Rejection.OVERLOADED, "no room, allowed=" + choice.allowed());
     }
   }
 
@@ -421,7 +426,7 @@
     } else if (c.streaming) {
       cut(effects, c, why);
     } else {
-      giveUp(effects, c, Rejection.ANSWER_LOST, why);
+      giveUp(now, effects, c, Rejection.ANSWER_LOST, why);
     }
   }
 
@@ -431,9 +436,9 @@
     release(c);
     log(effects, "again", c, why);
     if (c.reached >= c.route.maxAttempts() || c.end - now < USEFUL_MILLIS) {
-      giveUp(effects, c, Rejection.OVERLOADED, "no attempt left: " + why);
+      giveUp(now, effects, c, Rejection.OVERLOADED, "no attempt left: " + why);
     } else if (counted && !budget.spend(now, c.service.name(), book.entries())) {
-      giveUp(effects, c, Rejection.OVERLOADED, "repeats are spent: " + why);
+      giveUp(now, effects, c, Rejection.OVERLOADED, "repeats are spent: " + why);
     } else {
       place(now, effects, c, FULL_FOR_REPEATS);
     }
@@ -468,6 +473,7 @@
       cut(effects, c, "time is up");
     } else {
       giveUp(
+          now,
           effects,
           c,
           c.mayHaveRun ? Rejection.EXPIRED_SENT : Rejection.EXPIRED_UNSENT,
@@ -481,13 +487,15 @@
     forget(c);
   }
 
-  private void giveUp(List<CallEffect> effects, Call c, Rejection rejection, String why) {
+  private void giveUp(long now, List<CallEffect> effects, Call c, Rejection rejection, String why) {
     if (c.streaming) {
       cut(effects, c, why);
       return;
     }
     Rejection said = rejection.notRun() && c.mayHaveRun ? Rejection.ANSWER_LOST : rejection;
-    effects.add(new CallEffect.Reject(c.spec.number(), said, retryAfter(said), why));
+    effects.add(
+        new CallEffect.Reject(
+            c.spec.number(), said, retryAfter(c.arrived + c.spec.deadlineMillis() - now), why));
     log(effects, "refuse", c, said + ": " + why);
     forget(c);
   }
@@ -500,19 +508,19 @@
 
   private void turnAway(
       List<CallEffect> effects, CallSpec spec, Rejection rejection, String why, long age) {
-    effects.add(new CallEffect.Reject(spec.number(), rejection, retryAfter(rejection), why));
+    effects.add(
+        new CallEffect.Reject(spec.number(), rejection, retryAfter(spec.deadlineMillis()), why));
     String reason = rejection + ": " + why + " ageMs=" + Math.min(age, Integer.MAX_VALUE);
     effects.add(
         new CallEffect.Log(
             new Decision("refuse", spec.id(), "", List.of(), "", reason, config.version())));
   }
 
-  private long retryAfter(Rejection rejection) {
-    return switch (rejection) {
-      case NOT_READY -> RETRY_AFTER_STALE_MILLIS;
-      case OVERLOADED -> RETRY_AFTER_FULL_MILLIS + random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
-      default -> RETRY_AFTER_NONE_MILLIS;
-    };
+  /** Returns when to ask again: as late as callers accept, since what refuses them lasts. */
+  private long retryAfter(long leftMillis) {
+    double most = Math.min(RETRY_AFTER_MILLIS, RETRY_AFTER_SHARE * Math.max(0, leftMillis));
+    double spread = RETRY_AFTER_SPREAD + (1 - RETRY_AFTER_SPREAD) * random.nextDouble();
+    return Math.round(most * spread);
   }
 
   // Helpers
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -23,6 +23,7 @@
   private Step step = Step.IDLE;
   private long stepVersion;
   private long stepBorn;
+  private long stagings;
   private long notBefore;
 
   /** Creates a decider that knows neither engine nor version. */
@@ -81,10 +82,10 @@
     return next(now);
   }
 
-  /** Handles the result of putting a version into the engine's store and reading it back. */
-  public List<LoadEffect> staged(long now, long version, boolean verified) {
+  /** Handles the result of the staging with this number; that of an earlier one is passed over. */
+  public List<LoadEffect> staged(long now, long number, boolean verified) {
     List<LoadEffect> effects = new ArrayList<>(2);
-    if (step != Step.STAGING || version != stepVersion) {
+    if (step != Step.STAGING || number != stagings) {
       return effects;
     }
     step = Step.IDLE;
@@ -94,7 +95,7 @@
       return effects;
     }
     step = Step.ORDERED;
-    effects.add(new LoadEffect.Order(version, engine.sequence()));
+    effects.add(new LoadEffect.Order(stepVersion, engine.sequence()));
     log(effects, "order", "sequence=" + engine.sequence() + " loaded=" + engine.version());
     return effects;
   }
@@ -123,7 +124,8 @@
     if (engine.version() > 0) {
       effects.add(new LoadEffect.Announce(version));
     }
-    effects.add(new LoadEffect.Stage(version));
+    stagings++;
+    effects.add(new LoadEffect.Stage(version, stagings));
     log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - learntAt(version)));
     return effects;
   }
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
@@ -11,8 +11,13 @@
   /** Tell the entries that the engine is about to change over, so that they send no more to it. */
   record Announce(long version) implements LoadEffect {}
 
-  /** Put the chunks of a version into the engine's store, read them back and verify them. */
-  record Stage(long version) implements LoadEffect {}
+  /**
+   * Put the chunks of a version into the engine's store, read them back and verify them.
+   *
+   * @param version the version
+   * @param number tells the result of this staging from that of an earlier one
+   */
+  record Stage(long version, long number) implements LoadEffect {}
 
   /** Order the engine to load what lies in its store, if it still is at {@code sequence}. */
   record Order(long version, long sequence) implements LoadEffect {}
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -574,7 +574,8 @@
     for (Peer p : peers.values()) {
       if (p.region.equals(region)) {
         near.add(p);
-      } else if (p.region.equals(sourceRegion)) {
+      } else {
+        // Any other region will do, so that the one near the origin does not carry all.
         far.add(p);
       }
     }
