Estimate unseen load of other entries; survive the hang-up signal; log without blocking; latency histogram

The hang-up signal ended the process by the runtime's default. Tests: doesNotFillNewEndpointsSeveralTimesOver failed first (16 of 16 calls sent by each of 6 entries).

--- a/core/src/main/java/org/cornelchute/core/cli/DaemonCommand.java
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonCommand.java
@@ -13,6 +13,8 @@
 import org.cornelchute.core.cfg.Settings;
 import org.cornelchute.core.cfg.SettingsReader;
 import org.cornelchute.core.outcome.Failure;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Command line shared by the daemons: settings file, check, defaults, help and version.
@@ -21,6 +23,8 @@
  */
 public final class DaemonCommand<T extends Settings> {
 
+  private static final Logger LOG = LoggerFactory.getLogger(DaemonCommand.class);
+
   private final String name;
   private final String purpose;
   private final T defaults;
@@ -87,6 +91,25 @@
     return Either.right(read.get());
   }
 
+  /**
+   * Reads the settings file again and logs whether it still says the same.
+   *
+   * <p>Settings that changed take effect at the next start.
+   *
+   * @param file the file, never null
+   * @param running settings that the process runs with, never null
+   */
+  public void reread(Path file, T running) {
+    Either<Failure, T> read = new SettingsReader().read(file, defaults);
+    if (read.isLeft()) {
+      LOG.error("reload file={} refused cause={}", file, read.getLeft().message());
+    } else if (read.get().equals(running)) {
+      LOG.info("reload file={} changed=false", file);
+    } else {
+      LOG.warn("reload file={} changed=true effect=\"at the next start\"", file);
+    }
+  }
+
   private Optional<Integer> answerQuestions(OptionParser parser, OptionSet given) {
     if (given.has("version")) {
       out.println(name + " " + Version.PRODUCT + " (protocol " + Version.PROTOCOL + ")");
--- a/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
@@ -1,5 +1,6 @@
 package org.cornelchute.core.cli;
 
+import ch.qos.logback.classic.LoggerContext;
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,6 +14,16 @@
 
   /** Runs a daemon; returns only when the process ends. */
   public static void run(String name, Daemon daemon) {
+    run(name, daemon, () -> LOG.info("reload {}: nothing to read again", name));
+  }
+
+  /**
+   * Runs a daemon; returns only when the process ends.
+   *
+   * @param reload what the hang-up signal starts
+   */
+  public static void run(String name, Daemon daemon, Runnable reload) {
+    HangUp.handle(reload);
     daemon.start();
     Runtime.getRuntime()
         .addShutdownHook(
@@ -21,6 +32,8 @@
                   boolean clean = daemon.leave();
                   daemon.close();
                   LOG.info("{} stopped, every request ended: {}", name, clean);
+                  // Lines wait for the thread that writes them; stopping lets it finish.
+                  ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
                 },
                 "shutdown"));
     LOG.info("{} started", name);
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -1,5 +1,6 @@
 package org.cornelchute.entry.direct;
 
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
@@ -76,6 +77,7 @@
   private final Meter arrived;
   private final Meter answered;
   private final Meter lost;
+  private final Histogram latency;
   private final MetricRegistry metrics;
   private long numbers;
   private boolean leaving;
@@ -105,6 +107,7 @@
     this.arrived = metrics.meter("calls.arrived");
     this.answered = metrics.meter("calls.answered");
     this.lost = metrics.meter("calls.lost");
+    this.latency = metrics.histogram("calls.millis");
   }
 
   /** Begins the periodic work. */
@@ -178,14 +181,15 @@
   public void request(CallerConnection c, FullHttpRequest request) {
     arrived.mark();
     HttpHeaders h = request.headers();
-    LiveCall call = new LiveCall(++numbers, c, request, number(h.get(headers.lastEvent()), -1));
+    long now = clock.getAsLong();
+    LiveCall call =
+        new LiveCall(++numbers, c, request, number(h.get(headers.lastEvent()), -1), now);
     calls.put(call.number, call);
     c.carry(call);
     if (closingDown) {
       reject(call, Rejection.NOT_READY, 0);
       return;
     }
-    long now = clock.getAsLong();
     decider.observe(now, System.currentTimeMillis());
     apply(decider.arrive(now, describe(call)));
   }
@@ -339,6 +343,7 @@
       return;
     }
     answered.mark();
+    latency.update(clock.getAsLong() - call.arrived);
     call.exchange = null;
     if (call.begun) {
       forget(call);
--- a/entry/src/main/java/org/cornelchute/entry/direct/LiveCall.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/LiveCall.java
@@ -14,6 +14,7 @@
   final CallerConnection caller;
   final FullHttpRequest request;
   final EventCursor events;
+  final long arrived;
   WireExchange exchange;
   int attempt;
   HttpResponse head;
@@ -25,10 +26,12 @@
   /** Whether the caller has the beginning of the answer. */
   boolean begun;
 
-  LiveCall(long number, CallerConnection caller, FullHttpRequest request, long lastEvent) {
+  LiveCall(
+      long number, CallerConnection caller, FullHttpRequest request, long lastEvent, long now) {
     this.number = number;
     this.caller = caller;
     this.request = request;
+    this.arrived = now;
     this.events = new EventCursor(lastEvent);
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -411,7 +411,11 @@
             c.workspace == null ? "" : c.workspace.name(),
             expected,
             c.lastEvent));
-    log(effects, "route", c, "load=" + round(e.load(now)) + " allowed=" + choice.allowed());
+    log(
+        effects,
+        "route",
+        c,
+        "load=" + round(e.load(now, book.entries())) + " allowed=" + choice.allowed());
   }
 
   private void refusedByEndpoint(long now, List<CallEffect> effects, Call c, AnswerHead head) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -6,8 +6,11 @@
   /** Span in which calls to a cold endpoint are counted: longer than its limit's second. */
   private static final long COLD_SPAN_MILLIS = 1_150;
 
-  /** Time in which what others were seen to run there has gone down to a third. */
-  private static final double FOREIGN_FADE_MILLIS = 2_500;
+  /** Age of the last sight of an endpoint's load beyond which it says little. */
+  private static final double SIGHT_FADE_MILLIS = 800;
+
+  /** How much of its own load an entry takes each other entry to have put on an endpoint unseen. */
+  private static final double UNSEEN_SHARE = 0.6;
 
   final RateWindow sent = new RateWindow(COLD_SPAN_MILLIS);
   EndpointSpec spec;
@@ -26,7 +29,8 @@
 
   long changingUntil;
   private double foreign;
-  private long foreignAt;
+  private int ownAtSight;
+  private long sightAt = Long.MIN_VALUE / 4;
 
   Endpoint(EndpointSpec spec) {
     this.spec = spec;
@@ -35,15 +39,26 @@
 
   /** Takes what the endpoint said of its load in an answer to a call of this entry. */
   void sample(long now, int running, int waiting) {
-    double others = Math.max(0, running + waiting - own);
-    foreign = others;
-    foreignAt = now;
+    foreign = Math.max(0, running + waiting - own);
+    ownAtSight = own;
+    sightAt = now;
   }
 
-  /** Returns the calls that run or wait there, as far as is known. */
-  double load(long now) {
-    double age = Math.max(0, now - foreignAt);
-    return own + foreign * Math.exp(-age / FOREIGN_FADE_MILLIS);
+  /**
+   * Estimates the calls that run or wait there.
+   *
+   * <p>What others have there is what was last seen, moved by as much as the own load has moved
+   * since, as other entries see the same and do the same. As that sight ages it gives way to the
+   * own load times the number of others: six entries that all find a new endpoint empty would
+   * otherwise fill it six times over.
+   *
+   * @param entries entries that send to it
+   */
+  double load(long now, int entries) {
+    double unseen = own * UNSEEN_SHARE * (entries - 1);
+    double seen = Math.max(0, foreign + own - ownAtSight);
+    double trust = Math.exp(-(now - sightAt) / SIGHT_FADE_MILLIS);
+    return own + trust * seen + (1 - trust) * unseen;
   }
 
   /** Returns whether its engine finishes what runs, to load other weights then. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointBook.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointBook.java
@@ -174,7 +174,7 @@
       if (passed || e.isCold(now) && !coldRoom(now, e, need)) {
         continue;
       }
-      double load = e.load(now);
+      double load = e.load(now, entries.size());
       double score = load / e.spec.slots() + penalty(e);
       if (load < need.limitPerSlot() * e.spec.slots() && score < least) {
         least = score;
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -15,6 +15,9 @@
  */
 public final class LoadDecider {
 
+  /** Time after which a staging without result is given up. */
+  private static final long STAGING_MILLIS = 8_000;
+
   private final LoadOptions options;
   private final TreeMap<Long, Long> namedAt = new TreeMap<>();
   private final TreeMap<Long, Long> wholeAt = new TreeMap<>();
@@ -24,6 +27,7 @@
   private long stepVersion;
   private long stepBorn;
   private long stagings;
+  private long stagedAt;
   private long notBefore;
 
   /** Creates a decider that knows neither engine nor version. */
@@ -72,7 +76,8 @@
   public List<LoadEffect> reported(long now, Engine seen) {
     boolean restarted = seen.born() != engine.born();
     engine = seen;
-    if (restarted && step != Step.IDLE) {
+    boolean stuck = step == Step.STAGING && now - stagedAt >= STAGING_MILLIS;
+    if ((restarted || stuck) && step != Step.IDLE) {
       step = Step.IDLE;
     }
     if (step == Step.LOADING && !seen.busy()) {
@@ -125,6 +130,7 @@
       effects.add(new LoadEffect.Announce(version));
     }
     stagings++;
+    stagedAt = now;
     effects.add(new LoadEffect.Stage(version, stagings));
     log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - learntAt(version)));
     return effects;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -302,6 +302,31 @@
       assertThat(dispatch(freed).call()).isEqualTo(f.last());
     }
 
+    @Test
+    void doesNotFillNewEndpointsSeveralTimesOver() {
+      // Pattern: engines come back from a change of weights one by one, and all entries see it.
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      f.decider.entries(List.of("e1", "e2", "e3", "e4", "e5", "e6"));
+      int sent = 0;
+      for (int i = 0; i < 16; i++) {
+        sent += find(f.call("/s/"), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
+      }
+      assertThat(6 * sent).isBetween(16, 32);
+    }
+
+    @Test
+    void usesAnEndpointToItsLimitOnceItsLoadWasSeen() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      f.decider.entries(List.of("e1", "e2", "e3", "e4", "e5", "e6"));
+      CallEffect.Dispatch d = dispatch(f.call("/s/"));
+      f.decider.head(f.now, d.call(), 1, new AnswerHead(200, false, false, 1, 1, 0));
+      int sent = 1;
+      for (int i = 0; i < 16; i++) {
+        sent += find(f.call("/s/"), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
+      }
+      assertThat(sent).isBetween(8, 16);
+    }
+
     @Test
     void refusesWaitingCallsBeforeTheyComeLate() {
       Fixture f = new Fixture().known(engine("a", "d1", 1));
