Keep in the store when a version was first seen, for entries that start later

Ruled out: taking every version found at the start as due, since that refuses calls for seconds after each restart; it is done only where nobody kept the time (test requiresVersionsOfUnknownAgeSoon).

--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -29,7 +29,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(LoadDuty.class);
   private static final long FIRST_VERSION = 1;
   private static final long REPORT_MILLIS = 250;
-  private static final long CALM_REPORT_MILLIS = 500;
+  private static final long CALM_REPORT_MILLIS = 700;
   private static final long MANIFEST_RETRY_MILLIS = 250;
 
   /** Chunks on their way to or from the engine's store at once. */
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -214,8 +214,13 @@
   }
 
   @Override
-  public void versionNamed(String model, long version) {
-    decider.versionNamed(clock.getAsLong(), model, version);
+  public void versionNamed(String model, long version, long ageMillis) {
+    long now = clock.getAsLong();
+    if (ageMillis == UNKNOWN_AGE) {
+      decider.versionFound(now, model, version);
+    } else {
+      decider.versionNamed(now - ageMillis, model, version);
+    }
   }
 
   @Override
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingViews.java
@@ -9,14 +9,21 @@
 /** Receives what the platform's table service says; every call comes on the event loop. */
 public interface ServingViews {
 
+  /** Age of a version of which nobody kept when it was named. */
+  long UNKNOWN_AGE = -1;
+
   /** Takes the newest configuration. */
   void configured(ServingConfig config);
 
   /** Takes the failure domains that are out of service. */
   void evacuated(Set<String> domains);
 
-  /** Takes a version of a model's weights that operators named. */
-  void versionNamed(String model, long version);
+  /**
+   * Takes a version of a model's weights that operators named.
+   *
+   * @param ageMillis how long ago, or {@link #UNKNOWN_AGE}
+   */
+  void versionNamed(String model, long version, long ageMillis);
 
   /** Takes a confirmation of the three above, as of the time of the question. */
   void confirmed(long asked);
--- a/net/src/main/java/org/cornelchute/net/store/RowStore.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowStore.java
@@ -18,6 +18,9 @@
   void follow(
       String table, long after, long waitMillis, Consumer<Either<Failure, RowsAnswer>> answer);
 
+  /** Writes one row that does not exist yet; a row that exists is a conflict and stays. */
+  void create(String table, String key, byte[] value, Consumer<Either<Failure, Long>> answer);
+
   /** Writes one row whatever it held before. */
   void write(String table, String key, byte[] value, Consumer<Either<Failure, Long>> answer);
 }
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -37,6 +37,7 @@
   private long version = -1;
   private long backoff;
   private long lostAt;
+  private boolean seen;
   private boolean closed;
 
   /**
@@ -99,7 +100,7 @@
       changed.add(r.key());
     }
     version = answer.get().version();
-    listener.changed(asked, rows, changed);
+    tell(asked, answer.get(), changed);
     ask();
   }
 
@@ -128,7 +129,7 @@
     if (changed.isEmpty()) {
       listener.unchanged(asked);
     } else {
-      listener.changed(asked, rows, changed);
+      tell(asked, answer.get(), changed);
       if (settleMillis > 0) {
         loop.schedule(this::ask, settleMillis, TimeUnit.MILLISECONDS);
         return;
@@ -137,6 +138,12 @@
     ask();
   }
 
+  private void tell(long asked, RowsAnswer answer, Set<String> changed) {
+    boolean first = !seen;
+    seen = true;
+    listener.changed(new TableChange(asked, answer.storeMillis(), first, rows, changed));
+  }
+
   private void lost(Failure failure) {
     if (backoff == 0) {
       lostAt = clock.getAsLong();
@@ -160,14 +167,8 @@
   /** Learns of the table; called on the event loop. */
   public interface Listener {
 
-    /**
-     * Handles a change.
-     *
-     * @param asked when the question was asked that this answers
-     * @param rows the whole table, valid during the call
-     * @param changed keys that changed or are gone
-     */
-    void changed(long asked, Map<String, StoredRow> rows, Set<String> changed);
+    /** Handles a change. */
+    void changed(TableChange change);
 
     /** Handles a confirmation that nothing has changed up to {@code asked}. */
     void unchanged(long asked);
--- /dev/null
+++ b/net/src/test/java/org/cornelchute/net/wire/WireClientTest.java
@@ -0,0 +1,163 @@
+package org.cornelchute.net.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a client may conclude from an answer, late, spoilt or missing, over real sockets. */
+class WireClientTest {
+
+  private static final String ID = "x-id";
+  private static final String WHOLE = "HTTP/1.1 200 OK\r\nx-id: %s\r\nContent-Length: 2\r\n\r\nok";
+
+  private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> replies = new LinkedBlockingQueue<>();
+  private MultiThreadIoEventLoopGroup group;
+  private WireClient client;
+  private ServerSocket server;
+
+  @BeforeEach
+  void open() throws IOException {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    client = new WireClient(group, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    Thread t = new Thread(this::serve);
+    t.setDaemon(true);
+    t.start();
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void saysThatNothingWasSentWhereNoConnectionIsMade() throws Exception {
+    server.close();
+    assertThat(send("a")).startsWith("failed sent=false");
+  }
+
+  @Test
+  void saysThatBytesMayHaveLeftWhereTheConnectionEndsWithoutAnswer() throws Exception {
+    replies.add("close");
+    assertThat(send("a")).startsWith("failed sent=true");
+  }
+
+  @Test
+  void passesOverTheAnswerOfAnEarlierRequest() throws Exception {
+    replies.add(String.format(WHOLE, "a") + String.format(WHOLE, "b"));
+    assertThat(send("b")).isEqualTo("end ok");
+  }
+
+  @Test
+  void doesNotUseConnectionsOnWhichBytesCameUnasked() throws Exception {
+    replies.add(String.format(WHOLE, "a") + String.format(WHOLE, "a"));
+    assertThat(send("a")).isEqualTo("end ok");
+    replies.add(String.format(WHOLE, "c"));
+    assertThat(send("c")).isEqualTo("end ok");
+  }
+
+  @Test
+  void takesTruncatedAnswersForFailures() throws Exception {
+    replies.add("HTTP/1.1 200 OK\r\nx-id: a\r\nContent-Length: 9\r\n\r\nokclose");
+    assertThat(send("a")).startsWith("failed sent=true");
+  }
+
+  @Test
+  void takesAnswersThatAreNotHttpForFailures() throws Exception {
+    replies.add("garbage garbage\r\n\r\n");
+    assertThat(send("a")).startsWith("failed sent=true");
+  }
+
+  @Test
+  void readsAnswersThatEndWithTheirConnection() throws Exception {
+    replies.add("HTTP/1.1 200 OK\r\nx-id: a\r\n\r\nokclose");
+    assertThat(send("a")).isEqualTo("end ok");
+  }
+
+  private String send(String id) throws InterruptedException {
+    FullHttpRequest q = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+    q.headers().set(ID, id);
+    String address = "127.0.0.1:" + server.getLocalPort();
+    group.execute(
+        () -> client.send(new WireRequest(address, q, ID, 4, 1_000, 10_000), new Recorder()));
+    return results.poll(5, TimeUnit.SECONDS);
+  }
+
+  /** Answers each request with the next reply; one that ends in "close" closes the connection. */
+  private void serve() {
+    while (!server.isClosed()) {
+      try {
+        Socket s = server.accept();
+        Thread t = new Thread(() -> answer(s));
+        t.setDaemon(true);
+        t.start();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void answer(Socket socket) {
+    try (Socket s = socket) {
+      InputStream in = s.getInputStream();
+      int newlines = 0;
+      for (int b = in.read(); b >= 0; b = in.read()) {
+        newlines = b == '\n' ? newlines + 1 : b == '\r' ? newlines : 0;
+        if (newlines == 2) {
+          String reply = replies.take();
+          boolean close = reply.endsWith("close");
+          String text = close ? reply.substring(0, reply.length() - "close".length()) : reply;
+          s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+          if (close) {
+            return;
+          }
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      results.add("server " + e);
+    }
+  }
+
+  private final class Recorder implements WireListener {
+    private final StringBuilder body = new StringBuilder();
+
+    @Override
+    public void head(HttpResponse head) {}
+
+    @Override
+    public void content(ByteBuf bytes) {
+      body.append(bytes.toString(StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void end() {
+      results.add("end " + body);
+    }
+
+    @Override
+    public void failed(boolean sent, String reason) {
+      results.add("failed sent=" + sent + " " + reason);
+    }
+  }
+}
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -44,6 +44,9 @@
   private static final int MULTIPLE = 300;
   private static final int SERVER_ERROR = 500;
 
+  /** Time until a version of unknown age is required. */
+  private static final long UNKNOWN_AGE_MILLIS = 2_000;
+
   /** Load per slot up to which endpoints take calls that can still be answered in time. */
   private static final double FULL = 1.0;
 
@@ -132,6 +135,14 @@
     versions.named(learnt, model, version);
   }
 
+  /**
+   * Takes a version that was named nobody knows when: it is required as soon as the process can be
+   * held to account, rather than too late.
+   */
+  public void versionFound(long now, String model, long version) {
+    versions.named(now - options.versionGraceMillis() + UNKNOWN_AGE_MILLIS, model, version);
+  }
+
   /** Takes the hosts whose engines change over to other weights, with the version to come. */
   public void changing(long now, Map<String, Long> versionByHost) {
     book.changing(now, versionByHost);
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -240,6 +240,16 @@
       assertThat(dispatch(swept).endpoint().id()).isEqualTo("b");
     }
 
+    @Test
+    void requiresVersionsOfUnknownAgeSoon() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      f.decider.versionFound(f.now, "m", 2);
+      assertThat(find(f.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      f.now += 2_000;
+      f.decider.confirmed(f.now);
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+    }
+
     @Test
     void keepsAwayFromEnginesThatChangeOver() {
       Fixture f = new Fixture().known(engine("a", "d1", 1));
