--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -503,6 +503,7 @@
               head.status().code(),
               h.contains(headers.notRun()),
               head.status().code() == MISDIRECTED,
+              h.contains(headers.signature()),
               number(h.get(headers.version()), 0),
               told ? (int) number(parts[0], 0) : -1,
               told ? (int) number(parts[1], 0) : 0);
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallHeaders.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallHeaders.java
@@ -13,6 +13,7 @@
  * @param lengthHint estimate of the answer's tokens
  * @param lastEvent last event that the caller has
  * @param notRun says that the endpoint did not run the call
+ * @param signature what an endpoint signs its answers with
  * @param version version of the weights that answer
  * @param load running and waiting calls and slots, with commas between
  */
@@ -27,5 +28,6 @@
     String lengthHint,
     String lastEvent,
     String notRun,
+    String signature,
     String version,
     String load) {}
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -232,6 +232,10 @@
     } else if (head.status() >= SERVER_ERROR && !c.streaming && mayRepeat(now, c)) {
       effects.add(new CallEffect.Abort(number, attempt));
       again(now, effects, c, "endpoint answered " + head.status());
+    } else if (head.status() >= OK && head.status() < MULTIPLE && !head.signed()) {
+      effects.add(new CallEffect.Abort(number, attempt));
+      c.mayHaveRun = true;
+      lost(now, effects, c, "a success without signature");
     } else if (head.status() >= OK && head.status() < MULTIPLE) {
       if (c.route.kind() == WorkKind.STREAM) {
         c.streaming = true;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -143,6 +143,17 @@
       assertThat(budget.spend(14_100, "plain", 4)).isTrue();
     }
 
+    @Test
+    void takesSuccessesWithoutSignatureForLost() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch o = dispatch(f.call("/o/"));
+      AnswerHead unsigned = new AnswerHead(200, false, false, false, 0, -1, 0);
+      assertThat(rejection(f.decider.head(f.now, o.call(), 1, unsigned)))
+          .isEqualTo(Rejection.ANSWER_LOST);
+      CallEffect.Dispatch c = dispatch(f.call("/c/"));
+      assertThat(dispatch(f.decider.head(f.now, c.call(), 1, unsigned)).attempt()).isEqualTo(2);
+    }
+
     @Test
     void usesAnEndpointThatJustFailedWhereThereIsNoOther() {
       Fixture f = new Fixture().known(plain("p1"));
@@ -162,7 +173,7 @@
           new Fixture().known(engine("a", "d1", 2), engine("b", "d1", 2), engine("c", "d1", 3));
       CallEffect.Dispatch d = dispatch(f.call("/s/"));
       long version = d.endpoint().version();
-      f.decider.head(f.now, d.call(), 1, new AnswerHead(200, false, false, version, -1, 0));
+      f.decider.head(f.now, d.call(), 1, new AnswerHead(200, false, false, true, version, -1, 0));
       f.decider.progress(f.now, d.call(), 1, 4);
       List<CallEffect> lost = f.decider.failed(f.now, d.call(), 1, true, "reset");
       if (version == 3) {
@@ -329,7 +340,7 @@
       Fixture f = new Fixture().known(engine("a", "d1", 1));
       f.decider.entries(List.of("e1", "e2", "e3", "e4", "e5", "e6"));
       CallEffect.Dispatch d = dispatch(f.call("/s/"));
-      f.decider.head(f.now, d.call(), 1, new AnswerHead(200, false, false, 1, 1, 0));
+      f.decider.head(f.now, d.call(), 1, new AnswerHead(200, false, false, true, 1, 1, 0));
       int sent = 1;
       for (int i = 0; i < 16; i++) {
         sent += find(f.call("/s/"), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
--- a/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -100,11 +100,11 @@
   }
 
   static AnswerHead head(int status) {
-    return new AnswerHead(status, false, false, 0, -1, 0);
+    return new AnswerHead(status, false, false, true, 0, -1, 0);
   }
 
   static AnswerHead notRun() {
-    return new AnswerHead(503, true, false, 0, -1, 0);
+    return new AnswerHead(503, true, false, false, 0, -1, 0);
   }
 
   static <T extends CallEffect> Optional<T> find(List<CallEffect> effects, Class<T> type) {
