--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -111,7 +111,7 @@
         LOG.info("stop ends open={} ms={}", open, spent);
         return open == 0;
       }
-      if (!refusing && spent >= settings.stopMillis() - FINISH_MILLIS) {
+      if (!refusing && spent >= settings.stopMillis() - finishMillis()) {
         refusing = true;
         ask(
             () -> {
@@ -128,6 +128,11 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
+  /** Returns how long before its end the process takes no new calls: not all of a short stop. */
+  private long finishMillis() {
+    return Math.min(FINISH_MILLIS, settings.stopMillis() / 2);
+  }
+
   private static CallOptions options(DirectSettings s) {
     return new CallOptions(
         s.name(),
--- /dev/null
+++ b/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
@@ -0,0 +1,219 @@
+package org.cornelchute.entry.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.RouteSpec;
+import org.cornelchute.policy.forward.ServiceSpec;
+import org.cornelchute.policy.forward.ServingConfig;
+import org.cornelchute.policy.forward.WorkKind;
+import org.cornelchute.policy.forward.WorkspaceSpec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** An entry as a caller meets it, over real sockets, before endpoints that this test plays. */
+class DirectEntryDaemonTest {
+
+  private static final CallHeaders HEADERS =
+      new CallHeaders(
+          "x-id",
+          "x-left",
+          "x-instance",
+          "x-weights",
+          "x-workspace",
+          "x-rank",
+          "x-tokens",
+          "x-hint",
+          "last-event-id",
+          "x-not-run",
+          "x-signature",
+          "x-version",
+          "x-load");
+  private static final String SERVICE = "s";
+
+  private final List<String> seen = Collections.synchronizedList(new ArrayList<>());
+  private final HttpClient caller =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private HttpServer good;
+  private HttpServer full;
+  private DirectEntryDaemon entry;
+  private String address;
+  private String readiness;
+
+  @BeforeEach
+  void start() throws IOException {
+    good = endpoint(this::answer);
+    full = endpoint(this::refuse);
+    address = freeAddress();
+    readiness = freeAddress();
+    DirectSettings d = DirectSettings.DEFAULTS;
+    DirectSettings settings =
+        new DirectSettings(
+            "e1",
+            "d1",
+            Map.of("d1", "r1"),
+            address,
+            readiness,
+            freeAddress(),
+            "127.0.0.1:1",
+            d.keyAgeMillis(),
+            d.configMillis(),
+            d.versionMillis(),
+            d.retryRatio(),
+            d.retryAllowance(),
+            d.retryWindowSeconds(),
+            d.coldOverrun(),
+            d.coldAllowance(),
+            8);
+    entry =
+        new DirectEntryDaemon(
+            settings,
+            HEADERS,
+            (loop, client, clock, views) -> {
+              views.configured(config());
+              views.evacuated(Set.of());
+              views.listed(List.of(spec("good", good), spec("full", full)));
+              views.confirmed(clock.getAsLong());
+            },
+            1);
+    entry.start();
+  }
+
+  @AfterEach
+  void stop() {
+    entry.close();
+    good.stop(0);
+    full.stop(0);
+  }
+
+  @Test
+  void passesWholeAnswersOnAndHidesTheKeyFromEndpoints() throws Exception {
+    for (int i = 0; i < 6; i++) {
+      HttpResponse<String> r = call("/order/x?y=1", "key", "body");
+      assertThat(r.statusCode()).isEqualTo(200);
+      assertThat(r.body()).isEqualTo("done body");
+      assertThat(r.headers().firstValue("x-signature")).contains("signed");
+    }
+    assertThat(seen).allMatch(s -> s.equals("POST /order/x?y=1 workspace=w key=null"));
+  }
+
+  @Test
+  void refusesUnknownRoutesAndKeys() throws Exception {
+    assertThat(call("/other/", "key", "").statusCode()).isEqualTo(404);
+    assertThat(call("/order/", "wrong", "").statusCode()).isEqualTo(401);
+    assertThat(seen).isEmpty();
+  }
+
+  @Test
+  void saysWhetherItIsReady() throws Exception {
+    HttpRequest q = HttpRequest.newBuilder(URI.create("http://" + readiness + "/")).build();
+    assertThat(caller.send(q, BodyHandlers.discarding()).statusCode()).isEqualTo(200);
+    Thread leaving = new Thread(entry::leave);
+    leaving.start();
+    Thread.sleep(200);
+    assertThat(caller.send(q, BodyHandlers.discarding()).statusCode()).isEqualTo(503);
+    HttpResponse<String> last = call("/order/", "key", "");
+    assertThat(last.statusCode()).isEqualTo(200);
+    assertThat(last.headers().firstValue("connection")).contains("close");
+    leaving.join();
+  }
+
+  private HttpResponse<String> call(String path, String key, String body) throws Exception {
+    return caller.send(
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .header("x-id", "id-" + System.nanoTime())
+            .header("Authorization", "Bearer " + key)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build(),
+        BodyHandlers.ofString());
+  }
+
+  private static ServingConfig config() {
+    RouteSpec route =
+        new RouteSpec(
+            "r",
+            "127.0.0.1",
+            "/order/",
+            WorkKind.NON_IDEMPOTENT,
+            false,
+            2_000,
+            500,
+            1,
+            2,
+            false,
+            List.of(),
+            List.of(new RouteSpec.ServiceShare(SERVICE, 1)));
+    return new ServingConfig(
+        1,
+        List.of(route),
+        List.of(new ServiceSpec(SERVICE, 32, 0, 0, Optional.empty())),
+        true,
+        Map.of("key", new WorkspaceSpec("w", 1, List.of())),
+        ServingConfig.CallerLimits.DEFAULTS);
+  }
+
+  private static EndpointSpec spec(String id, HttpServer s) {
+    String at = "127.0.0.1:" + s.getAddress().getPort();
+    return new EndpointSpec(id, SERVICE, at, "d1", "r1", 8, false, 0, 1, "", 0);
+  }
+
+  private void answer(HttpExchange x) throws IOException {
+    final byte[] body = x.getRequestBody().readAllBytes();
+    seen.add(
+        x.getRequestMethod()
+            + " "
+            + x.getRequestURI()
+            + " workspace="
+            + x.getRequestHeaders().getFirst("x-workspace")
+            + " key="
+            + x.getRequestHeaders().getFirst("Authorization"));
+    x.getResponseHeaders().set("x-id", x.getRequestHeaders().getFirst("x-id"));
+    x.getResponseHeaders().set("x-signature", "signed");
+    byte[] text = ("done " + new String(body, StandardCharsets.UTF_8)).getBytes();
+    x.sendResponseHeaders(200, text.length);
+    x.getResponseBody().write(text);
+    x.close();
+  }
+
+  private void refuse(HttpExchange x) throws IOException {
+    x.getRequestBody().readAllBytes();
+    x.getResponseHeaders().set("x-id", x.getRequestHeaders().getFirst("x-id"));
+    x.getResponseHeaders().set("x-not-run", "1");
+    x.sendResponseHeaders(503, -1);
+    x.close();
+  }
+
+  private static HttpServer endpoint(HttpHandler handler) throws IOException {
+    HttpServer s =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16);
+    s.createContext("/", handler);
+    s.start();
+    return s;
+  }
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + s.getLocalPort();
+    }
+  }
+}
