Fetch versions named in quick succession one after the other

Ruled out: dropping the first, since it must be in force in its own time and the gap is then as long. Test: fetchesVersionsNamedInQuickSuccessionOneAfterTheOther.

--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -41,6 +41,7 @@
   private static final long TIMEOUT_MILLIS = 3_000;
   private static final long TURN_GAP_MILLIS = 250;
   private static final long PAUSE_MILLIS = 200;
+  private static final long DEFER_MILLIS = 2_500;
 
   /** Part of the time to be everywhere by which the last engine begins to change over. */
   private static final double LATEST_SHARE = 0.7;
@@ -68,7 +69,7 @@
     LoadDecider decider =
         new LoadDecider(
             new LoadDecider.LoadOptions(
-                TURN_GAP_MILLIS, (long) (allowed * LATEST_SHARE), PAUSE_MILLIS));
+                TURN_GAP_MILLIS, (long) (allowed * LATEST_SHARE), PAUSE_MILLIS, DEFER_MILLIS));
     final EventLoop loop = group.next();
     this.duty = new LoadDuty(loop, platform, decider, clock, settings.name(), settings.region());
     MessageCodec codec = new MessageCodec();
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -26,6 +26,7 @@
   private Step step = Step.IDLE;
   private long stepVersion;
   private long stepBorn;
+  private long deferred;
   private long stagings;
   private long stagedAt;
   private long notBefore;
@@ -56,7 +57,8 @@
     List<LoadEffect> effects = new ArrayList<>(1);
     if (version > wanted()) {
       namedAt.put(version, now);
-      effects.add(new LoadEffect.Fetch(version));
+      deferred = version;
+      fetchDeferred(now, effects);
     }
     return effects;
   }
@@ -69,7 +71,9 @@
   /** Handles a version of which every chunk is at hand and verified. */
   public List<LoadEffect> whole(long now, long version) {
     wholeAt.putIfAbsent(version, now);
-    return next(now);
+    List<LoadEffect> effects = next(now);
+    fetchDeferred(now, effects);
+    return effects;
   }
 
   /** Takes what the engine says of itself. */
@@ -84,7 +88,9 @@
       step = Step.IDLE;
       notBefore = seen.version() == stepVersion ? 0 : now + options.pauseMillis();
     }
-    return next(now);
+    List<LoadEffect> effects = next(now);
+    fetchDeferred(now, effects);
+    return effects;
   }
 
   /** Handles the result of the staging with this number; that of an earlier one is passed over. */
@@ -114,6 +120,24 @@
     return List.of();
   }
 
+  /**
+   * Starts to fetch the newest version once the one before is whole.
+   *
+   * <p>Two versions that share a thin link both come late; one after the other, each is in time. A
+   * version that does not become whole holds the next one up for a short time only.
+   */
+  private void fetchDeferred(long now, List<LoadEffect> effects) {
+    if (deferred == 0) {
+      return;
+    }
+    Long before = namedAt.lowerKey(deferred);
+    boolean busy = before != null && !wholeAt.containsKey(before);
+    if (!busy || now - learntAt(deferred) >= options.deferMillis()) {
+      effects.add(new LoadEffect.Fetch(deferred));
+      deferred = 0;
+    }
+  }
+
   private List<LoadEffect> next(long now) {
     List<LoadEffect> effects = new ArrayList<>(2);
     if (step != Step.IDLE || !engine.reachable() || engine.busy() || wholeAt.isEmpty()) {
@@ -190,6 +214,8 @@
    * @param gapMillis time between the turns of two engines of a region
    * @param latestMillis latest turn, from the time at which a version was named
    * @param pauseMillis time before a step that failed is tried again
+   * @param deferMillis longest time that a version waits until the one before is whole
    */
-  public record LoadOptions(long gapMillis, long latestMillis, long pauseMillis) {}
+  public record LoadOptions(
+      long gapMillis, long latestMillis, long pauseMillis, long deferMillis) {}
 }
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -16,7 +16,7 @@
 
   @BeforeEach
   void create() {
-    decider = new LoadDecider(new LoadDecider.LoadOptions(250, 5_600, 200));
+    decider = new LoadDecider(new LoadDecider.LoadOptions(250, 5_600, 200, 2_500));
   }
 
   private static Engine engine(long version, boolean busy, long sequence) {
@@ -88,6 +88,17 @@
     assertThat(decider.isOpen(2)).isFalse();
   }
 
+  @Test
+  void fetchesVersionsNamedInQuickSuccessionOneAfterTheOther() {
+    // Pattern: two versions named 3 s apart, each to be in force in 8 s over links for one in 4 s.
+    assertThat(decider.named(now, 2)).contains(new LoadEffect.Fetch(2));
+    assertThat(decider.named(now + 3_000, 3)).isEmpty();
+    assertThat(decider.whole(now + 5_000, 2)).contains(new LoadEffect.Fetch(3));
+    assertThat(decider.named(now + 6_000, 4)).isEmpty();
+    assertThat(decider.reported(now + 8_400, Engine.UNREACHABLE)).isEmpty();
+    assertThat(decider.reported(now + 8_500, Engine.UNREACHABLE)).contains(new LoadEffect.Fetch(4));
+  }
+
   @Test
   void learnsFromTheReportWhatBecameOfAnOrderWithoutAnswer() {
     decider.named(now, 2);
