--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -140,10 +140,7 @@
     versions.named(learnt, model, version);
   }
 
-  /**
-   * Takes a version that was named nobody knows when: it is required as soon as the process can be
-   * held to account, rather than too late.
-   */
+  /** Takes a version of unknown age: it is required after a short time rather than too late. */
   public void versionFound(long now, String model, long version) {
     versions.named(now - options.versionGraceMillis() + UNKNOWN_AGE_MILLIS, model, version);
   }
