Send nothing for callers that left while the entry stood still

Such requests now wait 20 ms, in which the ends are read. Ruled out: closing while a connection is being made (sends nothing).

--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -32,6 +32,8 @@
 import org.cornelchute.policy.weights.SwarmDecider;
 import org.cornelchute.policy.weights.SwarmEffect;
 import org.cornelchute.policy.weights.SwarmOptions;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
@@ -44,10 +46,12 @@
  */
 public final class WeightsDuty implements Service {
 
+  private static final Logger LOG = LoggerFactory.getLogger(WeightsDuty.class);
   private static final int RING = 1 << 14;
   private static final long TICK_MILLIS = 50;
   private static final int SPOILT_BEFORE_DOUBT = 3;
   private static final int VERSIONS_KEPT = 2;
+  private static final long PROGRESS_MILLIS = 1_000;
 
   private final Place place;
   private final ChunkSource origin;
@@ -69,6 +73,7 @@
   private Collection<Member> members = List.of();
   private Set<String> assigned = Set.of();
   private String newest = "";
+  private long progressLogged;
 
   /**
    * Creates a duty; {@link #start()} starts its thread.
@@ -248,7 +253,13 @@
   }
 
   private void tick() {
+    long now = clock.getAsLong();
+    boolean due = now - progressLogged >= PROGRESS_MILLIS;
     for (HeldVersion v : new ArrayList<>(versions.values())) {
+      if (due && !v.swarm.isComplete()) {
+        progressLogged = now;
+        LOG.info("weights under way version={} {}", v.manifest.version(), v.swarm.progress(now));
+      }
       execute(v, v.swarm.tick(clock.getAsLong()));
       heldChunks = v.swarm.held();
       allChunks = v.chunks.length;
--- a/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.LongSupplier;
 import org.cornelchute.net.wire.WireClient;
+import org.cornelchute.policy.forward.EngineChange;
 
 /** What an agent meets outside; implemented where the platform's formats are known. */
 public interface AgentPlatform {
@@ -16,12 +17,6 @@
   /** Returns the origin of weights. */
   WeightOrigin origin();
 
-  /**
-   * Tells the entries how the engine beside changes over.
-   *
-   * @param born start of the engine's incarnation in milliseconds since the epoch
-   * @param changingTo version that it is about to load, or has loaded
-   * @param loaded version that it holds, 0 if none
-   */
-  void announce(long born, long changingTo, long loaded);
+  /** Tells the entries how the engine beside changes over. */
+  void announce(EngineChange change);
 }
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -15,6 +15,7 @@
 import org.cornelchute.core.log.DecisionLog;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.forward.EngineChange;
 import org.cornelchute.policy.util.Rendezvous;
 import org.cornelchute.policy.weights.LoadDecider;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
@@ -135,9 +136,9 @@
       if (e instanceof LoadEffect.Fetch f) {
         fetchManifest(f.version());
       } else if (e instanceof LoadEffect.Announce a) {
-        platform.announce(decider.engine().born(), a.version(), decider.engine().version());
+        announce(a.version());
       } else if (e instanceof LoadEffect.Loaded l) {
-        platform.announce(decider.engine().born(), l.version(), l.version());
+        announce(l.version());
       } else if (e instanceof LoadEffect.Stage s) {
         stage(s);
       } else if (e instanceof LoadEffect.Order o) {
@@ -148,6 +149,12 @@
     }
   }
 
+  /** Tells entries that the engine changes over to a version, or has done so. */
+  private void announce(long version) {
+    Engine e = decider.engine();
+    platform.announce(new EngineChange(e.born(), version, e.version()));
+  }
+
   private void fetchManifest(long version) {
     if (!decider.isOpen(version)) {
       return;
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -41,6 +41,7 @@
 import org.cornelchute.policy.forward.EngineChange;
 import org.cornelchute.policy.forward.Rejection;
 import org.cornelchute.policy.forward.ServingConfig;
+import org.cornelchute.policy.forward.StallWatch;
 
 /** Carries out what the {@link CallDecider} decides: the duty that owns calls and connections. */
 final class CallDuty implements CallerConnection.Listener, ServingViews {
@@ -48,6 +49,7 @@
   private static final long SWEEP_MILLIS = 50;
   private static final long CONNECTION_CHECK_MILLIS = 1_000;
   private static final int CONNECT_MILLIS = 250;
+  private static final long BEHIND_MILLIS = 20;
   private static final long MAX_IDLE_MILLIS = 1_500;
   private static final int MISDIRECTED = 421;
   private static final String BEARER = "Bearer ";
@@ -82,6 +84,7 @@
   private final Meter lost;
   private final Histogram latency;
   private final MetricRegistry metrics;
+  private final StallWatch stalls = new StallWatch();
   private long numbers;
   private boolean leaving;
   private boolean closingDown;
@@ -195,8 +198,25 @@
       reject(call, Rejection.NOT_READY, 0);
       return;
     }
-    decider.observe(now, System.currentTimeMillis());
-    apply(decider.arrive(now, describe(call)));
+    look(now);
+    if (stalls.isBehind(now)) {
+      // Its caller may have left while the process stood still: that is read in the next turns.
+      loop.schedule(() -> arrive(call), BEHIND_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      arrive(call);
+    }
+  }
+
+  private void arrive(LiveCall call) {
+    if (calls.containsKey(call.number)) {
+      apply(decider.arrive(clock.getAsLong(), describe(call)));
+    }
+  }
+
+  private void look(long now) {
+    long wall = System.currentTimeMillis();
+    stalls.look(now, wall);
+    decider.observe(now, wall);
   }
 
   @Override
@@ -230,7 +250,7 @@
 
   @Override
   public void confirmed(long asked) {
-    decider.observe(clock.getAsLong(), System.currentTimeMillis());
+    look(clock.getAsLong());
     decider.confirmed(asked);
   }
 
@@ -462,6 +482,7 @@
   }
 
   private void sweep() {
+    look(clock.getAsLong());
     if (decider.size() > 0) {
       apply(decider.sweep(clock.getAsLong()));
     }
--- a/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
@@ -5,10 +5,12 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -21,6 +23,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.RouteSpec;
 import org.cornelchute.policy.forward.ServiceSpec;
@@ -59,6 +64,7 @@
   private DirectEntryDaemon entry;
   private String address;
   private String readiness;
+  private volatile EventLoop loop;
 
   @BeforeEach
   void start() throws IOException {
@@ -90,7 +96,8 @@
         new DirectEntryDaemon(
             settings,
             HEADERS,
-            (loop, client, clock, views) -> {
+            (own, client, clock, views) -> {
+              loop = own;
               views.configured(config());
               views.evacuated(Set.of());
               views.listed(List.of(spec("good", good), spec("full", full)));
@@ -107,6 +114,33 @@
     full.stop(0);
   }
 
+  /** Pattern: callers that gave up while the entry stood still. */
+  @Test
+  void sendsNothingForCallersThatLeftWhileTheEntryStoodStill() throws Exception {
+    call("/order/", "key", "warm");
+    seen.clear();
+    CountDownLatch blocked = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          blocked.countDown();
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(900));
+        });
+    blocked.await();
+    int colon = address.indexOf(':');
+    int port = Integer.parseInt(address.substring(colon + 1));
+    for (int i = 0; i < 5; i++) {
+      try (Socket s = new Socket(address.substring(0, colon), port)) {
+        String q =
+            "POST /order/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: left-%d\r\nx-left: 3000\r\n"
+                + "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi";
+        s.getOutputStream().write(String.format(q, i).getBytes(StandardCharsets.US_ASCII));
+      }
+    }
+    TimeUnit.MILLISECONDS.sleep(1_500);
+    assertThat(seen).isEmpty();
+    assertThat(call("/order/", "key", "again").statusCode()).isEqualTo(200);
+  }
+
   @Test
   void passesWholeAnswersOnAndHidesTheKeyFromEndpoints() throws Exception {
     for (int i = 0; i < 6; i++) {
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -122,6 +122,33 @@
     return complete;
   }
 
+  /** Returns how far the exchange has come, for the log; never null. */
+  public SwarmProgress progress(long now) {
+    int near = 0;
+    int greeted = 0;
+    int resting = 0;
+    int busy = 0;
+    for (Peer p : peers.values()) {
+      if (p.region.equals(region)) {
+        near++;
+        greeted += p.greeted ? 1 : 0;
+        resting += now < p.avoidUntil ? 1 : 0;
+        busy += p.inFlight > 0 ? 1 : 0;
+      }
+    }
+    return new SwarmProgress(
+        have.cardinality(),
+        manifest.chunks().size(),
+        seenInRegion.cardinality(),
+        asking,
+        importing,
+        uploads.size(),
+        near,
+        greeted,
+        resting,
+        busy);
+  }
+
   /** Returns the chunks waiting to be sent. */
   public int uploadsWaiting() {
     return uploads.size();
