--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -147,6 +147,11 @@
     duty.offer(() -> beginVersion(manifest));
   }
 
+  /** Fetches a version no further and forgets its chunks. */
+  public void drop(Manifest manifest) {
+    duty.offer(() -> versions.remove(manifest.digest()));
+  }
+
   /**
    * Takes the members, of which those count that want the same version.
    *
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -135,6 +135,11 @@
     for (LoadEffect e : effects) {
       if (e instanceof LoadEffect.Fetch f) {
         fetchManifest(f.version());
+      } else if (e instanceof LoadEffect.Drop d) {
+        Manifest known = manifests.remove(d.version());
+        if (known != null) {
+          weights.drop(known);
+        }
       } else if (e instanceof LoadEffect.Announce a) {
         announce(a.version());
       } else if (e instanceof LoadEffect.Loaded l) {
@@ -176,7 +181,7 @@
   }
 
   private void begin(long version, Manifest manifest) {
-    if (manifest.equals(manifests.get(version))) {
+    if (!decider.isOpen(version) || manifest.equals(manifests.get(version))) {
       return;
     }
     manifests.put(version, manifest);
--- a/net/src/main/java/org/cornelchute/net/util/ProcessGauges.java
+++ b/net/src/main/java/org/cornelchute/net/util/ProcessGauges.java
@@ -6,6 +6,7 @@
 import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.cornelchute.core.log.QueueAppender;
 
 /** Metrics of the process itself: processor time, resident memory, heap and threads. */
 public final class ProcessGauges {
@@ -18,6 +19,7 @@
   /** Registers the gauges under {@code process}. */
   public static void register(MetricRegistry metrics) {
     metrics.register("process.cpu.millis", (Gauge<Long>) ProcessGauges::cpuMillis);
+    metrics.register("log.dropped.lines", (Gauge<Long>) QueueAppender::dropped);
     metrics.register("process.resident.bytes", (Gauge<Long>) ProcessGauges::residentBytes);
     metrics.register(
         "process.heap.bytes",
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -1,8 +1,10 @@
 package org.cornelchute.policy.weights;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.cornelchute.core.log.Decision;
 
@@ -25,6 +27,7 @@
   private final LoadOptions options;
   private final TreeMap<Long, Long> namedAt = new TreeMap<>();
   private final TreeMap<Long, Long> wholeAt = new TreeMap<>();
+  private final Set<Long> dropped = new HashSet<>();
   private int place;
   private Engine engine = Engine.UNREACHABLE;
   private Step step = Step.IDLE;
@@ -47,6 +50,9 @@
 
   /** Returns whether a version may still be of use: it is wanted, or the last before that. */
   public boolean isOpen(long version) {
+    if (dropped.contains(version)) {
+      return false;
+    }
     Long newer = namedAt.higherKey(version);
     return newer == null || newer.equals(namedAt.lastKey());
   }
@@ -136,17 +142,36 @@
    * version that does not become whole holds the next one up for a short time only.
    */
   private void fetchDeferred(long now, List<LoadEffect> effects) {
+    dropUseless(now, effects);
     if (deferred == 0) {
       return;
     }
     Long before = namedAt.lowerKey(deferred);
-    boolean busy = before != null && !wholeAt.containsKey(before);
+    boolean busy = before != null && !wholeAt.containsKey(before) && !dropped.contains(before);
     if (!busy || now - learntAt(deferred) >= options.deferMillis()) {
       effects.add(new LoadEffect.Fetch(deferred));
       deferred = 0;
     }
   }
 
+  /**
+   * Gives up versions that can't be whole before calls must begin on a newer one.
+   *
+   * <p>They would take the links that the newer one needs, as after an outage of the origin.
+   */
+  private void dropUseless(long now, List<LoadEffect> effects) {
+    long newest = wanted();
+    if (newest == 0 || now < learntAt(newest) + options.latestMillis() - options.nearMillis() / 2) {
+      return;
+    }
+    for (long version : namedAt.headMap(newest).keySet()) {
+      if (!wholeAt.containsKey(version) && dropped.add(version)) {
+        effects.add(new LoadEffect.Drop(version));
+        log(effects, "drop", "version=" + version + " newest=" + newest);
+      }
+    }
+  }
+
   private List<LoadEffect> next(long now) {
     List<LoadEffect> effects = new ArrayList<>(2);
     if (step != Step.IDLE || !engine.reachable() || engine.busy() || wholeAt.isEmpty()) {
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
@@ -8,6 +8,9 @@
   /** Fetch and verify the chunks of a version. */
   record Fetch(long version) implements LoadEffect {}
 
+  /** Fetch a version no further. */
+  record Drop(long version) implements LoadEffect {}
+
   /** Tell the entries that the engine is about to change over, so that they send no more to it. */
   record Announce(long version) implements LoadEffect {}
 
--- a/policy/src/main/java/org/cornelchute/policy/weights/Peer.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/Peer.java
@@ -18,6 +18,9 @@
   /** When it was greeted without an answer so far, 0 if it was not. */
   long askedAt;
 
+  /** When it was last heard of. */
+  long heardAt;
+
   int inFlight;
   int queued;
 
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -38,7 +38,10 @@
   private static final long SLOW_MILLIS = 250;
 
   /** Time without an answer to a greeting after which an agent is taken not to run. */
-  private static final long SILENT_MILLIS = 500;
+  private static final long UNANSWERED_MILLIS = 500;
+
+  /** Time without a word after which an agent that exchanges chunks is taken to have stopped. */
+  private static final long SILENT_MILLIS = 1_000;
 
   private static final long REFUSED_MILLIS = 30;
   private static final long DOWN_MILLIS = 3_000;
@@ -233,6 +236,7 @@
     Peer p = peers.get(from);
     Request r = closeRequest(chunk, from);
     if (p != null) {
+      heard(now, p);
       p.queued = queued;
     }
     if (!valid) {
@@ -292,12 +296,8 @@
     List<SwarmEffect> effects = new ArrayList<>();
     Peer p = peers.get(id);
     if (p != null) {
-      dropRequests(id);
       uploads.removeIf(u -> u.peer.equals(id));
-      p.avoidUntil = now + DOWN_MILLIS;
-      p.down = true;
-      p.greeted = false;
-      p.held.clear();
+      lose(now, p);
       rank(now);
     }
     pump(now, effects);
@@ -319,16 +319,14 @@
         }
       }
     }
-    if (now - lastNews >= takeoverMillis()) {
-      // The only holder of a chunk may be gone: count only what is held at present.
-      seenInRegion.clear();
-      seenInRegion.or(have);
-      for (Peer p : peers.values()) {
-        if (p.region.equals(region)) {
-          seenInRegion.or(p.held);
-        }
+    for (Peer p : peers.values()) {
+      if (p.greeted && p.slow > 0 && now - p.heardAt >= SILENT_MILLIS) {
+        lose(now, p);
       }
     }
+    if (now - lastNews >= takeoverMillis()) {
+      countSeen();
+    }
     rank(now);
     List<SwarmEffect> effects = new ArrayList<>();
     greet(now, effects);
@@ -621,6 +619,28 @@
         : Rendezvous.order(manifest.digest(), regions).get(0);
   }
 
+  /** Forgets what an agent holds that is lost, or that answers no more on an open connection. */
+  private void lose(long now, Peer p) {
+    dropRequests(p.id);
+    p.avoidUntil = now + DOWN_MILLIS;
+    p.down = true;
+    p.greeted = false;
+    p.slow = 0;
+    p.held.clear();
+    countSeen();
+  }
+
+  /** Counts what the region holds at present: the only holder of a chunk may be gone. */
+  private void countSeen() {
+    seenInRegion.clear();
+    seenInRegion.or(have);
+    for (Peer p : peers.values()) {
+      if (p.region.equals(region)) {
+        seenInRegion.or(p.held);
+      }
+    }
+  }
+
   /** Notes that an agent runs: one that was taken for lost may be asked again at once. */
   private void heard(long now, Peer p) {
     if (p.down) {
@@ -628,20 +648,24 @@
       p.avoidUntil = now;
     }
     p.askedAt = 0;
+    p.heardAt = now;
   }
 
   /**
    * Orders the region's agents for imports.
    *
-   * <p>The list may hold agents that left. One that was lost, or that leaves a greeting unanswered,
-   * is passed over until it is heard of: its part would wait for it otherwise.
+   * <p>The list may hold agents that left. One that was lost, that leaves a greeting unanswered or
+   * falls silent is passed over until it is heard of: its part would wait for it otherwise. Those
+   * that hold everything import nothing.
    */
   private void rank(long now) {
     List<String> present = new ArrayList<>();
     present.add(self);
     for (Peer p : peers.values()) {
-      boolean silent = p.askedAt > 0 && now - p.askedAt >= SILENT_MILLIS;
-      if (p.region.equals(region) && !p.down && !silent) {
+      boolean unanswered = p.askedAt > 0 && now - p.askedAt >= UNANSWERED_MILLIS;
+      boolean silent = p.greeted && now - p.heardAt >= SILENT_MILLIS;
+      boolean full = p.held.cardinality() == manifest.chunks().size();
+      if (p.region.equals(region) && !p.down && !unanswered && !silent && !full) {
         present.add(p.id);
       }
     }
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import org.cornelchute.core.message.SwarmMessage;
 import org.cornelchute.core.model.Generation;
@@ -23,6 +25,7 @@
   final Map<String, Node> nodes = new TreeMap<>();
   final Manifest manifest;
   final Random random;
+  private final Set<String> dark = new HashSet<>();
   double corruptShare;
   double lossShare;
   boolean originRefuses;
@@ -87,6 +90,13 @@
     nodes.values().forEach(this::tellMembers);
   }
 
+  /** Lets an agent's machine go silent: connections to it stay open and nothing comes back. */
+  void darken(String id) {
+    Node silent = nodes.remove(id);
+    silent.dead = true;
+    dark.add(id);
+  }
+
   void kill(String id) {
     Node dead = nodes.remove(id);
     dead.dead = true;
@@ -192,6 +202,9 @@
         when,
         () -> {
           Node n = nodes.get(to);
+          if (dark.contains(to)) {
+            return;
+          }
           if (n == null) {
             long hangs = ghosts.containsKey(to) ? CONNECT_MILLIS : 0;
             at(now + hangs, () -> execute(from, from.decider.peerLost(now, to)));
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -139,6 +139,19 @@
     assertThat(stagesAt(now + 7_200, engine(1, false, 0))).isTrue();
   }
 
+  @Test
+  void dropsVersionsThatComeTooLateToBeOfUse() {
+    // Pattern: the origin is away while two versions are named 3 s apart.
+    decider.named(now, 2);
+    decider.named(now + 3_000, 3);
+    List<LoadEffect> before = decider.reported(now + 7_900, Engine.UNREACHABLE);
+    assertThat(has(before, LoadEffect.Drop.class)).isFalse();
+    assertThat(decider.reported(now + 8_000, Engine.UNREACHABLE)).contains(new LoadEffect.Drop(2));
+    assertThat(decider.isOpen(2)).isFalse();
+    assertThat(has(decider.reported(now + 8_100, Engine.UNREACHABLE), LoadEffect.Drop.class))
+        .isFalse();
+  }
+
   @Test
   void knowsWhichVersionsAreOfUse() {
     decider.named(now, 2);
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -90,6 +90,24 @@
     }
   }
 
+  /** Machines vanish without a word, and with them the only copies of some chunks in a region. */
+  @Nested
+  class WhenAgentsGoDark {
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void importsAgainWhatOnlyTheyHeld(long seed) {
+      FakeSwarm swarm =
+          new FakeSwarm(20, 3, new FakeSwarm.Links(96, 27, 41), OnThinLinks.OPTIONS, seed);
+      swarm.runUntil(3_000);
+      swarm.darken("a0");
+      swarm.darken("a1");
+      swarm.darken("a2");
+      // A second and a half to miss them, and the time to read again what they alone had.
+      assertThat(swarm.run(LIMIT_MILLIS)).isLessThanOrEqualTo(7_000);
+    }
+  }
+
   /** All agents lost power and start again within half a second of each other. */
   @Nested
   class AfterPowerReturns {
