--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -32,6 +32,10 @@
 
   private static final int MAX_STRIKES = 3;
   private static final int MAX_SLOW = 4;
+
+  /** Time without a new chunk of an importer after which others help it. */
+  private static final long HALTED_MILLIS = 400;
+
   private static final long DISTRUST_MILLIS = 5_000;
 
   /** Pause after the first request to an agent that timed out; it doubles with each further one. */
@@ -65,6 +69,7 @@
   private final BitSet seenInRegion = new BitSet();
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<Integer, List<Request>> requests = new HashMap<>();
+  private final Map<Integer, Long> progressed = new HashMap<>();
   private final Deque<Queued> uploads = new ArrayDeque<>();
   private List<String> ranking = List.of();
   private String sourceRegion;
@@ -258,6 +263,7 @@
       have.set(chunk);
       if (!seenInRegion.get(chunk)) {
         seenInRegion.set(chunk);
+        progressed.put(owner(chunk), now);
         noteNews(now);
       }
       for (Peer each : peers.values()) {
@@ -388,16 +394,18 @@
    * take the same.
    */
   private boolean takeOver(long now, List<SwarmEffect> effects) {
-    int importers = Math.min(options.importers(), ranking.size());
     Map<Integer, List<Integer>> missing = new TreeMap<>();
     for (int chunk = 0; chunk < manifest.chunks().size(); chunk++) {
       if (!have.get(chunk) && !seenInRegion.get(chunk) && !requests.containsKey(chunk)) {
-        missing.computeIfAbsent(chunk % importers, o -> new ArrayList<>()).add(chunk);
+        missing.computeIfAbsent(owner(chunk), o -> new ArrayList<>()).add(chunk);
       }
     }
     List<Integer> behind = List.of();
-    for (List<Integer> each : missing.values()) {
-      behind = each.size() > behind.size() ? each : behind;
+    for (Map.Entry<Integer, List<Integer>> e : missing.entrySet()) {
+      boolean halted = now - progressed.getOrDefault(e.getKey(), 0L) >= HALTED_MILLIS;
+      if (halted && e.getValue().size() > behind.size()) {
+        behind = e.getValue();
+      }
     }
     if (behind.size() <= options.importsInFlight()) {
       return false;
@@ -413,9 +421,12 @@
 
   /** Returns this agent's place in the order of those that may import a chunk, from 0. */
   private int rankFor(int chunk, int position) {
-    int importers = Math.min(options.importers(), ranking.size());
-    int owner = chunk % importers;
-    return Math.floorMod(position - owner, ranking.size());
+    return Math.floorMod(position - owner(chunk), ranking.size());
+  }
+
+  /** Returns which importer of the region a chunk falls to, from 0. */
+  private int owner(int chunk) {
+    return chunk % Math.max(1, Math.min(options.importers(), ranking.size()));
   }
 
   private void begin(long now, List<SwarmEffect> effects, int chunk, Peer remote) {
@@ -721,9 +732,15 @@
     if (!p.region.equals(region)) {
       return;
     }
-    int before = seenInRegion.cardinality();
-    seenInRegion.or(held);
-    if (seenInRegion.cardinality() > before) {
+    boolean news = false;
+    for (int c = held.nextSetBit(0); c >= 0; c = held.nextSetBit(c + 1)) {
+      if (!seenInRegion.get(c)) {
+        seenInRegion.set(c);
+        progressed.put(owner(c), now);
+        news = true;
+      }
+    }
+    if (news) {
       noteNews(now);
     }
   }
