--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -34,7 +34,7 @@
   private static final int MAX_SLOW = 4;
 
   /** Time without a new chunk of an importer after which others help it. */
-  private static final long HALTED_MILLIS = 400;
+  private static final long HALTED_MILLIS = 300;
 
   private static final long DISTRUST_MILLIS = 5_000;
 
