--- a/policy/src/test/java/org/cornelchute/policy/forward/StallWatchTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/StallWatchTest.java
@@ -18,7 +18,7 @@
   }
 
   @Test
-  void isBehindForAMomentAfterItsLoopWasHeldUp() {
+  void isBehindForSomeTimeAfterItsLoopWasHeldUp() {
     watch.look(1_000, 5_000_000);
     watch.look(1_700, 5_000_700);
     assertThat(watch.isBehind(1_700)).isTrue();
