Send callers of an entry that is out of touch to others at once, and confirm beliefs at once

Such an entry now asks them back after 20 to 50 ms and reports not ready, unless the others say that they are out of touch as well. Second cause, found on the way: after an outage or a suspension beliefs were confirmed only at the end of a long question, up to 1.8 s (3.6 s after a suspension) later. The first question is now a short one.

--- a/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -61,8 +61,13 @@
   /** Tells what each workspace was given by one entry. */
   record Shares(String member, List<ServiceShare> shares) implements ControlMessage {}
 
-  /** Tells other entries what the sender has open; endpoints left out have no call of it. */
-  record OpenCallsReport(String from, List<OpenCalls> open) implements ControlMessage {}
+  /**
+   * Tells other entries what the sender has open; endpoints left out have no call of it.
+   *
+   * @param ageMillis how long ago the store last confirmed the sender's configuration
+   */
+  record OpenCallsReport(String from, long ageMillis, List<OpenCalls> open)
+      implements ControlMessage {}
 
   /** Asks an agent for its load, sent when an entry connects. */
   record LoadRequest() implements ControlMessage {}
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -42,10 +42,13 @@
 import org.cornelchute.policy.forward.Rejection;
 import org.cornelchute.policy.forward.ServingConfig;
 import org.cornelchute.policy.forward.StallWatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Carries out what the {@link CallDecider} decides: the duty that owns calls and connections. */
 final class CallDuty implements CallerConnection.Listener, ServingViews {
 
+  private static final Logger LOG = LoggerFactory.getLogger(CallDuty.class);
   private static final long SWEEP_MILLIS = 50;
   private static final long CONNECTION_CHECK_MILLIS = 1_000;
   private static final int CONNECT_MILLIS = 250;
@@ -76,6 +79,7 @@
   private final CallHeaders headers;
   private final LongSupplier clock;
   private final Optional<LoadSharing> sharing;
+  private final Runnable refresh;
   private final Map<Long, LiveCall> calls = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Set<String> owned;
@@ -96,6 +100,7 @@
       CallHeaders headers,
       LongSupplier clock,
       Optional<LoadSharing> sharing,
+      Runnable refresh,
       MetricRegistry metrics) {
     this.loop = loop;
     this.client = client;
@@ -103,6 +108,7 @@
     this.headers = headers;
     this.clock = clock;
     this.sharing = sharing;
+    this.refresh = refresh;
     this.metrics = metrics;
     this.owned =
         Set.of(
@@ -131,7 +137,7 @@
   // State
 
   boolean isReady() {
-    return decider.ready() && !leaving;
+    return decider.ready() && !leaving && !decider.isOutOfTouch(clock.getAsLong());
   }
 
   int size() {
@@ -216,7 +222,10 @@
   private void look(long now) {
     long wall = System.currentTimeMillis();
     stalls.look(now, wall);
-    decider.observe(now, wall);
+    if (decider.observe(now, wall)) {
+      LOG.warn("suspended, beliefs are confirmed anew");
+      refresh.run();
+    }
   }
 
   @Override
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -79,7 +79,9 @@
               new LoadSharing(
                   group.next(), group, decider, clock, settings.name(), settings.peers(), metrics));
     }
-    this.duty = new CallDuty(group.next(), client, decider, headers, clock, sharing, metrics);
+    this.duty =
+        new CallDuty(
+            group.next(), client, decider, headers, clock, sharing, views::refresh, metrics);
     metrics.register("calls.open", (Gauge<Integer>) duty::size);
     ProcessGauges.register(metrics);
   }
--- a/entry/src/main/java/org/cornelchute/entry/direct/LoadSharing.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/LoadSharing.java
@@ -98,7 +98,7 @@
     }
     unchanged = 0;
     told = now;
-    OpenCallsReport report = new OpenCallsReport(self, open);
+    OpenCallsReport report = new OpenCallsReport(self, decider.age(clock.getAsLong()), open);
     for (String a : addresses) {
       datagrams.send(a, report);
     }
@@ -106,7 +106,7 @@
 
   private void received(String address, Message message) {
     if (message instanceof OpenCallsReport r && !r.from().equals(self)) {
-      loop.execute(() -> decider.shared(clock.getAsLong(), r.from(), r.open()));
+      loop.execute(() -> decider.shared(clock.getAsLong(), r.from(), r.ageMillis(), r.open()));
     }
   }
 }
--- a/entry/src/main/java/org/cornelchute/entry/direct/ViewSource.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ViewSource.java
@@ -10,4 +10,7 @@
 
   /** Begins to feed the views; calls them on the event loop only. */
   void open(EventLoop loop, WireClient client, LongSupplier clock, ServingViews views);
+
+  /** Asks at once whether what operators wrote is still as it is believed. */
+  default void refresh() {}
 }
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -22,6 +22,7 @@
 public final class TableWatch {
 
   private static final Logger LOG = LoggerFactory.getLogger(TableWatch.class);
+  private static final long AT_ONCE_MILLIS = 1;
   private static final long FIRST_BACKOFF_MILLIS = 60;
   private static final long MAX_BACKOFF_MILLIS = 500;
 
@@ -70,6 +71,23 @@
     loop.execute(this::ask);
   }
 
+  /** Asks once, beside the long question, whether the copy is still as the store has it. */
+  public void confirm() {
+    if (version < 0 || closed) {
+      return;
+    }
+    long asked = clock.getAsLong();
+    store.follow(
+        table,
+        version,
+        AT_ONCE_MILLIS,
+        a -> {
+          if (a.isRight() && !a.get().historyLost() && a.get().rows().isEmpty()) {
+            listener.unchanged(asked);
+          }
+        });
+  }
+
   /** Asks no further questions. */
   public void close() {
     closed = true;
@@ -83,7 +101,9 @@
     if (version < 0) {
       store.read(table, a -> read(asked, a));
     } else {
-      store.follow(table, version, waitMillis, a -> followed(asked, a));
+      // After an outage the copy is confirmed at once rather than at the end of a long question.
+      long wait = backoff > 0 ? AT_ONCE_MILLIS : waitMillis;
+      store.follow(table, version, wait, a -> followed(asked, a));
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -41,6 +41,12 @@
   /** Least part of that time, so that callers that are refused together do not return together. */
   private static final double RETRY_AFTER_SPREAD = 0.6;
 
+  /** Time after which a caller is asked back that another entry may serve, and its spread. */
+  private static final long SOON_MILLIS = 20;
+
+  private static final int SOON_SPREAD_MILLIS = 30;
+
+  private static final long DAY_MILLIS = 86_400_000;
   private static final int OK = 200;
   private static final int MULTIPLE = 300;
   private static final int SERVER_ERROR = 500;
@@ -74,6 +80,7 @@
   private final CallOptions options;
   private final EndpointBook book;
   private final Freshness freshness = new Freshness();
+  private final OtherEntries others = new OtherEntries();
   private final VersionGate versions;
   private final RetryBudget budget;
   private final Random random;
@@ -161,19 +168,39 @@
     return book.openCalls();
   }
 
-  /** Takes what another entry has open. */
-  public void shared(long now, String entry, List<OpenCalls> open) {
+  /** Takes what another entry has open, and how long ago the store confirmed its configuration. */
+  public void shared(long now, String entry, long ageMillis, List<OpenCalls> open) {
+    others.heard(now, entry, ageMillis);
     book.shared(now, entry, open);
   }
 
+  /** Returns how long ago the store confirmed the configuration, at most a day. */
+  public long age(long now) {
+    return Math.min(freshness.age(now), DAY_MILLIS);
+  }
+
+  /**
+   * Returns whether new callers are better sent to other entries, since this one is out of touch
+   * with the store and they are not.
+   */
+  public boolean isOutOfTouch(long now) {
+    return config.keyed()
+        && freshness.age(now) > options.keyAgeMillis()
+        && others.maySucceed(now, options.keyAgeMillis());
+  }
+
   /** Takes a confirmation that configuration and domains are as the store has them. */
   public void confirmed(long askedAt) {
     freshness.confirm(askedAt);
   }
 
-  /** Compares the steady clock with the time of day; see {@link Freshness}. */
-  public void observe(long now, long wallMillis) {
-    freshness.observe(now, wallMillis);
+  /**
+   * Compares the steady clock with the time of day; see {@link Freshness}.
+   *
+   * @return whether beliefs must be confirmed anew
+   */
+  public boolean observe(long now, long wallMillis) {
+    return freshness.observe(now, wallMillis);
   }
 
   // Calls
@@ -183,30 +210,30 @@
     List<CallEffect> effects = new ArrayList<>(3);
     long age = freshness.age(now);
     if (!ready()) {
-      turnAway(effects, spec, Rejection.NOT_READY, "no configuration known", age);
+      turnAway(now, effects, spec, Rejection.NOT_READY, "no configuration known", age);
       return effects;
     }
     Optional<RouteSpec> route = config.findRoute(spec.host(), spec.path());
     if (route.isEmpty()) {
-      deny(effects, spec, Rejection.UNKNOWN_ROUTE, "no route takes host and path", age);
+      deny(now, effects, spec, Rejection.UNKNOWN_ROUTE, "no route takes host and path", age);
       return effects;
     }
     WorkspaceSpec workspace = null;
     if (config.keyed() && !route.get().anonymous()) {
       Optional<WorkspaceSpec> found = config.findWorkspace(spec.key());
       if (found.isEmpty()) {
-        deny(effects, spec, Rejection.UNKNOWN_KEY, "no workspace holds the key", age);
+        deny(now, effects, spec, Rejection.UNKNOWN_KEY, "no workspace holds the key", age);
         return effects;
       }
       if (age > options.keyAgeMillis()) {
-        turnAway(effects, spec, Rejection.NOT_READY, "keys are not confirmed", age);
+        turnAway(now, effects, spec, Rejection.NOT_READY, "keys are not confirmed", age);
         return effects;
       }
       workspace = found.get();
     }
     Optional<ServiceSpec> service = pickService(route.get());
     if (service.isEmpty()) {
-      turnAway(effects, spec, Rejection.NO_ENDPOINT, "the route names no known service", age);
+      turnAway(now, effects, spec, Rejection.NO_ENDPOINT, "the route names no known service", age);
       return effects;
     }
     Call c =
@@ -542,15 +569,27 @@
   }
 
   private void deny(
-      List<CallEffect> effects, CallSpec spec, Rejection rejection, String why, long age) {
+      long now,
+      List<CallEffect> effects,
+      CallSpec spec,
+      Rejection rejection,
+      String why,
+      long age) {
     boolean sure = age <= options.denialAgeMillis();
-    turnAway(effects, spec, sure ? rejection : Rejection.NOT_READY, why, age);
+    turnAway(now, effects, spec, sure ? rejection : Rejection.NOT_READY, why, age);
   }
 
   private void turnAway(
-      List<CallEffect> effects, CallSpec spec, Rejection rejection, String why, long age) {
-    effects.add(
-        new CallEffect.Reject(spec.number(), rejection, retryAfter(spec.deadlineMillis()), why));
+      long now,
+      List<CallEffect> effects,
+      CallSpec spec,
+      Rejection rejection,
+      String why,
+      long age) {
+    boolean elsewhere =
+        rejection == Rejection.NOT_READY && others.maySucceed(now, options.keyAgeMillis());
+    long retry = elsewhere ? soon() : retryAfter(spec.deadlineMillis());
+    effects.add(new CallEffect.Reject(spec.number(), rejection, retry, why));
     String reason = rejection + ": " + why + " ageMs=" + Math.min(age, Integer.MAX_VALUE);
     effects.add(
         new CallEffect.Log(
@@ -564,6 +603,11 @@
     return Math.round(most * spread);
   }
 
+  /** Returns when to ask again where another entry may serve the call: callers reach others. */
+  private long soon() {
+    return SOON_MILLIS + random.nextInt(SOON_SPREAD_MILLIS);
+  }
+
   // Helpers
 
   /** Returns how long a caller has waited already, from how much less it still waits than usual. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/Freshness.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Freshness.java
@@ -16,14 +16,20 @@
   private long asked = NEVER;
   private long offset = Long.MIN_VALUE;
 
-  /** Compares the two clocks; called before each use of a belief. */
-  void observe(long now, long wallMillis) {
+  /**
+   * Compares the two clocks; called before each use of a belief.
+   *
+   * @return whether the process was suspended, so that beliefs must be confirmed anew
+   */
+  boolean observe(long now, long wallMillis) {
     long difference = wallMillis - now;
-    if (offset != Long.MIN_VALUE && difference - offset > SUSPENSION_MILLIS) {
+    boolean suspended = offset != Long.MIN_VALUE && difference - offset > SUSPENSION_MILLIS;
+    if (suspended) {
       confirmed = NEVER;
       asked = now;
     }
     offset = difference;
+    return suspended;
   }
 
   /** Takes an answer to a question that was asked at {@code askedAt}. */
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -49,6 +49,33 @@
       assertThat(find(f.call("/c/"), CallEffect.Dispatch.class)).isPresent();
     }
 
+    private long retryAfter(List<CallEffect> effects) {
+      return find(effects, CallEffect.Reject.class).orElseThrow().retryAfterMillis();
+    }
+
+    @Test
+    void sendsCallersToOtherEntriesAtOnceWhereOnlyThisOneIsOutOfTouch() {
+      // Pattern: an entry is cut off from the store, alone or from the other entries too.
+      Fixture f = new Fixture().known(plain("p1"));
+      f.now += 4_800;
+      assertThat(retryAfter(f.call("/c/"))).isLessThan(60);
+      assertThat(f.decider.isOutOfTouch(f.now)).isTrue();
+      f.decider.shared(f.now, "e2", 300, List.of());
+      assertThat(retryAfter(f.call("/c/"))).isLessThan(60);
+      assertThat(f.decider.isOutOfTouch(f.now)).isTrue();
+    }
+
+    @Test
+    void asksCallersBackLaterWhereNoEntryIsInTouch() {
+      // Pattern: the store is away for all.
+      Fixture f = new Fixture().known(plain("p1"));
+      f.now += 4_800;
+      f.decider.shared(f.now, "e2", 4_790, List.of());
+      f.decider.shared(f.now, "e3", 4_900, List.of());
+      assertThat(retryAfter(f.call("/c/"))).isGreaterThan(1_000);
+      assertThat(f.decider.isOutOfTouch(f.now)).isFalse();
+    }
+
     @Test
     void holdsBeliefsForUnconfirmedAfterTheProcessWasSuspended() {
       Fixture f = new Fixture().known(plain("p1"));
--- a/policy/src/test/java/org/cornelchute/policy/forward/FakeEngines.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/FakeEngines.java
@@ -146,7 +146,7 @@
       for (int to = 0; to < entries.size(); to++) {
         CallDecider other = entries.get(to);
         if (to != from) {
-          at(now + WAY_MILLIS, () -> other.shared(now, name, open));
+          at(now + WAY_MILLIS, () -> other.shared(now, name, 0, open));
         }
       }
     }
