--- a/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
@@ -9,9 +9,9 @@
 
   private final Map<String, TreeMap<Long, Long>> learntByModel = new HashMap<>();
 
-  /** Takes a version that was learnt at a time. */
+  /** Takes a version that was learnt at a time; the earliest time that is heard of counts. */
   void named(long learnt, String model, long version) {
-    learntByModel.computeIfAbsent(model, m -> new TreeMap<>()).putIfAbsent(version, learnt);
+    learntByModel.computeIfAbsent(model, m -> new TreeMap<>()).merge(version, learnt, Math::min);
   }
 
   /**
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -278,6 +278,15 @@
       assertThat(dispatch(swept).endpoint().id()).isEqualTo("b");
     }
 
+    @Test
+    void countsTheTimeOfVersionsFromTheEarliestSighting() {
+      Fixture f = new Fixture().known(engine("a", "d1", 1));
+      f.decider.versionNamed(f.now, "m", 2);
+      assertThat(find(f.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      f.decider.versionNamed(f.now - 7_000, "m", 2);
+      assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+    }
+
     @Test
     void requiresVersionsOfUnknownAgeSoon() {
       Fixture f = new Fixture().known(engine("a", "d1", 1));
