--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -58,21 +58,6 @@
   private static final String BEARER = "Bearer ";
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
-  /** Headers that concern one connection only. */
-  private static final Set<String> HOP_HEADERS =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "proxy-authenticate",
-          "proxy-authorization",
-          "te",
-          "trailer",
-          "transfer-encoding",
-          "upgrade",
-          "content-length",
-          "expect");
-
   private final EventLoop loop;
   private final WireClient client;
   private final CallDecider decider;
@@ -82,7 +67,7 @@
   private final Runnable refresh;
   private final Map<Long, LiveCall> calls = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
-  private final Set<String> owned;
+  private final ForwardedHeaders forwarded;
   private final Meter arrived;
   private final Meter answered;
   private final Meter lost;
@@ -110,14 +95,7 @@
     this.sharing = sharing;
     this.refresh = refresh;
     this.metrics = metrics;
-    this.owned =
-        Set.of(
-            headers.expectedInstance(),
-            headers.expectedVersion(),
-            headers.workspace(),
-            headers.priority(),
-            headers.deadline(),
-            headers.lastEvent());
+    this.forwarded = new ForwardedHeaders(headers);
     this.arrived = metrics.meter("calls.arrived");
     this.answered = metrics.meter("calls.answered");
     this.lost = metrics.meter("calls.lost");
@@ -324,7 +302,7 @@
             DefaultHttpHeadersFactory.headersFactory().newHeaders(),
             EmptyHttpHeaders.INSTANCE);
     HttpHeaders to = q.headers();
-    copyHeaders(call.request.headers(), to, true);
+    forwarded.request(call.request.headers(), to, decider.config().keyed());
     to.set(headers.deadline(), Long.toString(d.leftMillis()));
     to.set(headers.expectedInstance(), d.endpoint().id());
     if (!d.workspace().isEmpty()) {
@@ -371,7 +349,7 @@
     if (!call.begun) {
       call.begun = true;
       HttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, call.head.status());
-      copyHeaders(call.head.headers(), r.headers(), false);
+      forwarded.answer(call.head.headers(), r.headers());
       call.caller.begin(r);
       call.caller.flush();
     }
@@ -393,7 +371,7 @@
     FullHttpResponse r =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, call.head.status(), call.body.retainedDuplicate());
-    copyHeaders(call.head.headers(), r.headers(), false);
+    forwarded.answer(call.head.headers(), r.headers());
     forget(call);
     call.caller.answer(r);
   }
@@ -461,29 +439,6 @@
         call.events.last());
   }
 
-  private void copyHeaders(HttpHeaders from, HttpHeaders to, boolean request) {
-    Set<String> named = Set.of();
-    String connection = from.get(HttpHeaderNames.CONNECTION);
-    if (connection != null) {
-      named = new HashSet<>();
-      for (String each : connection.split(",")) {
-        named.add(each.strip().toLowerCase(Locale.ROOT));
-      }
-    }
-    for (Map.Entry<String, String> e : from) {
-      String name = e.getKey().toLowerCase(Locale.ROOT);
-      boolean own = request && (owned.contains(name) || isKey(name));
-      if (!own && !HOP_HEADERS.contains(name) && !named.contains(name)) {
-        to.add(e.getKey(), e.getValue());
-      }
-    }
-  }
-
-  /** Returns whether a header carries a caller's key, which endpoints must not see. */
-  private boolean isKey(String name) {
-    return decider.config().keyed() && name.contentEquals(HttpHeaderNames.AUTHORIZATION);
-  }
-
   private void forget(LiveCall call) {
     if (calls.remove(call.number) != null) {
       call.release();
