--- /dev/null
+++ b/entry/src/test/java/org/cornelchute/entry/direct/ExplainedFailuresTest.java
@@ -0,0 +1,212 @@
+package org.cornelchute.entry.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.RouteSpec;
+import org.cornelchute.policy.forward.ServiceSpec;
+import org.cornelchute.policy.forward.ServingConfig;
+import org.cornelchute.policy.forward.WorkKind;
+import org.cornelchute.policy.forward.WorkspaceSpec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+/** The lines that docs/OPERATIONS.md names for three kinds of failure appear when they happen. */
+class ExplainedFailuresTest {
+
+  private static final long KEY_AGE_MILLIS = 2_000;
+  private static final int SLOW_MILLIS = 300;
+  private static final int TRIES = 50;
+  private static final int PAUSE_MILLIS = 20;
+
+  private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
+  private final Logger decisions = (Logger) LoggerFactory.getLogger("decisions");
+  private final HttpClient caller =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private HttpServer endpoint;
+  private DirectEntryDaemon entry;
+  private String address;
+
+  @BeforeEach
+  void start() throws IOException {
+    endpoint = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16);
+    endpoint.createContext("/", ExplainedFailuresTest::answer);
+    endpoint.start();
+    address = freeAddress();
+    DirectSettings d = DirectSettings.DEFAULTS;
+    DirectSettings settings =
+        new DirectSettings(
+            "e1",
+            "d1",
+            Map.of("d1", "r1"),
+            address,
+            freeAddress(),
+            "",
+            freeAddress(),
+            "127.0.0.1:1",
+            KEY_AGE_MILLIS,
+            d.configMillis(),
+            d.versionMillis(),
+            d.retryRatio(),
+            d.retryAllowance(),
+            d.retryWindowSeconds(),
+            d.coldOverrun(),
+            d.coldAllowance(),
+            8);
+    String at = "127.0.0.1:" + endpoint.getAddress().getPort();
+    entry =
+        new DirectEntryDaemon(
+            settings,
+            new CallHeaders(
+                "x-id",
+                "x-left",
+                "x-inst",
+                "x-weights",
+                "x-space",
+                "x-rank",
+                "x-tokens",
+                "x-hint",
+                "last-event-id",
+                "x-not-run",
+                "x-signature",
+                "x-version",
+                "x-load"),
+            (loop, client, clock, views) -> {
+              views.configured(config());
+              views.evacuated(Set.of());
+              views.listed(
+                  List.of(new EndpointSpec("i-1", "s", at, "d1", "r1", 8, false, 0, 1, "", 0)));
+              views.confirmed(clock.getAsLong());
+            },
+            1);
+    lines.start();
+    decisions.addAppender(lines);
+    entry.start();
+  }
+
+  @AfterEach
+  void stop() {
+    decisions.detachAppender(lines);
+    entry.close();
+    endpoint.stop(0);
+  }
+
+  @Test
+  void refusedAlthoughEndpointsWereFree() throws Exception {
+    TimeUnit.MILLISECONDS.sleep(KEY_AGE_MILLIS);
+    assertThat(call("refused", "/order/")).isEqualTo(503);
+    assertThat(line("refuse", "refused"))
+        .contains("NOT_READY: keys are not confirmed ageMs=")
+        .contains("rules=1");
+  }
+
+  @Test
+  void failedAfterItWasSent() throws Exception {
+    assertThat(call("lost", "/order/lost")).isEqualTo(502);
+    assertThat(line("route", "lost")).contains("choice=i-1", "attempt=1", "load=", "allowed=1");
+    assertThat(line("refuse", "lost")).contains("choice=i-1", "ANSWER_LOST: ");
+  }
+
+  @Test
+  void late() throws Exception {
+    assertThat(call("late", "/order/slow")).isEqualTo(200);
+    assertThat(line("route", "late")).contains("choice=i-1", "load=");
+    String told = line("answered", "late");
+    int ms = Integer.parseInt(told.replaceAll(".* ms=([0-9]+).*", "$1"));
+    assertThat(ms).isGreaterThanOrEqualTo(SLOW_MILLIS);
+  }
+
+  /** Finds a line of a request; it may be written just after the caller has its answer. */
+  private String line(String kind, String id) throws InterruptedException {
+    for (int i = 0; i < TRIES; i++) {
+      synchronized (lines) {
+        for (ILoggingEvent e : lines.list) {
+          if (e.getFormattedMessage().startsWith(kind + " subject=" + id + " ")) {
+            return e.getFormattedMessage();
+          }
+        }
+      }
+      TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+    }
+    return "no line " + kind + " of " + id;
+  }
+
+  private int call(String id, String path) throws Exception {
+    HttpRequest q =
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .header("x-id", id)
+            .header("Authorization", "Bearer key")
+            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+            .build();
+    return caller.send(q, BodyHandlers.discarding()).statusCode();
+  }
+
+  private static void answer(HttpExchange x) throws IOException {
+    x.getRequestBody().readAllBytes();
+    if (x.getRequestURI().getPath().endsWith("lost")) {
+      x.close();
+      return;
+    }
+    if (x.getRequestURI().getPath().endsWith("slow")) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(SLOW_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    x.getResponseHeaders().set("x-id", x.getRequestHeaders().getFirst("x-id"));
+    x.getResponseHeaders().set("x-signature", "signed");
+    x.sendResponseHeaders(200, -1);
+    x.close();
+  }
+
+  private static ServingConfig config() {
+    RouteSpec route =
+        new RouteSpec(
+            "r",
+            "127.0.0.1",
+            "/order/",
+            WorkKind.NON_IDEMPOTENT,
+            false,
+            2_000,
+            200,
+            1,
+            2,
+            false,
+            List.of(),
+            List.of(new RouteSpec.ServiceShare("s", 1)));
+    return new ServingConfig(
+        1,
+        List.of(route),
+        List.of(new ServiceSpec("s", 32, 0, 0, Optional.empty())),
+        true,
+        Map.of("key", new WorkspaceSpec("w", 1, List.of())),
+        ServingConfig.CallerLimits.DEFAULTS);
+  }
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + s.getLocalPort();
+    }
+  }
+}
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -347,6 +347,15 @@
       assertThat(rejection(f.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
     }
 
+    @Test
+    void sendsCallsElsewhereWhereAnAddressBelongsToAnotherEndpoint() {
+      Fixture f = new Fixture().known(plain("p1"), plain("p2"));
+      CallEffect.Dispatch d = dispatch(f.call("/o/"));
+      AnswerHead other = new AnswerHead(421, false, true, false, 0, -1, 0);
+      CallEffect.Dispatch second = dispatch(f.decider.head(f.now, d.call(), d.attempt(), other));
+      assertThat(second.endpoint().id()).isNotEqualTo(d.endpoint().id());
+    }
+
     @Test
     void forgetsAnEndpointThatLeftWhileTheStoreIsWell() {
       Fixture f = new Fixture().known(engine("a", "d1", 1), engine("b", "d1", 1));
