Fetch only the newest of versions that are learnt of together

Two versions were named while the store was away. At its return nine agents learnt of both and fetched the older one first, six only of the newer: two swarms on the same links, neither whole before all processes were killed 9 s later. Ruled out: refusals of entries out of touch (few after 26 s). Test failed first: LoadDeciderTest (learnt together).

--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -24,6 +24,9 @@
   /** Time after which a staging without result is given up. */
   private static final long STAGING_MILLIS = 8_000;
 
+  /** Part of the time within which versions are near that they are learnt of together. */
+  private static final int SAME_TIME_PARTS = 4;
+
   private final LoadOptions options;
   private final TreeMap<Long, Long> namedAt = new TreeMap<>();
   private final TreeMap<Long, Long> wholeAt = new TreeMap<>();
@@ -62,10 +65,20 @@
     return engine;
   }
 
-  /** Takes the version that operators named; one that is not newer is passed over. */
+  /**
+   * Takes the version that operators named; one that is not newer is passed over.
+   *
+   * <p>Versions that are learnt of at about the same time, as after an outage of the store, are not
+   * fetched one after the other: agents that learn of the last one only would be alone with it.
+   */
   public List<LoadEffect> named(long now, long version) {
     List<LoadEffect> effects = new ArrayList<>(1);
     if (version > wanted()) {
+      for (Map.Entry<Long, Long> older : namedAt.entrySet()) {
+        if (now - older.getValue() <= options.nearMillis() / SAME_TIME_PARTS) {
+          drop(older.getKey(), version, effects);
+        }
+      }
       namedAt.put(version, now);
       deferred = version;
       fetchDeferred(now, effects);
@@ -165,10 +178,14 @@
       return;
     }
     for (long version : namedAt.headMap(newest).keySet()) {
-      if (!wholeAt.containsKey(version) && dropped.add(version)) {
-        effects.add(new LoadEffect.Drop(version));
-        log(effects, "drop", "version=" + version + " newest=" + newest);
-      }
+      drop(version, newest, effects);
+    }
+  }
+
+  private void drop(long version, long newest, List<LoadEffect> effects) {
+    if (!wholeAt.containsKey(version) && dropped.add(version)) {
+      effects.add(new LoadEffect.Drop(version));
+      log(effects, "drop", "version=" + version + " newest=" + newest);
     }
   }
 
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -152,6 +152,14 @@
         .isFalse();
   }
 
+  @Test
+  void fetchesOnlyTheNewestOfVersionsLearntTogether() {
+    // Pattern: two versions are named while the store is away; agents learn of both, or of one.
+    decider.named(now, 2);
+    assertThat(decider.named(now + 300, 3))
+        .contains(new LoadEffect.Drop(2), new LoadEffect.Fetch(3));
+  }
+
   @Test
   void knowsWhichVersionsAreOfUse() {
     decider.named(now, 2);
