Take no calls later than 2.8 s after the order to stop

New calls were refused only 3.5 s before the end. Balancers send none after 2.5 s; calls on kept connections are now refused from 2.8 s on, as not run, and go to other entries. Ruled out: the endpoint breaking off (it was cut by the entry), a stop by force (the process ended by itself). Test failed first: DirectEntryDaemonTest.takesNoCallsThatMayOutlastItsStop (200 instead of 503).

--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -42,7 +42,13 @@
   /** Time that balancers need to stop sending new connections. */
   private static final long OUT_OF_ROTATION_MILLIS = 2_500;
 
-  /** Time before the end of the process in which only calls that run are finished. */
+  /**
+   * Time after the order to stop in which calls are still taken: balancers send none by then, and a
+   * stream that begins later may not end in time.
+   */
+  private static final long TAKING_MILLIS = 2_800;
+
+  /** Least time before the end of the process in which only calls that run are finished. */
   private static final long FINISH_MILLIS = 3_500;
 
   private static final long POLL_MILLIS = 50;
@@ -124,7 +130,7 @@
         LOG.info("stop ends open={} ms={}", open, spent);
         return open == 0;
       }
-      if (!refusing && spent >= settings.stopMillis() - finishMillis()) {
+      if (!refusing && spent >= Math.min(TAKING_MILLIS, settings.stopMillis() - finishMillis())) {
         refusing = true;
         ask(
             () -> {
--- a/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
@@ -55,6 +55,7 @@
           "x-version",
           "x-load");
   private static final String SERVICE = "s";
+  private static final long HOLD_MILLIS = 4_000;
 
   private final List<String> seen = Collections.synchronizedList(new ArrayList<>());
   private final HttpClient caller =
@@ -173,6 +174,31 @@
     leaving.join();
   }
 
+  /** Pattern: a caller holds on to an entry that stops, and asks for a long answer near its end. */
+  @Test
+  void takesNoCallsThatMayOutlastItsStop() throws Exception {
+    Thread held =
+        new Thread(
+            () -> {
+              try {
+                call("/order/hold", "key", "");
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    held.start();
+    TimeUnit.MILLISECONDS.sleep(200);
+    Thread leaving = new Thread(entry::leave);
+    leaving.start();
+    TimeUnit.MILLISECONDS.sleep(3_000);
+    seen.clear();
+    HttpResponse<String> late = call("/order/late", "key", "");
+    assertThat(late.statusCode()).isEqualTo(503);
+    assertThat(seen).isEmpty();
+    held.join();
+    leaving.join();
+  }
+
   private HttpResponse<String> call(String path, String key, String body) throws Exception {
     return caller.send(
         HttpRequest.newBuilder(URI.create("http://" + address + path))
@@ -191,7 +217,7 @@
             "/order/",
             WorkKind.NON_IDEMPOTENT,
             false,
-            2_000,
+            6_000,
             500,
             1,
             2,
@@ -222,6 +248,9 @@
             + x.getRequestHeaders().getFirst("x-workspace")
             + " key="
             + x.getRequestHeaders().getFirst("Authorization"));
+    if (x.getRequestURI().getPath().endsWith("hold")) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(HOLD_MILLIS));
+    }
     x.getResponseHeaders().set("x-id", x.getRequestHeaders().getFirst("x-id"));
     x.getResponseHeaders().set("x-signature", "signed");
     byte[] text = ("done " + new String(body, StandardCharsets.UTF_8)).getBytes();
