Require a weights version of unknown age until its first sighting is read

Cause: a process that starts later takes the age of a version from the table of first sightings. If that read failed, once, the version counted as new for two seconds, and before the read was answered no version was required at all. The class of fault: a read that failed or is still open is taken for a harmless default.

Now a version of unknown age counts from the last confirmation of the cached state, which did not hold it: at once after a start. Reads are retried until they succeed, and a version that no entry has stored counts as old. Calls in flight are canceled by confirmed ages only.

Two checks were wrong and are replaced by stricter ones: a version of unknown age was expected to be optional for 2 s (CallDeciderTest), and new for good when its sighting could not be read (FirstSightingsTest).

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -245,12 +245,13 @@
 
   @Override
   public void recordVersion(String model, long version, long ageMillis) {
-    long now = clockMillis.getAsLong();
-    if (ageMillis == UNKNOWN_AGE) {
-      decider.recordVersionOfUnknownAge(now, model, version);
-    } else {
-      decider.recordVersion(now - ageMillis, model, version);
-    }
+    decider.recordVersion(clockMillis.getAsLong() - ageMillis, model, version);
+  }
+
+  @Override
+  public void recordVersionOfUnknownAge(String model, long version) {
+    observeClocks(clockMillis.getAsLong());
+    decider.recordVersionOfUnknownAge(model, version);
   }
 
   @Override
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -41,6 +41,9 @@
   /** Time before that limit at which calls that have not started on older weights are canceled. */
   private static final long VERSION_CUTOFF_MARGIN_MILLIS = 400;
 
+  /** Longer than the age of any version, also of one whose age is unknown. */
+  private static final long NO_VERSION_LIMIT_MILLIS = Long.MAX_VALUE / 2;
+
   /** Share of the permitted retries that the entry uses, to stay below the limit. */
   private static final double RETRY_SAFETY_FACTOR = 0.8;
 
@@ -192,10 +195,10 @@
         settings.configMillis() + TIMING_MARGIN_MILLIS,
         settings.versionMillis() > 0
             ? settings.versionMillis() - VERSION_GRACE_MARGIN_MILLIS
-            : Long.MAX_VALUE / 4,
+            : NO_VERSION_LIMIT_MILLIS,
         settings.versionMillis() > 0
             ? settings.versionMillis() - VERSION_CUTOFF_MARGIN_MILLIS
-            : Long.MAX_VALUE / 4,
+            : NO_VERSION_LIMIT_MILLIS,
         settings.retryRatio() * RETRY_SAFETY_FACTOR,
         settings.retryAllowance() * RETRY_SAFETY_FACTOR,
         settings.retryWindowMillis(),
--- /dev/null
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -0,0 +1,211 @@
+package org.cornelchute.entry.direct;
+
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.store.Backoff;
+import org.cornelchute.net.store.RowStore;
+import org.cornelchute.net.store.RowsResponse;
+import org.cornelchute.net.store.StoredRow;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Stores the time at which an entry first saw each weights version, on the store's clock.
+ *
+ * <p>Each version must be in use within a fixed time of its assignment. A process that starts later
+ * reads the version but not its age, and a process that could not reach the store learns of the
+ * version late. The first entry that sees a version therefore stores the time for the others. Until
+ * the stored time is known, the listener is told that the age of the version is unknown; reads are
+ * retried until they succeed.
+ */
+public final class FirstSightings {
+
+  /** Table of the sightings: key {@code model/version}, value the time in milliseconds. */
+  public static final String TABLE = "sightings";
+
+  private static final Logger LOG = LoggerFactory.getLogger(FirstSightings.class);
+
+  /** Longer than any time limit on the use of new versions. */
+  private static final long AGE_WITHOUT_SIGHTING_MILLIS = TimeUnit.DAYS.toMillis(1);
+
+  private static final String SEPARATOR = "/";
+  private static final long INITIAL_VERSION = 1;
+  private static final String NUMBER_PATTERN = "[0-9]{1,18}";
+
+  private final EventLoop loop;
+  private final RowStore store;
+  private final LongSupplier clock;
+  private final ServingStateListener listener;
+  private final Backoff readBackoff;
+  private final Map<String, Long> newestVersionByModel = new HashMap<>();
+  private final Map<String, OwnSighting> ownSightingByKey = new HashMap<>();
+  private boolean reading;
+  private boolean changedWhileReading;
+
+  /**
+   * Creates an instance that knows no versions; must be used on the event loop only.
+   *
+   * @param clock steady clock in milliseconds
+   * @param seed seed of the random part of the retry delays
+   */
+  public FirstSightings(
+      EventLoop loop,
+      RowStore store,
+      LongSupplier clock,
+      long seed,
+      ServingStateListener listener) {
+    this.loop = loop;
+    this.store = store;
+    this.clock = clock;
+    this.listener = listener;
+    this.readBackoff = new Backoff(seed);
+  }
+
+  /**
+   * Handles a version of a model that operators assigned.
+   *
+   * @param initial whether the version was found by the first read of this process, which does not
+   *     show when it was assigned
+   * @param storeTimeMillis time of the read on the store's clock
+   */
+  public void onVersionAssigned(String model, long version, boolean initial, long storeTimeMillis) {
+    Long known = newestVersionByModel.get(model);
+    if (known != null && known >= version) {
+      return;
+    }
+    newestVersionByModel.put(model, version);
+    LOG.info(
+        "weights version assigned model={} version={} age not confirmed initial={}",
+        model,
+        version,
+        initial);
+    listener.recordVersionOfUnknownAge(model, version);
+    long previous = known == null ? INITIAL_VERSION : known;
+    if (version - 1 > previous) {
+      // The row of a version in between was overwritten before this process could read it.
+      listener.recordVersionOfUnknownAge(model, version - 1);
+    }
+    if (initial) {
+      read();
+      return;
+    }
+    OwnSighting own = new OwnSighting(model, version, storeTimeMillis, clock.getAsLong());
+    ownSightingByKey.put(own.key(), own);
+    create(own);
+    if (version - 1 > previous) {
+      read();
+    }
+  }
+
+  private void create(OwnSighting own) {
+    store.create(TABLE, own.key(), own.value(), result -> handleCreated(own, result));
+  }
+
+  private void handleCreated(OwnSighting own, Either<Failure, Long> result) {
+    ownSightingByKey.remove(own.key());
+    if (result.isRight()) {
+      report(own.model(), own.version(), clock.getAsLong() - own.learnedAtMillis());
+    } else if (result.getLeft().code() == Failure.Code.CONFLICT) {
+      read();
+    } else {
+      LOG.warn("first sighting not stored key={} cause={}", own.key(), result.getLeft().message());
+    }
+  }
+
+  private void read() {
+    if (reading) {
+      changedWhileReading = true;
+      return;
+    }
+    reading = true;
+    store.readTable(TABLE, this::handleRows);
+  }
+
+  private void handleRows(Either<Failure, RowsResponse> response) {
+    reading = false;
+    if (response.isLeft()) {
+      if (!readBackoff.isActive()) {
+        LOG.warn(
+            "first sightings could not be read, will retry cause={}", response.getLeft().message());
+      }
+      loop.schedule(this::read, readBackoff.onFailure(), TimeUnit.MILLISECONDS);
+      return;
+    }
+    if (readBackoff.isActive()) {
+      LOG.info("first sightings read again");
+      readBackoff.reset();
+    }
+    Set<String> storedKeys = new HashSet<>();
+    for (StoredRow row : response.get().rows()) {
+      storedKeys.add(row.key());
+      handleRow(row, response.get().storeTimeMillis());
+    }
+    reportVersionsWithoutSighting(storedKeys);
+    if (changedWhileReading) {
+      changedWhileReading = false;
+      read();
+    }
+  }
+
+  /**
+   * Reports one stored sighting. Superseded versions are reported as well: from a certain age of
+   * each version on, calls must start on that version or a newer one.
+   */
+  private void handleRow(StoredRow row, long storeTimeMillis) {
+    String value = new String(row.value(), StandardCharsets.UTF_8);
+    int separator = row.key().lastIndexOf(SEPARATOR);
+    String version = row.key().substring(separator + 1);
+    if (separator < 0 || !value.matches(NUMBER_PATTERN) || !version.matches(NUMBER_PATTERN)) {
+      LOG.warn("undecodable row ignored table={} key={}", TABLE, row.key());
+      return;
+    }
+    long seenAtMillis = Long.parseLong(value);
+    report(
+        row.key().substring(0, separator),
+        Long.parseLong(version),
+        Math.max(0, storeTimeMillis - seenAtMillis));
+  }
+
+  /**
+   * Reports versions that this process found at its start and that no entry has stored as old,
+   * since nothing limits their age.
+   */
+  private void reportVersionsWithoutSighting(Set<String> storedKeys) {
+    for (Map.Entry<String, Long> newest : newestVersionByModel.entrySet()) {
+      String key = newest.getKey() + SEPARATOR + newest.getValue();
+      if (!storedKeys.contains(key) && !ownSightingByKey.containsKey(key)) {
+        report(newest.getKey(), newest.getValue(), AGE_WITHOUT_SIGHTING_MILLIS);
+      }
+    }
+  }
+
+  private void report(String model, long version, long ageMillis) {
+    LOG.info("weights version assigned model={} version={} ageMs={}", model, version, ageMillis);
+    listener.recordVersion(model, version, ageMillis);
+  }
+
+  /**
+   * Sighting of this entry that may not be stored yet.
+   *
+   * @param seenAtMillis time of the read that showed the version, on the store's clock
+   * @param learnedAtMillis time of the response to that read, on the steady clock
+   */
+  private record OwnSighting(String model, long version, long seenAtMillis, long learnedAtMillis) {
+
+    String key() {
+      return model + SEPARATOR + version;
+    }
+
+    byte[] value() {
+      return Long.toString(seenAtMillis).getBytes(StandardCharsets.UTF_8);
+    }
+  }
+}
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -10,9 +10,6 @@
 /** Receives the serving state from the platform's table service; called on the event loop only. */
 public interface ServingStateListener {
 
-  /** Age of a version whose time of publication was not recorded. */
-  long UNKNOWN_AGE = -1;
-
   /** Updates the configuration. */
   void updateConfig(ServingConfig config);
 
@@ -20,12 +17,18 @@
   void updateEvacuatedDomains(Set<String> domains);
 
   /**
-   * Records a version of a model's weights that operators published.
+   * Records the age of a version of a model's weights that operators published.
    *
-   * @param ageMillis time since its publication in milliseconds, or {@link #UNKNOWN_AGE}
+   * @param ageMillis time in milliseconds since an entry first saw it
    */
   void recordVersion(String model, long version, long ageMillis);
 
+  /**
+   * Records a version of a model's weights that operators published at an unknown time after the
+   * last confirmation. Its age follows by {@link #recordVersion} once it is known.
+   */
+  void recordVersionOfUnknownAge(String model, long version);
+
   /**
    * Records that the store confirmed configuration, failure domains and versions.
    *
--- /dev/null
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
@@ -0,0 +1,226 @@
+package org.cornelchute.entry.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.vavr.control.Either;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.store.RowStore;
+import org.cornelchute.net.store.RowsResponse;
+import org.cornelchute.net.store.StoredRow;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * An entry that learns of a version late, or starts after its assignment, must measure the age of
+ * the version from its first sighting by any entry. Measured from its own first read, the version
+ * would be required too late.
+ */
+@Timeout(10)
+class FirstSightingsTest {
+
+  private static final String MODEL = "m";
+
+  private final DefaultEventLoop loop = new DefaultEventLoop();
+  private final FakeStore store = new FakeStore();
+  private final List<Long> unknown = new ArrayList<>();
+  private final Map<Long, Long> ageByVersion = new TreeMap<>();
+  private long now = 100;
+  private final FirstSightings sightings =
+      new FirstSightings(loop, store, () -> now, 1, listener());
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void storesTheTimeOfTheFirstSighting() throws Exception {
+    assign(2, false, 5_000);
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 0L));
+    assertThat(store.rows).containsEntry("m/2", "5000");
+  }
+
+  @Test
+  void reportsTheAgeSinceTheFirstSightingByAnotherEntry() throws Exception {
+    // The entry cannot reach the store for 6 s, during which the version is assigned.
+    store.rows.put("m/2", "5000");
+    store.storeTimeMillis = 11_000;
+    assign(2, false, 11_000);
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 6_000L));
+    assertThat(store.rows).containsEntry("m/2", "5000");
+  }
+
+  /** Failure: the version counted as new for good when the first sighting could not be read. */
+  @Test
+  void retriesUntilTheFirstSightingCanBeRead() throws Exception {
+    store.rows.put("m/2", "5000");
+    store.storeTimeMillis = 11_000;
+    store.failingReads = 3;
+    assign(2, false, 11_000);
+    assertThat(callOnLoop(() -> ageByVersion.isEmpty() && unknown.contains(2L))).isTrue();
+    awaitOnLoop(() -> !ageByVersion.isEmpty());
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 6_000L));
+  }
+
+  /** Failure: the version counted as new for two seconds after each start. */
+  @Test
+  void reportsUnknownAgeAtProcessStartUntilTheSightingsAreRead() throws Exception {
+    store.rows.put("m/2", "5000");
+    store.storeTimeMillis = 21_000;
+    store.failingReads = 2;
+    assign(2, true, 21_000);
+    assertThat(callOnLoop(() -> ageByVersion.isEmpty() && unknown.contains(2L))).isTrue();
+    awaitOnLoop(() -> !ageByVersion.isEmpty());
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 16_000L));
+  }
+
+  @Test
+  void reportsSupersededVersionsAtProcessStart() throws Exception {
+    // The entry restarts after two versions were assigned; the operators' row holds the last.
+    store.rows.put("m/2", "2000");
+    store.rows.put("m/3", "5000");
+    store.storeTimeMillis = 11_000;
+    assign(3, true, 11_000);
+    assertThat(unknown).containsExactly(3L, 2L);
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 9_000L), Map.entry(3L, 6_000L));
+  }
+
+  @Test
+  void reportsVersionsOverwrittenWhileTheStoreWasUnreachable() throws Exception {
+    assign(1, false, 500);
+    store.rows.put("m/2", "2000");
+    store.storeTimeMillis = 11_000;
+    assign(3, false, 11_000);
+    assertThat(unknown).contains(2L);
+    assertThat(ageByVersion).contains(Map.entry(2L, 9_000L));
+  }
+
+  /** Failure: a version that no entry has stored counted as new after each start. */
+  @Test
+  void reportsVersionWithoutSightingAtProcessStartAsOld() throws Exception {
+    assign(2, true, 11_000);
+    assertThat(unknown).containsExactly(2L);
+    assertThat(ageByVersion.get(2L)).isGreaterThan(TimeUnit.HOURS.toMillis(1));
+  }
+
+  @Test
+  void ignoresUndecodableSightings() throws Exception {
+    store.rows.put("m/2", "5000");
+    store.rows.put("m/3", "soon");
+    store.rows.put("m/-4", "1");
+    store.rows.put("m", "1");
+    store.storeTimeMillis = 11_000;
+    assign(2, true, 11_000);
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 6_000L));
+  }
+
+  private ServingStateListener listener() {
+    return (ServingStateListener)
+        Proxy.newProxyInstance(
+            ServingStateListener.class.getClassLoader(),
+            new Class<?>[] {ServingStateListener.class},
+            (proxy, method, args) -> {
+              assertThat(args[0]).isEqualTo(MODEL);
+              if (method.getName().equals("recordVersion")) {
+                ageByVersion.put((Long) args[1], (Long) args[2]);
+              } else {
+                assertThat(method.getName()).isEqualTo("recordVersionOfUnknownAge");
+                unknown.add((Long) args[1]);
+              }
+              return null;
+            });
+  }
+
+  private void assign(long version, boolean initial, long storeTimeMillis) throws Exception {
+    runOnLoop(() -> sightings.onVersionAssigned(MODEL, version, initial, storeTimeMillis));
+  }
+
+  private void awaitOnLoop(Callable<Boolean> condition) throws Exception {
+    while (!callOnLoop(condition)) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
+  private void runOnLoop(Runnable task) throws Exception {
+    loop.submit(task).get();
+  }
+
+  private <T> T callOnLoop(Callable<T> task) throws Exception {
+    return loop.submit(task).get();
+  }
+
+  private static final class FakeStore implements RowStore {
+    private final Map<String, String> rows = new HashMap<>();
+    private int failingReads;
+    private int failingWrites;
+    private long storeTimeMillis;
+
+    @Override
+    public void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback) {
+      if (failingReads > 0) {
+        failingReads--;
+        callback.accept(Either.left(Failure.unavailable("down")));
+        return;
+      }
+      List<StoredRow> storedRows = new ArrayList<>();
+      rows.forEach(
+          (key, value) ->
+              storedRows.add(new StoredRow(key, value.getBytes(StandardCharsets.UTF_8), 1, false)));
+      callback.accept(Either.right(new RowsResponse(storedRows, 1, storeTimeMillis, false)));
+    }
+
+    @Override
+    public void pollChanges(
+        String table,
+        long afterVersion,
+        long waitMillis,
+        Consumer<Either<Failure, RowsResponse>> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void create(
+        String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback) {
+      if (failWrite(callback)) {
+        return;
+      }
+      String text = new String(value, StandardCharsets.UTF_8);
+      if (rows.putIfAbsent(key, text) == null) {
+        callback.accept(Either.right(1L));
+      } else {
+        callback.accept(Either.left(new Failure(Failure.Code.CONFLICT, "exists")));
+      }
+    }
+
+    @Override
+    public void write(
+        String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback) {
+      if (failWrite(callback)) {
+        return;
+      }
+      rows.put(key, new String(value, StandardCharsets.UTF_8));
+      callback.accept(Either.right(1L));
+    }
+
+    private boolean failWrite(Consumer<Either<Failure, Long>> callback) {
+      if (failingWrites == 0) {
+        return false;
+      }
+      failingWrites--;
+      callback.accept(Either.left(Failure.unknown("no answer")));
+      return true;
+    }
+  }
+}
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -23,8 +22,6 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(TableWatch.class);
   private static final long MIN_POLL_MILLIS = 1;
-  private static final long INITIAL_BACKOFF_MILLIS = 60;
-  private static final long MAX_BACKOFF_MILLIS = 500;
 
   private final EventLoop loop;
   private final RowStore store;
@@ -32,11 +29,10 @@
   private final long longPollMillis;
   private final long batchDelayMillis;
   private final LongSupplier clock;
-  private final Random random;
+  private final Backoff backoff;
   private final Listener listener;
   private final Map<String, StoredRow> rows = new HashMap<>();
   private long version = -1;
-  private long backoffMillis;
   private long unavailableSinceMillis;
   private boolean initialized;
   private boolean closed;
@@ -66,7 +62,7 @@
     this.longPollMillis = longPollMillis;
     this.batchDelayMillis = batchDelayMillis;
     this.clock = clock;
-    this.random = new Random(seed);
+    this.backoff = new Backoff(seed);
     this.listener = listener;
   }
 
@@ -112,7 +108,7 @@
       store.readTable(table, response -> handleTable(requestedAtMillis, response));
     } else {
       // After an outage, a short poll confirms the copy without the delay of a long poll.
-      long pollMillis = backoffMillis > 0 ? MIN_POLL_MILLIS : longPollMillis;
+      long pollMillis = backoff.isActive() ? MIN_POLL_MILLIS : longPollMillis;
       store.pollChanges(
           table, version, pollMillis, response -> handleChanges(requestedAtMillis, response));
     }
@@ -181,7 +177,7 @@
   }
 
   private void handleFailure(Failure failure) {
-    if (backoffMillis == 0) {
+    if (!backoff.isActive()) {
       unavailableSinceMillis = clock.getAsLong();
       LOG.warn(
           "store request failed, keeping the local copy table={} version={} cause={}",
@@ -189,18 +185,15 @@
           version,
           failure.message());
       listener.onUnavailable();
-      backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
-    long delayMillis = backoffMillis / 2 + random.nextLong(backoffMillis);
-    backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
-    loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
+    loop.schedule(this::poll, backoff.onFailure(), TimeUnit.MILLISECONDS);
   }
 
   private void handleRecovery() {
-    if (backoffMillis > 0) {
+    if (backoff.isActive()) {
       LOG.info(
           "store recovered table={} outMs={}", table, clock.getAsLong() - unavailableSinceMillis);
-      backoffMillis = 0;
+      backoff.reset();
       listener.onRecovered();
     }
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -56,9 +56,6 @@
   private static final int STATUS_MULTIPLE_CHOICES = 300;
   private static final int STATUS_INTERNAL_SERVER_ERROR = 500;
 
-  /** Delay after which a version whose publication time is unknown becomes required. */
-  private static final long UNKNOWN_AGE_GRACE_MILLIS = 2_000;
-
   /** Load per slot up to which endpoints of plain services accept calls. */
   private static final double MAX_LOAD_PER_SLOT = 1.0;
 
@@ -165,12 +162,14 @@
   }
 
   /**
-   * Records a version whose publication time is unknown. It becomes required after a short delay
-   * instead of the full grace period, which may already have passed.
+   * Records a version whose first sighting by any entry is not known yet.
+   *
+   * <p>It cannot have been assigned before the last confirmation of the cached state, which did not
+   * hold it, and is taken to be that old until {@link #recordVersion} tells its sighting. A process
+   * that has no confirmation, since it has just started or was suspended, requires it at once.
    */
-  public void recordVersionOfUnknownAge(long now, String model, long version) {
-    versionGate.recordVersion(
-        now - options.versionGraceMillis() + UNKNOWN_AGE_GRACE_MILLIS, model, version);
+  public void recordVersionOfUnknownAge(String model, long version) {
+    versionGate.recordUnconfirmed(freshness.confirmedAt(), model, version);
   }
 
   /** Records the weights switches that agents report, by host. */
@@ -492,6 +491,8 @@
     Choice choice = chooseEndpoint(now, call, maxLoad);
     if (choice.endpoint().isPresent()) {
       dispatch(now, effects, call, choice);
+    } else if (choice.eligibleCount() == 0 && awaitsVersionAge(call)) {
+      reject(now, effects, call, Rejection.NOT_READY, "age of the weights version is not known");
     } else if (choice.eligibleCount() == 0) {
       reject(now, effects, call, Rejection.NO_ENDPOINT, "no endpoint is eligible");
     } else if (!tryEnqueue(now, call)) {
@@ -511,19 +512,23 @@
         new Requirements(
             call.service,
             call.regions,
-            requiredVersion(now, call, options.versionGraceMillis()),
+            requiredVersion(now, call),
             version,
             maxLoad,
             call.triedEndpoints));
   }
 
-  private long requiredVersion(long now, Call call, long graceMillis) {
+  private long requiredVersion(long now, Call call) {
     return call.service
         .engine()
-        .map(e -> versionGate.requiredVersion(now, e.model(), graceMillis))
+        .map(e -> versionGate.requiredVersion(now, e.model(), options.versionGraceMillis()))
         .orElse(0L);
   }
 
+  private boolean awaitsVersionAge(Call call) {
+    return call.service.engine().map(e -> !versionGate.isNewestConfirmed(e.model())).orElse(false);
+  }
+
   private void dispatch(long now, List<CallEffect> effects, Call call, Choice choice) {
     Endpoint endpoint = choice.endpoint().get();
     call.endpoint = endpoint;
@@ -535,10 +540,7 @@
     endpoint.ownCalls++;
     endpoint.recentDispatches.add(now);
     long remaining = call.deadline - now;
-    long expectedVersion =
-        requiredVersion(now, call, options.versionGraceMillis()) > 0 || call.streaming
-            ? endpoint.version
-            : 0;
+    long expectedVersion = requiredVersion(now, call) > 0 || call.streaming ? endpoint.version : 0;
     // The entries share the connection limit of the endpoint, of which 10% stays in reserve.
     int maxConnections =
         Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.entryCount());
@@ -609,7 +611,15 @@
 
   /** Returns whether the endpoint of a call holds weights that calls may no longer start on. */
   private boolean isOutdated(long now, Call call) {
-    return call.endpoint.version < requiredVersion(now, call, options.versionCutoffMillis());
+    long required =
+        call.service
+            .engine()
+            .map(
+                e ->
+                    versionGate.confirmedRequiredVersion(
+                        now, e.model(), options.versionCutoffMillis()))
+            .orElse(0L);
+    return call.endpoint.version < required;
   }
 
   private static boolean isStalled(long now, Call call) {
@@ -658,7 +668,7 @@
         new CallEffect.Reject(
             call.spec.number(),
             effective,
-            retryAfterMillis(call.arrivedAt + call.spec.deadlineMillis() - now),
+            retryAfterMillis(now, effective, call.arrivedAt + call.spec.deadlineMillis() - now),
             reason));
     log(effects, "refuse", call, effective + ": " + reason);
     remove(call);
@@ -686,11 +696,12 @@
       Rejection rejection,
       String reason,
       long ageMillis) {
-    boolean otherEntryMayServe =
-        rejection == Rejection.NOT_READY && otherEntries.mayServe(now, options.maxKeyAgeMillis());
-    long retryAfterMillis =
-        otherEntryMayServe ? failoverRetryAfterMillis() : retryAfterMillis(spec.deadlineMillis());
-    effects.add(new CallEffect.Reject(spec.number(), rejection, retryAfterMillis, reason));
+    effects.add(
+        new CallEffect.Reject(
+            spec.number(),
+            rejection,
+            retryAfterMillis(now, rejection, spec.deadlineMillis()),
+            reason));
     String logReason =
         rejection + ": " + reason + " ageMs=" + Math.min(ageMillis, Integer.MAX_VALUE);
     effects.add(
@@ -699,10 +710,13 @@
   }
 
   /**
-   * Returns the Retry-After of a call that no entry is likely to accept soon: as long as callers
-   * honor, since the cause of the rejection persists.
+   * Returns the Retry-After of a rejected call. If no entry is likely to accept it soon, it is as
+   * long as callers honor, since the cause of the rejection persists.
    */
-  private long retryAfterMillis(long remainingMillis) {
+  private long retryAfterMillis(long now, Rejection rejection, long remainingMillis) {
+    if (rejection == Rejection.NOT_READY && otherEntries.mayServe(now, options.maxKeyAgeMillis())) {
+      return failoverRetryAfterMillis();
+    }
     double upper =
         Math.min(MAX_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_SHARE * Math.max(0, remainingMillis));
     double factor = MIN_RETRY_AFTER_FACTOR + (1 - MIN_RETRY_AFTER_FACTOR) * random.nextDouble();
--- a/policy/src/main/java/org/cornelchute/policy/forward/Freshness.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Freshness.java
@@ -50,6 +50,11 @@
     }
   }
 
+  /** Returns the time of the last confirmation; long past if the state is not confirmed. */
+  long confirmedAt() {
+    return confirmedAt;
+  }
+
   /** Returns the age of the cached state; very large if it was never confirmed. */
   long ageMillis(long now) {
     return now - confirmedAt;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -322,14 +322,35 @@
       assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
     }
 
+    /** Failure: a version of unknown age counted as new after each start of the entry. */
     @Test
-    void requiresVersionOfUnknownAgeAfterShortDelay() {
+    void requiresVersionOfUnknownAgeAtOnceAfterStart() {
+      Fixture fixture = new Fixture();
+      fixture.decider.recordVersionOfUnknownAge("m", 2);
+      fixture.withEndpoints(engine("a", "d1", 1));
+      assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NOT_READY);
+      // Calls to other services are not affected.
+      fixture.withEndpoints(plain("p1"));
+      assertThat(find(fixture.call("/c/"), CallEffect.Dispatch.class)).isPresent();
+      // The sighting shows that the grace period has not passed.
+      fixture.decider.recordVersion(fixture.now - 6_000, "m", 2);
+      assertThat(dispatch(fixture.call("/s/")).endpoint().id()).isEqualTo("a");
+      fixture.now += 1_000;
+      assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+    }
+
+    /** Failure: an entry that was cut off at the assignment counted the version as new. */
+    @Test
+    void countsVersionOfUnknownAgeFromTheLastConfirmation() {
       Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
-      fixture.decider.recordVersionOfUnknownAge(fixture.now, "m", 2);
-      assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
-      fixture.now += 2_000;
+      fixture.now += 6_000;
+      fixture.decider.recordVersionOfUnknownAge("m", 2);
       fixture.decider.recordConfirmation(fixture.now);
-      assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+      assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      fixture.now += 1_000;
+      assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NOT_READY);
+      fixture.decider.recordVersion(fixture.now - 1_200, "m", 2);
+      assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
     }
 
     @Test
@@ -354,7 +375,7 @@
       assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
       // The directory lags behind the agent: its older version is ignored.
       fixture.decider.updateEndpoints(fixture.now + 300, List.of(engine("a", "d1", 1)));
-      fixture.decider.recordVersionOfUnknownAge(fixture.now - 10_000, "m", 2);
+      fixture.decider.recordVersionOfUnknownAge("m", 2);
       assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
     }
 
