Store the first sighting of a weights version until it is certainly stored

A first sighting whose write failed was logged and lost. The next entry to see the version, perhaps one that had been cut off from the store, then stored its own, later time, and each entry that started afterwards required the version that much too late. Writes are now retried, and a stored sighting that is later than the own one is replaced. The age is always computed from a read of the table, so that both times are on the store's clock.

--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -23,8 +23,8 @@
  * <p>Each version must be in use within a fixed time of its assignment. A process that starts later
  * reads the version but not its age, and a process that could not reach the store learns of the
  * version late. The first entry that sees a version therefore stores the time for the others. Until
- * the stored time is known, the listener is told that the age of the version is unknown; reads are
- * retried until they succeed.
+ * the stored time is known, the listener is told that the age of the version is unknown; reads and
+ * writes are retried until they succeed.
  */
 public final class FirstSightings {
 
@@ -45,6 +45,7 @@
   private final LongSupplier clock;
   private final ServingStateListener listener;
   private final Backoff readBackoff;
+  private final Backoff writeBackoff;
   private final Map<String, Long> newestVersionByModel = new HashMap<>();
   private final Map<String, OwnSighting> ownSightingByKey = new HashMap<>();
   private boolean reading;
@@ -67,6 +68,7 @@
     this.clock = clock;
     this.listener = listener;
     this.readBackoff = new Backoff(seed);
+    this.writeBackoff = new Backoff(seed + 1);
   }
 
   /**
@@ -97,10 +99,14 @@
       read();
       return;
     }
-    OwnSighting own = new OwnSighting(model, version, storeTimeMillis, clock.getAsLong());
+    OwnSighting own = new OwnSighting(model, version, storeTimeMillis);
     ownSightingByKey.put(own.key(), own);
     create(own);
-    if (version - 1 > previous) {
+  }
+
+  /** Reads the stored sightings again, since the ages known to the listener are out of date. */
+  public void refresh() {
+    if (!newestVersionByModel.isEmpty()) {
       read();
     }
   }
@@ -110,16 +116,39 @@
   }
 
   private void handleCreated(OwnSighting own, Either<Failure, Long> result) {
-    ownSightingByKey.remove(own.key());
-    if (result.isRight()) {
-      report(own.model(), own.version(), clock.getAsLong() - own.learnedAtMillis());
-    } else if (result.getLeft().code() == Failure.Code.CONFLICT) {
+    boolean conflict = result.isLeft() && result.getLeft().code() == Failure.Code.CONFLICT;
+    if (result.isRight() || conflict) {
+      writeBackoff.reset();
       read();
     } else {
-      LOG.warn("first sighting not stored key={} cause={}", own.key(), result.getLeft().message());
+      retryWrite(own, result.getLeft(), () -> create(own));
     }
   }
 
+  /** Replaces a stored sighting that is later than the one of this entry. */
+  private void lower(OwnSighting own) {
+    store.write(
+        TABLE,
+        own.key(),
+        own.value(),
+        result -> {
+          if (result.isRight()) {
+            writeBackoff.reset();
+            read();
+          } else {
+            retryWrite(own, result.getLeft(), () -> lower(own));
+          }
+        });
+  }
+
+  private void retryWrite(OwnSighting own, Failure failure, Runnable retry) {
+    if (!writeBackoff.isActive()) {
+      LOG.warn(
+          "first sighting not stored, will retry key={} cause={}", own.key(), failure.message());
+    }
+    loop.schedule(retry, writeBackoff.onFailure(), TimeUnit.MILLISECONDS);
+  }
+
   private void read() {
     if (reading) {
       changedWhileReading = true;
@@ -168,6 +197,12 @@
       return;
     }
     long seenAtMillis = Long.parseLong(value);
+    OwnSighting own = ownSightingByKey.remove(row.key());
+    if (own != null && own.seenAtMillis() < seenAtMillis) {
+      seenAtMillis = own.seenAtMillis();
+      ownSightingByKey.put(own.key(), own);
+      lower(own);
+    }
     report(
         row.key().substring(0, separator),
         Long.parseLong(version),
@@ -196,9 +231,8 @@
    * Sighting of this entry that may not be stored yet.
    *
    * @param seenAtMillis time of the read that showed the version, on the store's clock
-   * @param learnedAtMillis time of the response to that read, on the steady clock
    */
-  private record OwnSighting(String model, long version, long seenAtMillis, long learnedAtMillis) {
+  private record OwnSighting(String model, long version, long seenAtMillis) {
 
     String key() {
       return model + SEPARATOR + version;
--- a/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
@@ -115,6 +115,38 @@
     assertThat(ageByVersion.get(2L)).isGreaterThan(TimeUnit.HOURS.toMillis(1));
   }
 
+  /** Failure: a first sighting whose write failed was lost, and a later one was stored instead. */
+  @Test
+  void retriesUntilTheFirstSightingIsStored() throws Exception {
+    store.failingWrites = 3;
+    assign(2, false, 5_000);
+    assertThat(callOnLoop(() -> ageByVersion.isEmpty() && unknown.contains(2L))).isTrue();
+    store.storeTimeMillis = 5_400;
+    awaitOnLoop(() -> !ageByVersion.isEmpty());
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 400L));
+    assertThat(store.rows).containsEntry("m/2", "5000");
+  }
+
+  /** Failure: an entry that learned of the version late stored its time before the others did. */
+  @Test
+  void replacesLaterSightingOfAnotherEntry() throws Exception {
+    store.failingWrites = 2;
+    assign(2, false, 5_000);
+    store.rows.put("m/2", "9000");
+    store.storeTimeMillis = 9_500;
+    awaitOnLoop(() -> "5000".equals(store.rows.get("m/2")) && !ageByVersion.isEmpty());
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 4_500L));
+  }
+
+  /** Failure: ages on the steady clock omit the time for which the process was suspended. */
+  @Test
+  void readsTheAgesAgainOnRefresh() throws Exception {
+    assign(2, false, 5_000);
+    store.storeTimeMillis = 13_000;
+    runOnLoop(sightings::refresh);
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 8_000L));
+  }
+
   @Test
   void ignoresUndecodableSightings() throws Exception {
     store.rows.put("m/2", "5000");
