Confirm the ages of weights versions again after a suspension

The steady clock stands still while a process is suspended, so that a version seen before looked younger afterwards by the time of the suspension, and was required that much too late. After a suspension each version now counts as old until the sightings were read again.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -229,7 +229,11 @@
    * @return whether the process was suspended, so that cached state must be confirmed again
    */
   public boolean detectSuspension(long now, long wallMillis) {
-    return freshness.detectSuspension(now, wallMillis);
+    boolean suspended = freshness.detectSuspension(now, wallMillis);
+    if (suspended) {
+      versionGate.invalidate(freshness.confirmedAt());
+    }
+    return suspended;
   }
 
   // Call events
--- a/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
@@ -30,6 +30,17 @@
     sightings(model).putIfAbsent(version, new Sighting(earliestAt, false));
   }
 
+  /**
+   * Records that the known times no longer hold, since they are on a clock that stood still.
+   *
+   * @param earliestAt time that counts as the assignment of each version until it is confirmed
+   */
+  void invalidate(long earliestAt) {
+    for (TreeMap<Long, Sighting> sightings : sightingsByModel.values()) {
+      sightings.replaceAll((version, sighting) -> new Sighting(earliestAt, false));
+    }
+  }
+
   /** Returns whether the first sighting of the newest version of a model is known. */
   boolean isNewestConfirmed(String model) {
     Map.Entry<Long, Sighting> newest = sightings(model).lastEntry();
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -353,6 +353,35 @@
       assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
     }
 
+    /** Failure: the age of a version on the steady clock omits the time of a suspension. */
+    @Test
+    void requiresNewestVersionAfterSuspensionUntilItsAgeIsConfirmed() {
+      Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
+      fixture.decider.detectSuspension(fixture.now, 5_000_000);
+      fixture.decider.recordVersion(fixture.now, "m", 2);
+      fixture.now += 100;
+      assertThat(fixture.decider.detectSuspension(fixture.now, 5_008_100)).isTrue();
+      fixture.decider.recordConfirmation(fixture.now);
+      assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NOT_READY);
+      fixture.decider.recordVersion(fixture.now - 8_100, "m", 2);
+      assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+    }
+
+    /** A call in flight is canceled only if its version is certainly superseded. */
+    @Test
+    void keepsCallsInFlightWhileTheAgeOfTheVersionIsUnknown() {
+      Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
+      fixture.decider.detectSuspension(fixture.now, 5_000_000);
+      fixture.decider.recordVersion(fixture.now, "m", 2);
+      assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      fixture.now += 100;
+      assertThat(fixture.decider.detectSuspension(fixture.now, 5_008_100)).isTrue();
+      assertThat(fixture.decider.sweep(fixture.now)).isEmpty();
+      fixture.decider.recordVersion(fixture.now - 8_100, "m", 2);
+      assertThat(find(fixture.decider.sweep(fixture.now), CallEffect.CancelAttempt.class))
+          .isPresent();
+    }
+
     @Test
     void avoidsEnginesThatSwitchWeights() {
       Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
