Count the time of a read of the first sightings as age of the version

The age is the store's time of the response less that of the sighting, so that a process took each version for younger by the way of the response; the margin before a version is required is 0.6 s. The whole time of the read is now added.

Test: addsTheTimeOfTheReadToTheAge failed before (6,000 for 7,400 ms).

--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -155,10 +155,11 @@
       return;
     }
     reading = true;
-    store.readTable(TABLE, this::handleRows);
+    long requestedAt = clock.getAsLong();
+    store.readTable(TABLE, response -> handleRows(requestedAt, response));
   }
 
-  private void handleRows(Either<Failure, RowsResponse> response) {
+  private void handleRows(long requestedAt, Either<Failure, RowsResponse> response) {
     reading = false;
     if (response.isLeft()) {
       if (!readBackoff.isActive()) {
@@ -172,10 +173,12 @@
       LOG.info("first sightings read again");
       readBackoff.reset();
     }
+    // The response may have been on its way for as long as the whole read took.
+    long nowOnStore = response.get().storeTimeMillis() + clock.getAsLong() - requestedAt;
     Set<String> storedKeys = new HashSet<>();
     for (StoredRow row : response.get().rows()) {
       storedKeys.add(row.key());
-      handleRow(row, response.get().storeTimeMillis());
+      handleRow(row, nowOnStore);
     }
     reportVersionsWithoutSighting(storedKeys);
     if (changedWhileReading) {
@@ -188,7 +191,7 @@
    * Reports one stored sighting. Superseded versions are reported as well: from a certain age of
    * each version on, calls must start on that version or a newer one.
    */
-  private void handleRow(StoredRow row, long storeTimeMillis) {
+  private void handleRow(StoredRow row, long nowOnStore) {
     String value = new String(row.value(), StandardCharsets.UTF_8);
     int separator = row.key().lastIndexOf(SEPARATOR);
     String version = row.key().substring(separator + 1);
@@ -206,7 +209,7 @@
     report(
         row.key().substring(0, separator),
         Long.parseLong(version),
-        Math.max(0, storeTimeMillis - seenAtMillis));
+        Math.max(0, nowOnStore - seenAtMillis));
   }
 
   /**
--- a/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
@@ -147,6 +147,16 @@
     assertThat(ageByVersion).containsExactly(Map.entry(2L, 8_000L));
   }
 
+  /** Failure: a response that was long on its way made the version look younger by that time. */
+  @Test
+  void addsTheTimeOfTheReadToTheAge() throws Exception {
+    store.rows.put("m/2", "5000");
+    store.storeTimeMillis = 11_000;
+    store.readMillis = 1_400;
+    assign(2, true, 11_000);
+    assertThat(ageByVersion).containsExactly(Map.entry(2L, 7_400L));
+  }
+
   @Test
   void ignoresUndecodableSightings() throws Exception {
     store.rows.put("m/2", "5000");
@@ -193,11 +203,12 @@
     return loop.submit(task).get();
   }
 
-  private static final class FakeStore implements RowStore {
+  private final class FakeStore implements RowStore {
     private final Map<String, String> rows = new HashMap<>();
     private int failingReads;
     private int failingWrites;
     private long storeTimeMillis;
+    private long readMillis;
 
     @Override
     public void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback) {
@@ -206,6 +217,7 @@
         callback.accept(Either.left(Failure.unavailable("down")));
         return;
       }
+      now += readMillis;
       List<StoredRow> storedRows = new ArrayList<>();
       rows.forEach(
           (key, value) ->
