--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentSettings.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentSettings.java
@@ -62,6 +62,12 @@
     regions = regions == null ? Map.of() : Map.copyOf(regions);
   }
 
+  /** Returns the same settings with another address of the table service. */
+  public DirectAgentSettings withStore(String newStore) {
+    return new DirectAgentSettings(
+        name, domain, regions, peers, operators, newStore, engine, linkMbps, versionMillis);
+  }
+
   /** Returns the region of the agent's domain; the domain itself if it has no region. */
   public String region() {
     return regions.getOrDefault(domain, domain);
--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.store.Backoff;
+import org.cornelchute.net.store.RetryingRead;
 import org.cornelchute.net.store.RowStore;
 import org.cornelchute.net.store.RowsResponse;
 import org.cornelchute.net.store.StoredRow;
@@ -42,14 +43,11 @@
 
   private final EventLoop loop;
   private final RowStore store;
-  private final LongSupplier clock;
   private final ServingStateListener listener;
-  private final Backoff readBackoff;
+  private final RetryingRead read;
   private final Backoff writeBackoff;
   private final Map<String, Long> newestVersionByModel = new HashMap<>();
   private final Map<String, OwnSighting> ownSightingByKey = new HashMap<>();
-  private boolean reading;
-  private boolean changedWhileReading;
 
   /**
    * Creates an instance that knows no versions; must be used on the event loop only.
@@ -65,9 +63,15 @@
       ServingStateListener listener) {
     this.loop = loop;
     this.store = store;
-    this.clock = clock;
     this.listener = listener;
-    this.readBackoff = new Backoff(seed);
+    this.read =
+        new RetryingRead(
+            loop,
+            clock,
+            seed,
+            "first sightings",
+            callback -> store.readTable(TABLE, callback),
+            this::handleRows);
     this.writeBackoff = new Backoff(seed + 1);
   }
 
@@ -96,7 +100,7 @@
       listener.recordVersionOfUnknownAge(model, version - 1);
     }
     if (initial) {
-      read();
+      read.request();
       return;
     }
     OwnSighting own = new OwnSighting(model, version, storeTimeMillis);
@@ -107,7 +111,7 @@
   /** Reads the stored sightings again, since the ages known to the listener are out of date. */
   public void refresh() {
     if (!newestVersionByModel.isEmpty()) {
-      read();
+      read.request();
     }
   }
 
@@ -119,7 +123,7 @@
     boolean conflict = result.isLeft() && result.getLeft().code() == Failure.Code.CONFLICT;
     if (result.isRight() || conflict) {
       writeBackoff.reset();
-      read();
+      read.request();
     } else {
       retryWrite(own, result.getLeft(), () -> create(own));
     }
@@ -134,7 +138,7 @@
         result -> {
           if (result.isRight()) {
             writeBackoff.reset();
-            read();
+            read.request();
           } else {
             retryWrite(own, result.getLeft(), () -> lower(own));
           }
@@ -149,42 +153,15 @@
     loop.schedule(retry, writeBackoff.onFailure(), TimeUnit.MILLISECONDS);
   }
 
-  private void read() {
-    if (reading) {
-      changedWhileReading = true;
-      return;
-    }
-    reading = true;
-    long requestedAt = clock.getAsLong();
-    store.readTable(TABLE, response -> handleRows(requestedAt, response));
-  }
-
-  private void handleRows(long requestedAt, Either<Failure, RowsResponse> response) {
-    reading = false;
-    if (response.isLeft()) {
-      if (!readBackoff.isActive()) {
-        LOG.warn(
-            "first sightings could not be read, will retry cause={}", response.getLeft().message());
-      }
-      loop.schedule(this::read, readBackoff.onFailure(), TimeUnit.MILLISECONDS);
-      return;
-    }
-    if (readBackoff.isActive()) {
-      LOG.info("first sightings read again");
-      readBackoff.reset();
-    }
+  private void handleRows(RowsResponse response, long elapsedMillis) {
     // The response may have been on its way for as long as the whole read took.
-    long nowOnStore = response.get().storeTimeMillis() + clock.getAsLong() - requestedAt;
+    long nowOnStore = response.storeTimeMillis() + elapsedMillis;
     Set<String> storedKeys = new HashSet<>();
-    for (StoredRow row : response.get().rows()) {
+    for (StoredRow row : response.rows()) {
       storedKeys.add(row.key());
       handleRow(row, nowOnStore);
     }
     reportVersionsWithoutSighting(storedKeys);
-    if (changedWhileReading) {
-      changedWhileReading = false;
-      read();
-    }
   }
 
   /**
--- a/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
@@ -225,6 +225,15 @@
       callback.accept(Either.right(new RowsResponse(storedRows, 1, storeTimeMillis, false)));
     }
 
+    @Override
+    public void readRange(
+        String table,
+        String firstKey,
+        String endKey,
+        Consumer<Either<Failure, RowsResponse>> callback) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void pollChanges(
         String table,
--- a/net/src/main/java/org/cornelchute/net/store/RowStore.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowStore.java
@@ -10,6 +10,18 @@
   /** Reads every row of a table. */
   void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback);
 
+  /**
+   * Reads the rows of a table whose keys lie in a range.
+   *
+   * @param firstKey first key of the range
+   * @param endKey key after the range
+   */
+  void readRange(
+      String table,
+      String firstKey,
+      String endKey,
+      Consumer<Either<Failure, RowsResponse>> callback);
+
   /**
    * Requests the rows of a table that changed after a version, by long polling.
    *
--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -112,6 +112,15 @@
       reads.add(callback);
     }
 
+    @Override
+    public void readRange(
+        String table,
+        String firstKey,
+        String endKey,
+        Consumer<Either<Failure, RowsResponse>> callback) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void pollChanges(
         String table,
