Repeat the handshake with peers that went silent

Cause: a handshake is remembered on both sides but forgotten on one. When an agent loses its connection to a peer, or learns late that the previous incarnation of the peer went away, markLost forgets the handshake; the peer notices nothing and keeps handshakeDone. From then on the agent sends it no Have, and the peer sends no further handshake because its own is done.

Evidence: the property everyRunningAgentCompletesOnceFaultsStop never ran, because no engine discovers a jqwik property inside a JUnit @Nested class. It is moved out of the class, as in every other test class with a property (jqwik's @Group beside @Nested runs it too, but jqwik warns of the mix). Trace of its sample seed=3172 agents=2 regions=2: a3 restarts under its ID at 4116, a4 gets the report of the lost connection at 4121, after the new handshake; a4 then has handshakeDone=false for a3 and a3 handshakeDone=true for a4 with 8 of 128 chunks until the end. The cause is in the decider, not in FakeSwarm: importsFromPeerThatLostItsConnection shows it without restart, loss of messages or corruption.

Change: an incomplete agent repeats the handshake with a neighbor from which it heard nothing for a handshake interval (2 s). This also repairs the loss of a Have.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -790,13 +790,23 @@
   private void sendHandshakesToFirst(
       long now, List<Peer> ordered, int count, List<SwarmEffect> effects) {
     for (Peer peer : ordered.subList(0, Math.min(count, ordered.size()))) {
-      if (!peer.handshakeDone) {
+      if (!peer.handshakeDone || isSilent(now, peer)) {
         peer.handshakeSentAt = peer.handshakeSentAt == 0 ? now : peer.handshakeSentAt;
         sendBitfield(effects, peer, true);
       }
     }
   }
 
+  /**
+   * Returns whether a handshake is repeated because nothing was heard from a peer.
+   *
+   * <p>The peer may have lost its connection to this agent and forgotten the handshake, or a
+   * message about a new chunk may have been lost.
+   */
+  private boolean isSilent(long now, Peer peer) {
+    return !complete && now - peer.lastMessageAt >= HANDSHAKE_INTERVAL_MILLIS;
+  }
+
   private void sendBitfield(List<SwarmEffect> effects, Peer peer, boolean wantsReply) {
     send(
         effects,
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -119,6 +119,12 @@
     }
   }
 
+  /** Ends the connection from an agent to a peer, which keeps running and notices nothing. */
+  void loseConnection(String from, String to) {
+    Node node = nodes.get(from);
+    execute(node, node.decider.onPeerLost(now, to));
+  }
+
   /** Runs until every agent is complete or the time limit is reached; returns the virtual time. */
   long run(long limitMillis) {
     while (!events.isEmpty() && now < limitMillis) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -167,34 +167,43 @@
       assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
     }
 
-    @Property(tries = 12, seed = "42")
-    void everyRunningAgentCompletesOnceFaultsStop(
-        @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
-        @ForAll @IntRange(min = 2, max = 14) int agents,
-        @ForAll @IntRange(min = 1, max = 3) int regions) {
-      FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, seed);
-      Random faults = new Random(seed);
-      swarm.lossShare = 0.1;
-      swarm.corruptShare = 0.05;
-      int next = agents;
-      for (int step = 0; step < 6; step++) {
-        swarm.runUntil(swarm.now + faults.nextInt(2_000));
-        swarm.originRefuses = faults.nextInt(4) == 0;
-        if (faults.nextBoolean() && swarm.nodes.size() > 1) {
-          String victim = swarm.nodes.keySet().iterator().next();
-          String region = swarm.nodes.get(victim).member.region();
-          swarm.kill(victim);
-          // Half of them restart under the same ID, as replaced VMs do.
-          swarm.start(faults.nextBoolean() ? victim : "a" + next++, region, step + 2);
-        }
+    /** Guards against a peer that has forgotten the handshake and reports no chunk any more. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void importsFromPeerThatLostItsConnection(long seed) {
+      FakeSwarm swarm = new FakeSwarm(2, 2, SwarmOptions.DEFAULTS, seed);
+      swarm.runUntil(1_000);
+      swarm.loseConnection("a0", "a1");
+      assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+    }
+  }
+
+  @Property(tries = 12, seed = "42")
+  void everyRunningAgentCompletesOnceFaultsStop(
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
+      @ForAll @IntRange(min = 2, max = 14) int agents,
+      @ForAll @IntRange(min = 1, max = 3) int regions) {
+    FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, seed);
+    Random faults = new Random(seed);
+    swarm.lossShare = 0.1;
+    swarm.corruptShare = 0.05;
+    int next = agents;
+    for (int step = 0; step < 6; step++) {
+      swarm.runUntil(swarm.now + faults.nextInt(2_000));
+      swarm.originRefuses = faults.nextInt(4) == 0;
+      if (faults.nextBoolean() && swarm.nodes.size() > 1) {
+        String victim = swarm.nodes.keySet().iterator().next();
+        String region = swarm.nodes.get(victim).member.region();
+        swarm.kill(victim);
+        // Half of them restart under the same ID, as replaced VMs do.
+        swarm.start(faults.nextBoolean() ? victim : "a" + next++, region, step + 2);
       }
-      swarm.lossShare = 0;
-      swarm.corruptShare = 0;
-      swarm.originRefuses = false;
-      swarm.run(swarm.now + LIMIT_MILLIS);
-      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
-      assertThat(swarm.nodes.values())
-          .allMatch(n -> n.decider.heldChunkCount() == FakeSwarm.CHUNKS);
     }
+    swarm.lossShare = 0;
+    swarm.corruptShare = 0;
+    swarm.originRefuses = false;
+    swarm.run(swarm.now + LIMIT_MILLIS);
+    assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+    assertThat(swarm.nodes.values()).allMatch(n -> n.decider.heldChunkCount() == FakeSwarm.CHUNKS);
   }
 }
