Complete a version whose chunks are all reused

Cause: SwarmDecider reports Complete only from onChunk. If WeightsDuty creates it with every chunk held, because the new version has the content of one held before under another label, no chunk is ever requested, so none arrives: the version never completes and its engine never loads it. Found by reading, while looking for other ways in which an agent never completes.

Change: the members' update that follows the creation reports it too.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -220,6 +220,8 @@
     sourceRegion = findSourceRegion();
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
+    // All chunks may have been reused, so that none arrives.
+    completeIfAllHeld(effects);
     sendHandshakes(now, effects);
     startRequests(now, effects);
     return effects;
@@ -309,10 +311,7 @@
         }
       }
     }
-    if (heldChunks.cardinality() == manifest.chunks().size() && !complete) {
-      complete = true;
-      effects.add(new SwarmEffect.Complete());
-    }
+    completeIfAllHeld(effects);
     startRequests(now, effects);
     return effects;
   }
@@ -384,6 +383,13 @@
     return effects;
   }
 
+  private void completeIfAllHeld(List<SwarmEffect> effects) {
+    if (!complete && heldChunks.cardinality() == manifest.chunks().size()) {
+      complete = true;
+      effects.add(new SwarmEffect.Complete());
+    }
+  }
+
   // Requests
 
   private void startRequests(long now, List<SwarmEffect> effects) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.BitSet;
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -178,6 +180,28 @@
     }
   }
 
+  /** One agent's decider with chosen inputs. */
+  @Nested
+  class OfOneAgent {
+
+    private final Manifest manifest = Manifest.of("m", "v1", new byte[64], 16);
+
+    private SwarmDecider decider(BitSet held) {
+      return new SwarmDecider("a0", "r0", "r0", manifest, held, SwarmOptions.DEFAULTS, 1, 0);
+    }
+
+    /** Guards against a version that never completes because it was reused as a whole. */
+    @Test
+    void completesOnceWhenAllChunksAreReused() {
+      BitSet all = new BitSet();
+      all.set(0, manifest.chunks().size());
+      SwarmDecider decider = decider(all);
+      assertThat(decider.onMembersChanged(0, List.of())).contains(new SwarmEffect.Complete());
+      assertThat(decider.isComplete()).isTrue();
+      assertThat(decider.onMembersChanged(1, List.of())).isEmpty();
+    }
+  }
+
   @Property(tries = 12, seed = "42")
   void everyRunningAgentCompletesOnceFaultsStop(
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
