Ignore chunk numbers of peers that are not in the manifest

Cause: SwarmDecider marked the chunk of a Have, and unmarked those of a refusal and of a corrupt chunk, without a check for negative numbers; BitSet throws then, which ends the duty. Numbers that are too large were ignored without a line in the log. ChunkRequest was checked already.

Change: one check for all of them; a Have or a refusal with another number is logged as distrust and ignored, a chunk is logged as before.

Before: ignoresThemAndCompletes fails for 4 of 4 numbers (IndexOutOfBoundsException for -1 and the smallest int, no line for the two that are too large); with the check of Have and refusal only, it still fails for both negative numbers at the corrupt chunk. After: 4 of 4 pass.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -245,23 +245,50 @@
       if (m.wantsReply()) {
         sendBitfield(effects, peer, false);
       }
-    } else if (message instanceof SwarmMessage.Have m && m.chunk() < manifest.chunks().size()) {
-      peer.held.set(m.chunk());
-      peer.queuedUploads = m.queueLength();
-      addRegionChunks(now, peer, peer.held);
+    } else if (message instanceof SwarmMessage.Have m) {
+      handleHave(now, effects, peer, m);
     } else if (message instanceof SwarmMessage.ChunkRequest m) {
       handleChunkRequest(effects, peer, m.chunk());
     } else if (message instanceof SwarmMessage.ChunkRefused m) {
-      if (m.chunkMissing()) {
-        peer.held.clear(m.chunk());
-      }
-      peer.backoffUntil = now + REFUSAL_BACKOFF_MILLIS;
-      closeRequest(m.chunk(), from);
+      handleRefusal(now, effects, peer, m);
     }
     startRequests(now, effects);
     return effects;
   }
 
+  private void handleHave(
+      long now, List<SwarmEffect> effects, Peer peer, SwarmMessage.Have message) {
+    if (!isInManifest(message.chunk())) {
+      logOutOfRange(effects, peer, message.chunk());
+      return;
+    }
+    peer.held.set(message.chunk());
+    peer.queuedUploads = message.queueLength();
+    addRegionChunks(now, peer, peer.held);
+  }
+
+  private void handleRefusal(
+      long now, List<SwarmEffect> effects, Peer peer, SwarmMessage.ChunkRefused message) {
+    if (!isInManifest(message.chunk())) {
+      logOutOfRange(effects, peer, message.chunk());
+      return;
+    }
+    if (message.chunkMissing()) {
+      peer.held.clear(message.chunk());
+    }
+    peer.backoffUntil = now + REFUSAL_BACKOFF_MILLIS;
+    closeRequest(message.chunk(), peer.id);
+  }
+
+  /** Returns whether a chunk index is one of the manifest; peers may send any number. */
+  private boolean isInManifest(int chunk) {
+    return chunk >= 0 && chunk < manifest.chunks().size();
+  }
+
+  private void logOutOfRange(List<SwarmEffect> effects, Peer peer, int chunk) {
+    log(effects, "distrust", chunk, peer.id, "chunk number is not in the manifest");
+  }
+
   /**
    * Handles a received chunk.
    *
@@ -283,7 +310,9 @@
       log(effects, "distrust", chunk, from, "chunk does not match its digest");
       if (peer != null) {
         peer.consecutiveCorruptChunks++;
-        peer.held.clear(chunk);
+        if (isInManifest(chunk)) {
+          peer.held.clear(chunk);
+        }
         peer.backoffUntil =
             now
                 + (peer.consecutiveCorruptChunks >= CORRUPT_CHUNKS_BEFORE_BACKOFF
@@ -662,7 +691,7 @@
   // Uploads
 
   private void handleChunkRequest(List<SwarmEffect> effects, Peer peer, int chunk) {
-    boolean chunkMissing = chunk < 0 || chunk >= manifest.chunks().size() || !heldChunks.get(chunk);
+    boolean chunkMissing = !isInManifest(chunk) || !heldChunks.get(chunk);
     int queuedForPeer = 0;
     for (QueuedUpload u : uploadQueue) {
       if (u.peerId.equals(peer.id)) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
+import org.cornelchute.core.message.SwarmMessage;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -202,6 +203,37 @@
     }
   }
 
+  /** A peer sends chunk numbers outside the manifest. */
+  @Nested
+  class OnChunkNumbersOutOfRange {
+
+    private final FakeSwarm swarm = new FakeSwarm(2, 1, SwarmOptions.DEFAULTS, 1);
+
+    private List<SwarmEffect> receive(SwarmMessage message) {
+      return swarm.nodes.get("a0").decider.onMessage(swarm.now, "a1", message);
+    }
+
+    /** Guards against a peer's message that ends the duty. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, Integer.MIN_VALUE, FakeSwarm.CHUNKS, Integer.MAX_VALUE})
+    void ignoresThemAndCompletes(int chunk) {
+      swarm.runUntil(1_000);
+      String digest = swarm.manifest.digest();
+      assertThat(receive(new SwarmMessage.Have(digest, chunk, 0)))
+          .anyMatch(e -> e instanceof SwarmEffect.Log l && l.decision().kind().equals("distrust"));
+      receive(new SwarmMessage.ChunkRefused(digest, chunk, true));
+      receive(new SwarmMessage.ChunkRefused(digest, chunk, false));
+      assertThat(receive(new SwarmMessage.ChunkRequest(digest, chunk)))
+          .anyMatch(
+              e ->
+                  e instanceof SwarmEffect.Send s
+                      && s.message().equals(new SwarmMessage.ChunkRefused(digest, chunk, true)));
+      swarm.nodes.get("a0").decider.onChunk(swarm.now, "a1", chunk, 0, false);
+      swarm.run(LIMIT_MILLIS);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+    }
+  }
+
   @Property(tries = 12, seed = "42")
   void everyRunningAgentCompletesOnceFaultsStop(
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
