Log a dropped version with itself as subject

Cause: LoadDecider wrote every line with the version of its last staging as subject; a drop concerns another one. The subject is now given by the caller, as the version= of the reason was already.

Before: logsDropWithDroppedVersionAsSubject fails (subject "version 2" for the drop of version 3); after: LoadDeciderTest 15 run, 0 fail.

--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -157,7 +157,11 @@
     }
     step = Step.LOAD_REQUESTED;
     effects.add(new LoadEffect.StartLoad(stepVersion, engine.sequence()));
-    log(effects, "order", "sequence=" + engine.sequence() + " loaded=" + engine.version());
+    log(
+        effects,
+        stepVersion,
+        "order",
+        "sequence=" + engine.sequence() + " loaded=" + engine.version());
     return effects;
   }
 
@@ -219,7 +223,7 @@
   private void drop(long version, long newest, List<LoadEffect> effects) {
     if (!completeAtByVersion.containsKey(version) && dropped.add(version)) {
       effects.add(new LoadEffect.Drop(version));
-      log(effects, "drop", "version=" + version + " newest=" + newest);
+      log(effects, version, "drop", "version=" + version + " newest=" + newest);
     }
   }
 
@@ -245,7 +249,11 @@
     lastStagingId++;
     stagingStartedAt = now;
     effects.add(new LoadEffect.Stage(version, lastStagingId));
-    log(effects, "stage", "loaded=" + engine.version() + " ageMs=" + (now - assignedAt(version)));
+    log(
+        effects,
+        version,
+        "stage",
+        "loaded=" + engine.version() + " ageMs=" + (now - assignedAt(version)));
     return effects;
   }
 
@@ -281,8 +289,8 @@
     return assignedAtByVersion.getOrDefault(version, 0L);
   }
 
-  private void log(List<LoadEffect> effects, String kind, String reason) {
-    String subject = "version " + stepVersion;
+  private void log(List<LoadEffect> effects, long version, String kind, String reason) {
+    String subject = "version " + version;
     effects.add(
         new LoadEffect.Log(new Decision(kind, subject, "", List.of(), "engine", reason, 0)));
   }
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -217,4 +217,18 @@
     assertThat(decider.onEngineReport(now + 300, engine(1, true, 1))).isEmpty();
     assertThat(decider.onEngineReport(now + 900, engine(2, false, 1))).isEmpty();
   }
+
+  /** Guards against a drop that is logged with the version staged before as its subject. */
+  @Test
+  void logsDropWithDroppedVersionAsSubject() {
+    decider.onVersionAssigned(now, 2);
+    decider.onEngineReport(now, engine(1, false, 0));
+    decider.onVersionComplete(now, 2);
+    decider.onVersionAssigned(now + 60_000, 3);
+    assertThat(decider.onVersionAssigned(now + 60_100, 4))
+        .contains(new LoadEffect.Drop(3))
+        .filteredOn(e -> e instanceof LoadEffect.Log)
+        .extracting(e -> ((LoadEffect.Log) e).decision().subject())
+        .containsExactly("version 3");
+  }
 }
