Name the limit when a manifest has too many chunks

Cause: Manifest.parse answered with the number of lines also where the limit of 2^20 chunks is the cause. The number itself overflowed for sizes near the largest long ("lists 0 chunks, not -"), so that such a text passed the limit and was refused for its lines only.

--- a/policy/src/main/java/org/cornelchute/policy/weights/Manifest.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/Manifest.java
@@ -71,8 +71,12 @@
                     + MAX_CHUNK_BYTES
                     + " bytes)"));
       }
-      long count = (bytes + chunkBytes - 1) / chunkBytes;
-      if (count > MAX_CHUNKS || lines.length != count + 1) {
+      long count = (bytes - 1) / chunkBytes + 1;
+      if (count > MAX_CHUNKS) {
+        return Either.left(
+            Failure.invalid("manifest sizes mean more than " + MAX_CHUNKS + " chunks: " + count));
+      }
+      if (lines.length != count + 1) {
         return Either.left(
             Failure.invalid("manifest lists " + (lines.length - 1) + " chunks, not " + count));
       }
--- a/policy/src/test/java/org/cornelchute/policy/weights/ManifestTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/ManifestTest.java
@@ -5,6 +5,8 @@
 import java.util.Arrays;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ManifestTest {
 
@@ -39,4 +41,20 @@
     String truncated = text.substring(0, text.length() - 65);
     assertThat(Manifest.parse(truncated).getLeft().message()).contains("lists 3 chunks, not 4");
   }
+
+  /** Guards against a message that names the number of chunks where the limit is exceeded. */
+  @ParameterizedTest
+  @ValueSource(longs = {(1L << 20) + 1, Long.MAX_VALUE})
+  void rejectsMoreChunksThanAllowedWithLimit(long count) {
+    String text = "m v1 " + count + " 1\n";
+    assertThat(Manifest.parse(text).getLeft().message())
+        .contains("more than 1048576 chunks: " + count);
+  }
+
+  /** Guards against a size near the largest number that overflows the number of chunks. */
+  @Test
+  void countsChunksOfLargestSize() {
+    String text = "m v1 " + Long.MAX_VALUE + " 1024\n";
+    assertThat(Manifest.parse(text).getLeft().message()).contains(": " + (1L << 53));
+  }
 }
