Read from the origin where no region before responds

Cause: outside the source region an agent that knows no holder reads from the origin only after a takeover delay without a new chunk in its region. Each chunk read that way starts the delay again, and the mean gap from which the delay is computed then measures the delay itself: in a region that is cut off from the others, or while the agents of the source region are listed but do not respond, each agent reads two chunks per delay, and the delay grows with each.

Change: regions are put in an order (the origin's first, then rendezvous order, as before); the first that responds reads from the origin without that delay. A region does not respond if none of its agents that got a handshake has replied for two handshakes (2.5 s). Holders in other regions are still preferred, and rate limit and handshakes still follow the first region of the order. Applied to all regions, not only the first, so that two regions which reach each other agree which of them reads.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -54,6 +54,10 @@
   private static final long LOST_PEER_BACKOFF_MILLIS = 3_000;
   private static final long HANDSHAKE_INTERVAL_MILLIS = 2_000;
 
+  /** Time without a message after which a region does not respond: two handshakes. */
+  private static final long REGION_TIMEOUT_MILLIS =
+      HANDSHAKE_INTERVAL_MILLIS + HANDSHAKE_TIMEOUT_MILLIS;
+
   /** Weight of a new sample in the moving average of request latencies. */
   private static final double LATENCY_SMOOTHING = 0.1;
 
@@ -98,8 +102,11 @@
   private final Deque<QueuedUpload> uploadQueue = new ArrayDeque<>();
   private List<String> importRanking = List.of();
 
-  /** Region that reads from the origin; the other regions import from peers. */
-  private String sourceRegion;
+  /** Regions in the order in which they read from the origin; only the first that responds does. */
+  private List<String> sourceOrder;
+
+  /** Whether this region reads from the origin, since no region before it responds. */
+  private boolean readsOrigin;
 
   /** Whether an upload is in progress; uploads run one at a time. */
   private boolean uploading;
@@ -138,7 +145,8 @@
     this.self = self;
     this.region = region;
     this.originRegion = originRegion;
-    this.sourceRegion = region;
+    this.sourceOrder = List.of(region);
+    this.readsOrigin = true;
     this.manifest = manifest;
     this.options = options;
     this.random = new Random(seed);
@@ -217,7 +225,8 @@
         peers.remove(gone);
       }
     }
-    sourceRegion = findSourceRegion();
+    sourceOrder = findSourceOrder();
+    updateSource(now);
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
     // All chunks may have been reused, so that none arrives.
@@ -405,6 +414,7 @@
     if (now - lastNewChunkAt >= takeoverDelayMillis()) {
       recomputeRegionChunks();
     }
+    updateSource(now);
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
     sendHandshakes(now, effects);
@@ -456,10 +466,10 @@
       if (importRank(chunk, position) > allowedRank) {
         continue;
       }
-      Peer remote = region.equals(sourceRegion) ? null : findRemoteHolder(now, chunk);
+      Peer remote = isSourceRegion() ? null : findRemoteHolder(now, chunk);
       // Outside the source region, read from the origin only as the last resort: its link has
       // capacity for few copies.
-      if (remote != null || region.equals(sourceRegion) || allowedRank > 0) {
+      if (remote != null || readsOrigin || allowedRank > 0) {
         beginImport(now, effects, chunk, remote);
         return true;
       }
@@ -494,8 +504,8 @@
       return false;
     }
     int chunk = candidates.get(random.nextInt(candidates.size()));
-    Peer remote = region.equals(sourceRegion) ? null : findRemoteHolder(now, chunk);
-    if (remote != null || region.equals(sourceRegion)) {
+    Peer remote = isSourceRegion() ? null : findRemoteHolder(now, chunk);
+    if (remote != null || readsOrigin) {
       beginImport(now, effects, chunk, remote);
       return true;
     }
@@ -514,7 +524,7 @@
 
   /** Starts to import a chunk from a remote peer, or from the origin if {@code remote} is null. */
   private void beginImport(long now, List<SwarmEffect> effects, int chunk, Peer remote) {
-    if (options.remoteBytesPerSecond() > 0 && !region.equals(sourceRegion)) {
+    if (options.remoteBytesPerSecond() > 0 && !isSourceRegion()) {
       // Live requests share the link between regions, so each importer uses its share of the rate.
       int importers = Math.min(options.importers(), importRanking.size());
       double intervalMillis =
@@ -721,18 +731,54 @@
   // Peers
 
   /**
-   * Returns the region that reads from the origin: the origin's region if it has an agent that
-   * wants this version, otherwise the first region in rendezvous order.
+   * Returns the order in which regions read from the origin: the origin's region first if it has an
+   * agent that wants this version, the others in rendezvous order.
    */
-  private String findSourceRegion() {
+  private List<String> findSourceOrder() {
     Set<String> regions = new HashSet<>();
     regions.add(region);
     for (Peer peer : peers.values()) {
       regions.add(peer.region);
     }
-    return regions.contains(originRegion)
-        ? originRegion
-        : RendezvousHash.order(manifest.digest(), regions).get(0);
+    List<String> order = new ArrayList<>(RendezvousHash.order(manifest.digest(), regions));
+    if (order.remove(originRegion)) {
+      order.add(0, originRegion);
+    }
+    return order;
+  }
+
+  private boolean isSourceRegion() {
+    return region.equals(sourceOrder.get(0));
+  }
+
+  /**
+   * Decides whether this region reads from the origin: it is the first of the order that responds.
+   *
+   * <p>A region does not respond if none of its agents that got a handshake has replied. A region
+   * that got none counts as responding unless no other region responds.
+   */
+  private void updateSource(long now) {
+    Set<String> responding = new HashSet<>();
+    Set<String> silent = new HashSet<>();
+    for (Peer peer : peers.values()) {
+      if (peer.handshakeDone && now - peer.lastMessageAt < REGION_TIMEOUT_MILLIS) {
+        responding.add(peer.region);
+      } else if (peer.handshakeSentAt > 0 && now - peer.handshakeSentAt >= REGION_TIMEOUT_MILLIS) {
+        silent.add(peer.region);
+      }
+    }
+    responding.remove(region);
+    silent.remove(region);
+    silent.removeAll(responding);
+    boolean cutOff = responding.isEmpty() && !silent.isEmpty();
+    String first = region;
+    for (String each : sourceOrder) {
+      if (each.equals(region) || !cutOff && !silent.contains(each)) {
+        first = each;
+        break;
+      }
+    }
+    readsOrigin = first.equals(region);
   }
 
   /** Resets a peer whose connection was lost or that does not respond on an open connection. */
@@ -811,7 +857,7 @@
     remotePeers.sort(order);
     sendHandshakesToFirst(now, regionPeers, options.neighbors(), effects);
     int position = importRanking.indexOf(self);
-    if (!region.equals(sourceRegion) && position >= 0 && position < options.importers()) {
+    if (!isSourceRegion() && position >= 0 && position < options.importers()) {
       sendHandshakesToFirst(now, remotePeers, options.importers(), effects);
     }
   }
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -40,6 +40,9 @@
 
   boolean originRefuses;
 
+  /** Regions whose agents reach the origin but no agent of another region, and notice nothing. */
+  final Set<String> cutRegions = new HashSet<>();
+
   /** Chunks received from agents of other regions, by receiving region. */
   final Map<String, Integer> chunksFromOtherRegions = new TreeMap<>();
 
@@ -214,7 +217,7 @@
         && !receiver.member.region().equals(from.member.region())) {
       chunksFromOtherRegions.merge(receiver.member.region(), 1, Integer::sum);
     }
-    if (random.nextDouble() < lossShare) {
+    if (random.nextDouble() < lossShare || isCut(from, receiver)) {
       return;
     }
     String sender = from.member.id();
@@ -236,6 +239,12 @@
         });
   }
 
+  private boolean isCut(Node from, Node to) {
+    return to != null
+        && !from.member.region().equals(to.member.region())
+        && (cutRegions.contains(from.member.region()) || cutRegions.contains(to.member.region()));
+  }
+
   private void deliverChunk(Node node, String sender, int chunk, int queueLength) {
     node.downlinkFreeAt =
         Math.max(node.downlinkFreeAt, now - linkMillisPerChunk)
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The chunk exchange in virtual time, with and without faults. */
@@ -181,6 +182,33 @@
     }
   }
 
+  /** Regions reach the origin but not each other, or no agent of the origin's region responds. */
+  @Nested
+  class WhenRegionsAreCutOff {
+
+    /** Guards against a region that reads ever fewer chunks while it knows no other holder. */
+    @ParameterizedTest
+    @CsvSource({"2, 2, 0", "2, 2, 2000", "6, 3, 0", "6, 3, 5000", "12, 3, 2000", "24, 3, 0"})
+    void readsOriginOncePerPartition(int agents, int regions, long cutAt) {
+      FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, 1);
+      swarm.runUntil(cutAt);
+      swarm.cutRegions.add("r1");
+      assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+      assertThat(swarm.originChunks / 2.0 / FakeSwarm.CHUNKS).isLessThanOrEqualTo(1.05);
+    }
+
+    /** Guards against regions that wait for a listed region whose agents do not respond. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 6, 12})
+    void replacesSourceRegionThatDoesNotRespond(int agents) {
+      FakeSwarm swarm = new FakeSwarm(agents, Math.min(3, agents), SwarmOptions.DEFAULTS, 5);
+      for (int i = 0; i < agents; i += Math.min(3, agents)) {
+        swarm.makeUnresponsive("a" + i);
+      }
+      assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+    }
+  }
+
   /** One agent's decider with chosen inputs. */
   @Nested
   class OfOneAgent {
