--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -54,6 +54,10 @@
   private static final long LOST_PEER_BACKOFF_MILLIS = 3_000;
   private static final long HANDSHAKE_INTERVAL_MILLIS = 2_000;
 
+  /** Time without a message after which a region does not respond: two handshakes. */
+  private static final long REGION_TIMEOUT_MILLIS =
+      HANDSHAKE_INTERVAL_MILLIS + HANDSHAKE_TIMEOUT_MILLIS;
+
   /** Weight of a new sample in the moving average of request latencies. */
   private static final double LATENCY_SMOOTHING = 0.1;
 
@@ -98,8 +102,11 @@
   private final Deque<QueuedUpload> uploadQueue = new ArrayDeque<>();
   private List<String> importRanking = List.of();
 
-  /** Region that reads from the origin; the other regions import from peers. */
-  private String sourceRegion;
+  /** Regions in the order in which they read from the origin; only the first that responds does. */
+  private List<String> sourceOrder;
+
+  /** Whether this region reads from the origin, since no region before it responds. */
+  private boolean readsOrigin;
 
   /** Whether an upload is in progress; uploads run one at a time. */
   private boolean uploading;
@@ -138,7 +145,8 @@
     this.self = self;
     this.region = region;
     this.originRegion = originRegion;
-    this.sourceRegion = region;
+    this.sourceOrder = List.of(region);
+    this.readsOrigin = true;
     this.manifest = manifest;
     this.options = options;
     this.random = new Random(seed);
@@ -217,9 +225,12 @@
         peers.remove(gone);
       }
     }
-    sourceRegion = findSourceRegion();
+    sourceOrder = findSourceOrder();
+    updateSource(now);
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
+    // All chunks may have been reused, so that none arrives.
+    completeIfAllHeld(effects);
     sendHandshakes(now, effects);
     startRequests(now, effects);
     return effects;
@@ -243,23 +254,50 @@
       if (m.wantsReply()) {
         sendBitfield(effects, peer, false);
       }
-    } else if (message instanceof SwarmMessage.Have m && m.chunk() < manifest.chunks().size()) {
-      peer.held.set(m.chunk());
-      peer.queuedUploads = m.queueLength();
-      addRegionChunks(now, peer, peer.held);
+    } else if (message instanceof SwarmMessage.Have m) {
+      handleHave(now, effects, peer, m);
     } else if (message instanceof SwarmMessage.ChunkRequest m) {
       handleChunkRequest(effects, peer, m.chunk());
     } else if (message instanceof SwarmMessage.ChunkRefused m) {
-      if (m.chunkMissing()) {
-        peer.held.clear(m.chunk());
-      }
-      peer.backoffUntil = now + REFUSAL_BACKOFF_MILLIS;
-      closeRequest(m.chunk(), from);
+      handleRefusal(now, effects, peer, m);
     }
     startRequests(now, effects);
     return effects;
   }
 
+  private void handleHave(
+      long now, List<SwarmEffect> effects, Peer peer, SwarmMessage.Have message) {
+    if (!isInManifest(message.chunk())) {
+      logOutOfRange(effects, peer, message.chunk());
+      return;
+    }
+    peer.held.set(message.chunk());
+    peer.queuedUploads = message.queueLength();
+    addRegionChunks(now, peer, peer.held);
+  }
+
+  private void handleRefusal(
+      long now, List<SwarmEffect> effects, Peer peer, SwarmMessage.ChunkRefused message) {
+    if (!isInManifest(message.chunk())) {
+      logOutOfRange(effects, peer, message.chunk());
+      return;
+    }
+    if (message.chunkMissing()) {
+      peer.held.clear(message.chunk());
+    }
+    peer.backoffUntil = now + REFUSAL_BACKOFF_MILLIS;
+    closeRequest(message.chunk(), peer.id);
+  }
+
+  /** Returns whether a chunk index is one of the manifest; peers may send any number. */
+  private boolean isInManifest(int chunk) {
+    return chunk >= 0 && chunk < manifest.chunks().size();
+  }
+
+  private void logOutOfRange(List<SwarmEffect> effects, Peer peer, int chunk) {
+    log(effects, "distrust", chunk, peer.id, "chunk number is not in the manifest");
+  }
+
   /**
    * Handles a received chunk.
    *
@@ -281,7 +319,9 @@
       log(effects, "distrust", chunk, from, "chunk does not match its digest");
       if (peer != null) {
         peer.consecutiveCorruptChunks++;
-        peer.held.clear(chunk);
+        if (isInManifest(chunk)) {
+          peer.held.clear(chunk);
+        }
         peer.backoffUntil =
             now
                 + (peer.consecutiveCorruptChunks >= CORRUPT_CHUNKS_BEFORE_BACKOFF
@@ -309,10 +349,7 @@
         }
       }
     }
-    if (heldChunks.cardinality() == manifest.chunks().size() && !complete) {
-      complete = true;
-      effects.add(new SwarmEffect.Complete());
-    }
+    completeIfAllHeld(effects);
     startRequests(now, effects);
     return effects;
   }
@@ -377,6 +414,7 @@
     if (now - lastNewChunkAt >= takeoverDelayMillis()) {
       recomputeRegionChunks();
     }
+    updateSource(now);
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
     sendHandshakes(now, effects);
@@ -384,6 +422,13 @@
     return effects;
   }
 
+  private void completeIfAllHeld(List<SwarmEffect> effects) {
+    if (!complete && heldChunks.cardinality() == manifest.chunks().size()) {
+      complete = true;
+      effects.add(new SwarmEffect.Complete());
+    }
+  }
+
   // Requests
 
   private void startRequests(long now, List<SwarmEffect> effects) {
@@ -421,10 +466,10 @@
       if (importRank(chunk, position) > allowedRank) {
         continue;
       }
-      Peer remote = region.equals(sourceRegion) ? null : findRemoteHolder(now, chunk);
+      Peer remote = isSourceRegion() ? null : findRemoteHolder(now, chunk);
       // Outside the source region, read from the origin only as the last resort: its link has
       // capacity for few copies.
-      if (remote != null || region.equals(sourceRegion) || allowedRank > 0) {
+      if (remote != null || readsOrigin || allowedRank > 0) {
         beginImport(now, effects, chunk, remote);
         return true;
       }
@@ -459,8 +504,8 @@
       return false;
     }
     int chunk = candidates.get(random.nextInt(candidates.size()));
-    Peer remote = region.equals(sourceRegion) ? null : findRemoteHolder(now, chunk);
-    if (remote != null || region.equals(sourceRegion)) {
+    Peer remote = isSourceRegion() ? null : findRemoteHolder(now, chunk);
+    if (remote != null || readsOrigin) {
       beginImport(now, effects, chunk, remote);
       return true;
     }
@@ -479,7 +524,7 @@
 
   /** Starts to import a chunk from a remote peer, or from the origin if {@code remote} is null. */
   private void beginImport(long now, List<SwarmEffect> effects, int chunk, Peer remote) {
-    if (options.remoteBytesPerSecond() > 0 && !region.equals(sourceRegion)) {
+    if (options.remoteBytesPerSecond() > 0 && !isSourceRegion()) {
       // Live requests share the link between regions, so each importer uses its share of the rate.
       int importers = Math.min(options.importers(), importRanking.size());
       double intervalMillis =
@@ -656,7 +701,7 @@
   // Uploads
 
   private void handleChunkRequest(List<SwarmEffect> effects, Peer peer, int chunk) {
-    boolean chunkMissing = chunk < 0 || chunk >= manifest.chunks().size() || !heldChunks.get(chunk);
+    boolean chunkMissing = !isInManifest(chunk) || !heldChunks.get(chunk);
     int queuedForPeer = 0;
     for (QueuedUpload u : uploadQueue) {
       if (u.peerId.equals(peer.id)) {
@@ -686,18 +731,54 @@
   // Peers
 
   /**
-   * Returns the region that reads from the origin: the origin's region if it has an agent that
-   * wants this version, otherwise the first region in rendezvous order.
+   * Returns the order in which regions read from the origin: the origin's region first if it has an
+   * agent that wants this version, the others in rendezvous order.
    */
-  private String findSourceRegion() {
+  private List<String> findSourceOrder() {
     Set<String> regions = new HashSet<>();
     regions.add(region);
     for (Peer peer : peers.values()) {
       regions.add(peer.region);
     }
-    return regions.contains(originRegion)
-        ? originRegion
-        : RendezvousHash.order(manifest.digest(), regions).get(0);
+    List<String> order = new ArrayList<>(RendezvousHash.order(manifest.digest(), regions));
+    if (order.remove(originRegion)) {
+      order.add(0, originRegion);
+    }
+    return order;
+  }
+
+  private boolean isSourceRegion() {
+    return region.equals(sourceOrder.get(0));
+  }
+
+  /**
+   * Decides whether this region reads from the origin: it is the first of the order that responds.
+   *
+   * <p>A region does not respond if none of its agents that got a handshake has replied. A region
+   * that got none counts as responding unless no other region responds.
+   */
+  private void updateSource(long now) {
+    Set<String> responding = new HashSet<>();
+    Set<String> silent = new HashSet<>();
+    for (Peer peer : peers.values()) {
+      if (peer.handshakeDone && now - peer.lastMessageAt < REGION_TIMEOUT_MILLIS) {
+        responding.add(peer.region);
+      } else if (peer.handshakeSentAt > 0 && now - peer.handshakeSentAt >= REGION_TIMEOUT_MILLIS) {
+        silent.add(peer.region);
+      }
+    }
+    responding.remove(region);
+    silent.remove(region);
+    silent.removeAll(responding);
+    boolean cutOff = responding.isEmpty() && !silent.isEmpty();
+    String first = region;
+    for (String each : sourceOrder) {
+      if (each.equals(region) || !cutOff && !silent.contains(each)) {
+        first = each;
+        break;
+      }
+    }
+    readsOrigin = first.equals(region);
   }
 
   /** Resets a peer whose connection was lost or that does not respond on an open connection. */
@@ -776,7 +857,7 @@
     remotePeers.sort(order);
     sendHandshakesToFirst(now, regionPeers, options.neighbors(), effects);
     int position = importRanking.indexOf(self);
-    if (!region.equals(sourceRegion) && position >= 0 && position < options.importers()) {
+    if (!isSourceRegion() && position >= 0 && position < options.importers()) {
       sendHandshakesToFirst(now, remotePeers, options.importers(), effects);
     }
   }
@@ -790,13 +871,23 @@
   private void sendHandshakesToFirst(
       long now, List<Peer> ordered, int count, List<SwarmEffect> effects) {
     for (Peer peer : ordered.subList(0, Math.min(count, ordered.size()))) {
-      if (!peer.handshakeDone) {
+      if (!peer.handshakeDone || isSilent(now, peer)) {
         peer.handshakeSentAt = peer.handshakeSentAt == 0 ? now : peer.handshakeSentAt;
         sendBitfield(effects, peer, true);
       }
     }
   }
 
+  /**
+   * Returns whether a handshake is repeated because nothing was heard from a peer.
+   *
+   * <p>The peer may have lost its connection to this agent and forgotten the handshake, or a
+   * message about a new chunk may have been lost.
+   */
+  private boolean isSilent(long now, Peer peer) {
+    return !complete && now - peer.lastMessageAt >= HANDSHAKE_INTERVAL_MILLIS;
+  }
+
   private void sendBitfield(List<SwarmEffect> effects, Peer peer, boolean wantsReply) {
     send(
         effects,
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -2,14 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.BitSet;
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
+import org.cornelchute.core.message.SwarmMessage;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The chunk exchange in virtual time, with and without faults. */
@@ -167,34 +171,123 @@
       assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
     }
 
-    @Property(tries = 12, seed = "42")
-    void everyRunningAgentCompletesOnceFaultsStop(
-        @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
-        @ForAll @IntRange(min = 2, max = 14) int agents,
-        @ForAll @IntRange(min = 1, max = 3) int regions) {
-      FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, seed);
-      Random faults = new Random(seed);
-      swarm.lossShare = 0.1;
-      swarm.corruptShare = 0.05;
-      int next = agents;
-      for (int step = 0; step < 6; step++) {
-        swarm.runUntil(swarm.now + faults.nextInt(2_000));
-        swarm.originRefuses = faults.nextInt(4) == 0;
-        if (faults.nextBoolean() && swarm.nodes.size() > 1) {
-          String victim = swarm.nodes.keySet().iterator().next();
-          String region = swarm.nodes.get(victim).member.region();
-          swarm.kill(victim);
-          // Half of them restart under the same ID, as replaced VMs do.
-          swarm.start(faults.nextBoolean() ? victim : "a" + next++, region, step + 2);
-        }
+    /** Guards against a peer that has forgotten the handshake and reports no chunk any more. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void importsFromPeerThatLostItsConnection(long seed) {
+      FakeSwarm swarm = new FakeSwarm(2, 2, SwarmOptions.DEFAULTS, seed);
+      swarm.runUntil(1_000);
+      swarm.loseConnection("a0", "a1");
+      assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+    }
+  }
+
+  /** Regions reach the origin but not each other, or no agent of the origin's region responds. */
+  @Nested
+  class WhenRegionsAreCutOff {
+
+    /** Guards against a region that reads ever fewer chunks while it knows no other holder. */
+    @ParameterizedTest
+    @CsvSource({"2, 2, 0", "2, 2, 2000", "6, 3, 0", "6, 3, 5000", "12, 3, 2000", "24, 3, 0"})
+    void readsOriginOncePerPartition(int agents, int regions, long cutAt) {
+      FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, 1);
+      swarm.runUntil(cutAt);
+      swarm.cutRegions.add("r1");
+      assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+      assertThat(swarm.originChunks / 2.0 / FakeSwarm.CHUNKS).isLessThanOrEqualTo(1.05);
+    }
+
+    /** Guards against regions that wait for a listed region whose agents do not respond. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 6, 12})
+    void replacesSourceRegionThatDoesNotRespond(int agents) {
+      FakeSwarm swarm = new FakeSwarm(agents, Math.min(3, agents), SwarmOptions.DEFAULTS, 5);
+      for (int i = 0; i < agents; i += Math.min(3, agents)) {
+        swarm.makeUnresponsive("a" + i);
       }
-      swarm.lossShare = 0;
-      swarm.corruptShare = 0;
-      swarm.originRefuses = false;
-      swarm.run(swarm.now + LIMIT_MILLIS);
+      assertThat(swarm.run(LIMIT_MILLIS) / LINK_BOUND_MILLIS).isLessThanOrEqualTo(2.0);
+    }
+  }
+
+  /** One agent's decider with chosen inputs. */
+  @Nested
+  class OfOneAgent {
+
+    private final Manifest manifest = Manifest.of("m", "v1", new byte[64], 16);
+
+    private SwarmDecider decider(BitSet held) {
+      return new SwarmDecider("a0", "r0", "r0", manifest, held, SwarmOptions.DEFAULTS, 1, 0);
+    }
+
+    /** Guards against a version that never completes because it was reused as a whole. */
+    @Test
+    void completesOnceWhenAllChunksAreReused() {
+      BitSet all = new BitSet();
+      all.set(0, manifest.chunks().size());
+      SwarmDecider decider = decider(all);
+      assertThat(decider.onMembersChanged(0, List.of())).contains(new SwarmEffect.Complete());
+      assertThat(decider.isComplete()).isTrue();
+      assertThat(decider.onMembersChanged(1, List.of())).isEmpty();
+    }
+  }
+
+  /** A peer sends chunk numbers outside the manifest. */
+  @Nested
+  class OnChunkNumbersOutOfRange {
+
+    private final FakeSwarm swarm = new FakeSwarm(2, 1, SwarmOptions.DEFAULTS, 1);
+
+    private List<SwarmEffect> receive(SwarmMessage message) {
+      return swarm.nodes.get("a0").decider.onMessage(swarm.now, "a1", message);
+    }
+
+    /** Guards against a peer's message that ends the duty. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, Integer.MIN_VALUE, FakeSwarm.CHUNKS, Integer.MAX_VALUE})
+    void ignoresThemAndCompletes(int chunk) {
+      swarm.runUntil(1_000);
+      String digest = swarm.manifest.digest();
+      assertThat(receive(new SwarmMessage.Have(digest, chunk, 0)))
+          .anyMatch(e -> e instanceof SwarmEffect.Log l && l.decision().kind().equals("distrust"));
+      receive(new SwarmMessage.ChunkRefused(digest, chunk, true));
+      receive(new SwarmMessage.ChunkRefused(digest, chunk, false));
+      assertThat(receive(new SwarmMessage.ChunkRequest(digest, chunk)))
+          .anyMatch(
+              e ->
+                  e instanceof SwarmEffect.Send s
+                      && s.message().equals(new SwarmMessage.ChunkRefused(digest, chunk, true)));
+      swarm.nodes.get("a0").decider.onChunk(swarm.now, "a1", chunk, 0, false);
+      swarm.run(LIMIT_MILLIS);
       assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
-      assertThat(swarm.nodes.values())
-          .allMatch(n -> n.decider.heldChunkCount() == FakeSwarm.CHUNKS);
     }
   }
+
+  @Property(tries = 12, seed = "42")
+  void everyRunningAgentCompletesOnceFaultsStop(
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
+      @ForAll @IntRange(min = 2, max = 14) int agents,
+      @ForAll @IntRange(min = 1, max = 3) int regions) {
+    FakeSwarm swarm = new FakeSwarm(agents, regions, SwarmOptions.DEFAULTS, seed);
+    Random faults = new Random(seed);
+    swarm.lossShare = 0.1;
+    swarm.corruptShare = 0.05;
+    int next = agents;
+    for (int step = 0; step < 6; step++) {
+      swarm.runUntil(swarm.now + faults.nextInt(2_000));
+      swarm.originRefuses = faults.nextInt(4) == 0;
+      if (faults.nextBoolean() && swarm.nodes.size() > 1) {
+        String victim = swarm.nodes.keySet().iterator().next();
+        String region = swarm.nodes.get(victim).member.region();
+        swarm.kill(victim);
+        // Half of them restart under the same ID, as replaced VMs do.
+        swarm.start(faults.nextBoolean() ? victim : "a" + next++, region, step + 2);
+      }
+    }
+    swarm.lossShare = 0;
+    swarm.corruptShare = 0;
+    swarm.originRefuses = false;
+    swarm.run(swarm.now + LIMIT_MILLIS);
+    assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+    assertThat(swarm.nodes.values()).allMatch(n -> n.decider.heldChunkCount() == FakeSwarm.CHUNKS);
+  }
 }
