Take no share of limits before the list of entries is read

Cause: until the table of entries was read, EndpointPool counted this entry alone. After a restart of several entries each of them took the whole retry allowance, the whole limit of a cold endpoint and 90% of an endpoint's connections until the read (for long if only that table is out of reach). An entry whose own row was not written yet took a share that the others did not leave to it, and rows that disappeared raised the shares while their entries still ran.

EntryList counts names until the process ends and knows the count once its own name is listed. Before: no calls to cold endpoints (they are cold for seconds, the others serve), allowance and connections divided by 64, retries within the ratio of the entry's own calls. The estimate of load is no limit and keeps using the entries found so far, to which entries that send reports now belong.

No existing test was changed.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -178,7 +178,10 @@
     endpointPool.updateWeightsSwitches(now, switchByHost);
   }
 
-  /** Replaces the set of entries that send calls to the same endpoints. */
+  /**
+   * Records the list of entries that send calls to the same endpoints. Limits are shared among all
+   * entries that were ever listed.
+   */
   public void updateEntries(Collection<String> names) {
     endpointPool.updateEntries(names);
   }
@@ -541,7 +544,7 @@
             : 0;
     // The entries share the connection limit of the endpoint, of which 10% stays in reserve.
     int maxConnections =
-        Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.entryCount());
+        Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.sharingEntryCount());
     effects.add(
         new CallEffect.Dispatch(
             call.spec.number(),
@@ -594,7 +597,7 @@
           Rejection.OVERLOADED,
           "no attempts or time left for a retry: " + reason);
     } else if (countsAsRetry
-        && !retryBudget.trySpend(now, call.service.name(), endpointPool.entryCount())) {
+        && !retryBudget.trySpend(now, call.service.name(), endpointPool.sharingEntryCount())) {
       reject(now, effects, call, Rejection.OVERLOADED, "retry budget exhausted: " + reason);
     } else {
       dispatchOrQueue(now, effects, call, RETRY_MAX_LOAD_PER_SLOT);
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
-import org.cornelchute.policy.util.RendezvousHash;
 
 /** All endpoints that the directory lists, with the state that this entry keeps for selection. */
 final class EndpointPool {
@@ -53,29 +52,31 @@
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
   private Set<String> evacuatedDomains = Set.of();
-  private List<String> entries;
+  private final EntryList entries;
   private long recoveryGraceUntil;
 
   EndpointPool(CallOptions options) {
     this.options = options;
-    this.entries = List.of(options.self());
+    this.entries = new EntryList(options.self());
   }
 
   Optional<Endpoint> find(String id) {
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns the number of entries that send calls to the endpoints, as far as they were found. */
   int entryCount() {
-    return entries.size();
+    return entries.foundCount();
   }
 
-  /**
-   * Replaces the set of entries that send calls to the same endpoints; always includes this one.
-   */
+  /** Returns the number of entries that limits are divided by; see {@link EntryList}. */
+  int sharingEntryCount() {
+    return entries.sharingCount();
+  }
+
+  /** Adds the entries that the store lists. */
   void updateEntries(Collection<String> names) {
-    Set<String> members = new HashSet<>(names);
-    members.add(options.self());
-    entries = List.copyOf(members);
+    entries.addAll(names);
   }
 
   /** Returns the open calls of this entry at each endpoint that has any. */
@@ -91,6 +92,7 @@
 
   /** Records the open calls that another entry reports, by endpoint. */
   void recordEntryReport(long now, String entry, List<OpenCalls> open) {
+    entries.addAll(List.of(entry));
     Map<Integer, Integer> calls = new HashMap<>();
     for (OpenCalls o : open) {
       calls.merge(o.endpoint(), o.calls(), Math::max);
@@ -229,7 +231,7 @@
       if (tried || endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)) {
         continue;
       }
-      double load = endpoint.estimateLoad(now, entries.size());
+      double load = endpoint.estimateLoad(now, entries.foundCount());
       double score = load / endpoint.spec.slots() + domainPenalty(endpoint);
       if (load < requirements.maxLoadPerSlot() * endpoint.spec.slots() && score < lowestScore) {
         lowestScore = score;
@@ -276,13 +278,7 @@
     }
     double allowedCalls = limit * options.coldOverrunFactor() + options.coldAllowance();
     int sharedCalls = (int) Math.floor(allowedCalls * COLD_LIMIT_SAFETY_FACTOR);
-    int ownShare = sharedCalls / entries.size();
-    if (ownShare == 0) {
-      // Fewer calls than entries: the entries ranked first for this endpoint get one call each.
-      List<String> ranking = RendezvousHash.order(endpoint.spec.id(), entries);
-      ownShare = ranking.indexOf(options.self()) < sharedCalls ? 1 : 0;
-    }
-    return endpoint.recentDispatches.count(now) < ownShare;
+    return endpoint.recentDispatches.count(now) < entries.shareOf(sharedCalls, endpoint.spec.id());
   }
 
   private double domainPenalty(Endpoint endpoint) {
