Keep two halves of agents before their list or model is known

Cause: LoadDuty took an agent that was not in the list, or had not read it, for the first of its region (rank 0), so that after a restart all agents of a region switched their engines in the same half, together. An agent that read the list of agents before the operators' table kept the rank for an empty model name, which differs from the others' rank, until the list changed again. Found by reading; no rule of the platform depends on it (the engines of a region pause at the same time).

SwitchRank computes the rank from the model and the list in whichever order they come. Until the agent's own row was read, the half follows from its name. Ruled out: waiting for the list (all engines would switch at the cutover, also together).

No existing test was changed.

--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -16,11 +16,11 @@
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.policy.forward.WeightsSwitch;
-import org.cornelchute.policy.util.RendezvousHash;
 import org.cornelchute.policy.weights.LoadDecider;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
 import org.cornelchute.policy.weights.LoadEffect;
 import org.cornelchute.policy.weights.Manifest;
+import org.cornelchute.policy.weights.SwitchRank;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -51,8 +51,8 @@
   private final AgentPlatform platform;
   private final LoadDecider decider;
   private final LongSupplier clockMillis;
-  private final String self;
   private final String region;
+  private final SwitchRank rank;
   private final Map<Long, Manifest> manifestByVersion = new HashMap<>();
   private WeightsDuty weightsDuty;
 
@@ -76,8 +76,8 @@
     this.platform = platform;
     this.decider = decider;
     this.clockMillis = clockMillis;
-    this.self = self;
     this.region = region;
+    this.rank = new SwitchRank(self, region);
   }
 
   /** Sets the duty that fetches chunks; must be called once, before {@link #start()}. */
@@ -95,7 +95,7 @@
   @Override
   public void onModelConfigured(String configuredModel) {
     if (model.isEmpty()) {
-      model = configuredModel;
+      setModel(configuredModel);
       execute(decider.onVersionAssigned(clockMillis.getAsLong(), INITIAL_VERSION));
     }
   }
@@ -103,7 +103,7 @@
   @Override
   public void onVersionAssigned(String assignedModel, long version) {
     if (model.isEmpty()) {
-      model = assignedModel;
+      setModel(assignedModel);
     }
     if (assignedModel.equals(model)) {
       execute(decider.onVersionAssigned(clockMillis.getAsLong(), version));
@@ -121,10 +121,8 @@
         idsInRegion.add(agent.id());
       }
     }
-    // With an odd number of agents, one half of a region is larger by one agent. The shift
-    // depends on the region so that this is not the same half in every region.
-    int shift = Math.floorMod(region.hashCode(), 2);
-    decider.setRank(Math.max(0, RendezvousHash.order(model, idsInRegion).indexOf(self)) + shift);
+    rank.setAgents(idsInRegion);
+    decider.setRank(rank.value());
     weightsDuty.updateMembers(agents, ids);
   }
 
@@ -151,6 +149,12 @@
         });
   }
 
+  private void setModel(String newModel) {
+    model = newModel;
+    rank.setModel(newModel);
+    decider.setRank(rank.value());
+  }
+
   // Effects
 
   private void execute(List<LoadEffect> effects) {
