Reject calls without a key while another entry knows a newer configuration

Such calls are now rejected as not ready, with the Retry-After of 20 to 50 ms, from the age at which keyed calls are, if other entries are known and one of them can probably reach the store. In an outage for all, and for a single entry, nothing changes. An entry without keys reports itself not ready in that state, as one with keys does.

Ruled out by reading: decoding of regions (arrays only, valid configurations only), the intersection of route and workspace (empty sets match no endpoint), unknown regions (named like the domain, match no home), order of configurations (versions only increase), the path after lost history (whole table read again), an answer on a connection of an earlier request (a cancelled exchange closes its connection). Bound of 3.3 s (as for unknown routes) ruled out: with long polls of 1.8 s the age reaches 3.6 s in quiet times.

No existing test was changed.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -208,12 +208,24 @@
   }
 
   /**
-   * Returns whether callers should use other entries. This is the case if the keys of this entry
-   * are too old to accept calls and another entry can probably accept them.
+   * Returns whether callers should use other entries. This is the case if the keys or routes of
+   * this entry are too old to accept calls and another entry can probably accept them.
    */
   public boolean shouldDivertCalls(long now) {
     return config.requiresKeys()
-        && freshness.ageMillis(now) > options.maxKeyAgeMillis()
+        ? freshness.ageMillis(now) > options.maxKeyAgeMillis()
+            && otherEntries.mayServe(now, options.maxKeyAgeMillis())
+        : isSuperseded(now);
+  }
+
+  /**
+   * Returns whether routes and regions of the configuration may have changed, while another entry
+   * can probably serve calls by the current ones. In an outage of the store for all entries, the
+   * configuration cannot change.
+   */
+  private boolean isSuperseded(long now) {
+    return freshness.ageMillis(now) > options.maxKeyAgeMillis()
+        && endpointPool.entryCount() > 1
         && otherEntries.mayServe(now, options.maxKeyAgeMillis());
   }
 
@@ -267,6 +279,10 @@
         return effects;
       }
       workspace = found.get();
+    } else if (isSuperseded(now)) {
+      rejectOnArrival(
+          now, effects, spec, Rejection.NOT_READY, "configuration is not confirmed", ageMillis);
+      return effects;
     }
     Optional<ServiceSpec> service = pickService(route.get());
     if (service.isEmpty()) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallOptions.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallOptions.java
@@ -6,7 +6,8 @@
  * @param self name of this entry
  * @param domain failure domain of this entry
  * @param region region of this entry
- * @param maxKeyAgeMillis age of the configuration above which calls with keys are rejected
+ * @param maxKeyAgeMillis age of the configuration above which calls with keys are rejected, and
+ *     calls without keys if another entry can probably serve them
  * @param maxDenialAgeMillis age of the configuration above which an unknown route or key is
  *     rejected as not ready, since it may have been added in the meantime
  * @param versionGraceMillis time from the first sighting of new weights until calls are sent only
