Keep reports of weights switches until their engines are listed

Cause: the tables of engines and of endpoints are read independently. A report of an agent was applied only to endpoints known at that moment, so an entry that read the engines first, after a start, or whose endpoint registered again, sent calls to an engine that was about to switch. Found by reading; it costs calls, no rule.

EndpointPool keeps the latest report by host, with the time of its receipt, and applies it to an endpoint that is new to it; the checks of incarnation and expiry are the same as before.

No existing test was changed.

--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -51,6 +51,7 @@
   private final CallOptions options;
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
+  private final Map<String, SwitchReport> switchReportByHost = new HashMap<>();
   private Set<String> evacuatedDomains = Set.of();
   private final EntryList entries;
   private long recoveryGraceUntil;
@@ -108,22 +109,31 @@
 
   /** Records the weights switches that agents report, by host. */
   void updateWeightsSwitches(long now, Map<String, WeightsSwitch> switchByHost) {
+    switchByHost.forEach((host, s) -> switchReportByHost.put(host, new SwitchReport(s, now)));
     for (Endpoint endpoint : byId.values()) {
-      WeightsSwitch weightsSwitch = switchByHost.get(endpoint.host());
-      if (weightsSwitch == null
-          || weightsSwitch.engineStartedAtMillis() != endpoint.spec.startedAtMillis()) {
-        continue;
-      }
-      if (weightsSwitch.loadedVersion() >= weightsSwitch.targetVersion()) {
-        endpoint.version = Math.max(endpoint.version, weightsSwitch.loadedVersion());
-        endpoint.loadReportedAt = now;
-      } else if (weightsSwitch.targetVersion() > endpoint.switchTargetVersion) {
-        endpoint.switchTargetVersion = weightsSwitch.targetVersion();
-        endpoint.switchExpiresAt = now + WEIGHTS_SWITCH_TIMEOUT_MILLIS;
+      if (switchByHost.containsKey(endpoint.host())) {
+        applySwitchReport(endpoint);
       }
     }
   }
 
+  private void applySwitchReport(Endpoint endpoint) {
+    SwitchReport report = switchReportByHost.get(endpoint.host());
+    if (report == null
+        || report.weightsSwitch.engineStartedAtMillis() != endpoint.spec.startedAtMillis()) {
+      return;
+    }
+    long targetVersion = report.weightsSwitch.targetVersion();
+    long loadedVersion = report.weightsSwitch.loadedVersion();
+    if (loadedVersion >= targetVersion) {
+      endpoint.version = Math.max(endpoint.version, loadedVersion);
+      endpoint.loadReportedAt = report.receivedAt;
+    } else if (targetVersion > endpoint.switchTargetVersion) {
+      endpoint.switchTargetVersion = targetVersion;
+      endpoint.switchExpiresAt = report.receivedAt + WEIGHTS_SWITCH_TIMEOUT_MILLIS;
+    }
+  }
+
   /** Replaces the list of endpoints; the state of incarnations that are still listed is kept. */
   void updateEndpoints(long now, Collection<EndpointSpec> specs) {
     Set<String> listedIds = new HashSet<>();
@@ -137,6 +147,7 @@
       if (newIncarnation) {
         endpoint = new Endpoint(spec);
         byId.put(spec.id(), endpoint);
+        applySwitchReport(endpoint);
       }
       if (spec.coldRemainingMillis() > 0
           && (newIncarnation
@@ -316,4 +327,7 @@
    * @param eligibleCount number of endpoints that may serve the call, with or without a free slot
    */
   record Choice(Optional<Endpoint> endpoint, int eligibleCount) {}
+
+  /** The latest report of an agent on its engine, with the time at which it was received. */
+  private record SwitchReport(WeightsSwitch weightsSwitch, long receivedAt) {}
 }
