--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -177,7 +177,10 @@
     endpointPool.updateWeightsSwitches(now, switchByHost);
   }
 
-  /** Replaces the set of entries that send calls to the same endpoints. */
+  /**
+   * Records the list of entries that send calls to the same endpoints. Limits are shared among all
+   * entries that were ever listed.
+   */
   public void updateEntries(Collection<String> names) {
     endpointPool.updateEntries(names);
   }
@@ -204,12 +207,24 @@
   }
 
   /**
-   * Returns whether callers should use other entries. This is the case if the keys of this entry
-   * are too old to accept calls and another entry can probably accept them.
+   * Returns whether callers should use other entries. This is the case if the keys or routes of
+   * this entry are too old to accept calls and another entry can probably accept them.
    */
   public boolean shouldDivertCalls(long now) {
     return config.requiresKeys()
-        && freshness.ageMillis(now) > options.maxKeyAgeMillis()
+        ? freshness.ageMillis(now) > options.maxKeyAgeMillis()
+            && otherEntries.mayServe(now, options.maxKeyAgeMillis())
+        : isSuperseded(now);
+  }
+
+  /**
+   * Returns whether routes and regions of the configuration may have changed, while another entry
+   * can probably serve calls by the current ones. In an outage of the store for all entries, the
+   * configuration cannot change.
+   */
+  private boolean isSuperseded(long now) {
+    return freshness.ageMillis(now) > options.maxKeyAgeMillis()
+        && endpointPool.entryCount() > 1
         && otherEntries.mayServe(now, options.maxKeyAgeMillis());
   }
 
@@ -267,6 +282,10 @@
         return effects;
       }
       workspace = found.get();
+    } else if (isSuperseded(now)) {
+      rejectOnArrival(
+          now, effects, spec, Rejection.NOT_READY, "configuration is not confirmed", ageMillis);
+      return effects;
     }
     Optional<ServiceSpec> service = pickService(route.get());
     if (service.isEmpty()) {
@@ -547,7 +566,7 @@
     long expectedVersion = requiredVersion(now, call) > 0 || call.streaming ? endpoint.version : 0;
     // The entries share the connection limit of the endpoint, of which 10% stays in reserve.
     int maxConnections =
-        Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.entryCount());
+        Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.sharingEntryCount());
     effects.add(
         new CallEffect.Dispatch(
             call.spec.number(),
@@ -600,7 +619,7 @@
           Rejection.OVERLOADED,
           "no attempts or time left for a retry: " + reason);
     } else if (countsAsRetry
-        && !retryBudget.trySpend(now, call.service.name(), endpointPool.entryCount())) {
+        && !retryBudget.trySpend(now, call.service.name(), endpointPool.sharingEntryCount())) {
       reject(now, effects, call, Rejection.OVERLOADED, "retry budget exhausted: " + reason);
     } else {
       dispatchOrQueue(now, effects, call, RETRY_MAX_LOAD_PER_SLOT);
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
-import org.cornelchute.policy.util.RendezvousHash;
 
 /** All endpoints that the directory lists, with the state that this entry keeps for selection. */
 final class EndpointPool {
@@ -52,30 +51,33 @@
   private final CallOptions options;
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
+  private final Map<String, SwitchReport> switchReportByHost = new HashMap<>();
   private Set<String> evacuatedDomains = Set.of();
-  private List<String> entries;
+  private final EntryList entries;
   private long recoveryGraceUntil;
 
   EndpointPool(CallOptions options) {
     this.options = options;
-    this.entries = List.of(options.self());
+    this.entries = new EntryList(options.self());
   }
 
   Optional<Endpoint> find(String id) {
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns the number of entries that send calls to the endpoints, as far as they were found. */
   int entryCount() {
-    return entries.size();
+    return entries.foundCount();
   }
 
-  /**
-   * Replaces the set of entries that send calls to the same endpoints; always includes this one.
-   */
+  /** Returns the number of entries that limits are divided by; see {@link EntryList}. */
+  int sharingEntryCount() {
+    return entries.sharingCount();
+  }
+
+  /** Adds the entries that the store lists. */
   void updateEntries(Collection<String> names) {
-    Set<String> members = new HashSet<>(names);
-    members.add(options.self());
-    entries = List.copyOf(members);
+    entries.addAll(names);
   }
 
   /** Returns the open calls of this entry at each endpoint that has any. */
@@ -91,6 +93,7 @@
 
   /** Records the open calls that another entry reports, by endpoint. */
   void recordEntryReport(long now, String entry, List<OpenCalls> open) {
+    entries.addAll(List.of(entry));
     Map<Integer, Integer> calls = new HashMap<>();
     for (OpenCalls o : open) {
       calls.merge(o.endpoint(), o.calls(), Math::max);
@@ -106,22 +109,31 @@
 
   /** Records the weights switches that agents report, by host. */
   void updateWeightsSwitches(long now, Map<String, WeightsSwitch> switchByHost) {
+    switchByHost.forEach((host, s) -> switchReportByHost.put(host, new SwitchReport(s, now)));
     for (Endpoint endpoint : byId.values()) {
-      WeightsSwitch weightsSwitch = switchByHost.get(endpoint.host());
-      if (weightsSwitch == null
-          || weightsSwitch.engineStartedAtMillis() != endpoint.spec.startedAtMillis()) {
-        continue;
-      }
-      if (weightsSwitch.loadedVersion() >= weightsSwitch.targetVersion()) {
-        endpoint.version = Math.max(endpoint.version, weightsSwitch.loadedVersion());
-        endpoint.loadReportedAt = now;
-      } else if (weightsSwitch.targetVersion() > endpoint.switchTargetVersion) {
-        endpoint.switchTargetVersion = weightsSwitch.targetVersion();
-        endpoint.switchExpiresAt = now + WEIGHTS_SWITCH_TIMEOUT_MILLIS;
+      if (switchByHost.containsKey(endpoint.host())) {
+        applySwitchReport(endpoint);
       }
     }
   }
 
+  private void applySwitchReport(Endpoint endpoint) {
+    SwitchReport report = switchReportByHost.get(endpoint.host());
+    if (report == null
+        || report.weightsSwitch.engineStartedAtMillis() != endpoint.spec.startedAtMillis()) {
+      return;
+    }
+    long targetVersion = report.weightsSwitch.targetVersion();
+    long loadedVersion = report.weightsSwitch.loadedVersion();
+    if (loadedVersion >= targetVersion) {
+      endpoint.version = Math.max(endpoint.version, loadedVersion);
+      endpoint.loadReportedAt = report.receivedAt;
+    } else if (targetVersion > endpoint.switchTargetVersion) {
+      endpoint.switchTargetVersion = targetVersion;
+      endpoint.switchExpiresAt = report.receivedAt + WEIGHTS_SWITCH_TIMEOUT_MILLIS;
+    }
+  }
+
   /** Replaces the list of endpoints; the state of incarnations that are still listed is kept. */
   void updateEndpoints(long now, Collection<EndpointSpec> specs) {
     Set<String> listedIds = new HashSet<>();
@@ -135,6 +147,7 @@
       if (newIncarnation) {
         endpoint = new Endpoint(spec);
         byId.put(spec.id(), endpoint);
+        applySwitchReport(endpoint);
       }
       if (spec.coldRemainingMillis() > 0
           && (newIncarnation
@@ -229,7 +242,7 @@
       if (tried || endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)) {
         continue;
       }
-      double load = endpoint.estimateLoad(now, entries.size());
+      double load = endpoint.estimateLoad(now, entries.foundCount());
       double score = load / endpoint.spec.slots() + domainPenalty(endpoint);
       if (load < requirements.maxLoadPerSlot() * endpoint.spec.slots() && score < lowestScore) {
         lowestScore = score;
@@ -276,13 +289,7 @@
     }
     double allowedCalls = limit * options.coldOverrunFactor() + options.coldAllowance();
     int sharedCalls = (int) Math.floor(allowedCalls * COLD_LIMIT_SAFETY_FACTOR);
-    int ownShare = sharedCalls / entries.size();
-    if (ownShare == 0) {
-      // Fewer calls than entries: the entries ranked first for this endpoint get one call each.
-      List<String> ranking = RendezvousHash.order(endpoint.spec.id(), entries);
-      ownShare = ranking.indexOf(options.self()) < sharedCalls ? 1 : 0;
-    }
-    return endpoint.recentDispatches.count(now) < ownShare;
+    return endpoint.recentDispatches.count(now) < entries.shareOf(sharedCalls, endpoint.spec.id());
   }
 
   private double domainPenalty(Endpoint endpoint) {
@@ -320,4 +327,7 @@
    * @param eligibleCount number of endpoints that may serve the call, with or without a free slot
    */
   record Choice(Optional<Endpoint> endpoint, int eligibleCount) {}
+
+  /** The latest report of an agent on its engine, with the time at which it was received. */
+  private record SwitchReport(WeightsSwitch weightsSwitch, long receivedAt) {}
 }
