Keep two bounds of the time at which a weights version was assigned

VersionGate now keeps the earliest and the latest time at which a version can have been assigned: new calls go by the first, calls in flight are canceled by the second, and a call is rejected as not ready only if the difference decides. Later reads narrow the bounds, a missing sighting is read again, a refresh ignores the open read, invalid rows are skipped.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -244,14 +244,16 @@
   }
 
   @Override
-  public void recordVersion(String model, long version, long ageMillis) {
-    decider.recordVersion(clockMillis.getAsLong() - ageMillis, model, version);
+  public void recordVersion(String model, long version, long minAgeMillis, long maxAgeMillis) {
+    long now = clockMillis.getAsLong();
+    decider.recordVersion(now - maxAgeMillis, now - minAgeMillis, model, version);
   }
 
   @Override
   public void recordVersionOfUnknownAge(String model, long version) {
-    observeClocks(clockMillis.getAsLong());
-    decider.recordVersionOfUnknownAge(model, version);
+    long now = clockMillis.getAsLong();
+    observeClocks(now);
+    decider.recordVersionOfUnknownAge(now, model, version);
   }
 
   @Override
--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -34,8 +35,11 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(FirstSightings.class);
 
-  /** Longer than any time limit on the use of new versions. */
-  private static final long AGE_WITHOUT_SIGHTING_MILLIS = TimeUnit.DAYS.toMillis(1);
+  /** Delay of the next read if no entry has stored a sighting of the newest version yet. */
+  private static final long MISSING_SIGHTING_DELAY_MILLIS = 500;
+
+  /** Number of such reads; a version that no entry has stored by then stays of unknown age. */
+  private static final int MAX_MISSING_SIGHTING_READS = 20;
 
   private static final String SEPARATOR = "/";
   private static final long INITIAL_VERSION = 1;
@@ -48,6 +52,7 @@
   private final Backoff writeBackoff;
   private final Map<String, Long> newestVersionByModel = new HashMap<>();
   private final Map<String, OwnSighting> ownSightingByKey = new HashMap<>();
+  private int missingSightingReads;
 
   /**
    * Creates an instance that knows no versions; must be used on the event loop only.
@@ -88,6 +93,7 @@
       return;
     }
     newestVersionByModel.put(model, version);
+    missingSightingReads = 0;
     LOG.info(
         "weights version assigned model={} version={} age not confirmed initial={}",
         model,
@@ -111,10 +117,21 @@
   /** Reads the stored sightings again, since the ages known to the listener are out of date. */
   public void refresh() {
     if (!newestVersionByModel.isEmpty()) {
-      read.request();
+      read.restart();
     }
   }
 
+  /** Returns the key of the row that holds the first sighting of a version. */
+  public static String key(String model, long version) {
+    return model + SEPARATOR + version;
+  }
+
+  /** Decodes the time of a sighting, in milliseconds on the store's clock; empty if invalid. */
+  public static Option<Long> decodeTime(byte[] value) {
+    String text = new String(value, StandardCharsets.UTF_8);
+    return text.matches(NUMBER_PATTERN) ? Option.of(Long.parseLong(text)) : Option.none();
+  }
+
   private void create(OwnSighting own) {
     store.create(TABLE, own.key(), own.value(), result -> handleCreated(own, result));
   }
@@ -154,59 +171,66 @@
   }
 
   private void handleRows(RowsResponse response, long elapsedMillis) {
-    // The response may have been on its way for as long as the whole read took.
-    long nowOnStore = response.storeTimeMillis() + elapsedMillis;
     Set<String> storedKeys = new HashSet<>();
     for (StoredRow row : response.rows()) {
-      storedKeys.add(row.key());
-      handleRow(row, nowOnStore);
+      if (handleRow(row, response.storeTimeMillis(), elapsedMillis)) {
+        storedKeys.add(row.key());
+      }
     }
-    reportVersionsWithoutSighting(storedKeys);
+    readMissingSightings(storedKeys);
   }
 
   /**
    * Reports one stored sighting. Superseded versions are reported as well: from a certain age of
    * each version on, calls must start on that version or a newer one.
+   *
+   * @param storeTimeMillis time of the response on the store's clock
+   * @param elapsedMillis time of the read, for all of which the response may have been on its way
+   * @return whether the row holds a sighting
    */
-  private void handleRow(StoredRow row, long nowOnStore) {
-    String value = new String(row.value(), StandardCharsets.UTF_8);
+  private boolean handleRow(StoredRow row, long storeTimeMillis, long elapsedMillis) {
+    Option<Long> time = decodeTime(row.value());
     int separator = row.key().lastIndexOf(SEPARATOR);
     String version = row.key().substring(separator + 1);
-    if (separator < 0 || !value.matches(NUMBER_PATTERN) || !version.matches(NUMBER_PATTERN)) {
-      LOG.warn("undecodable row ignored table={} key={}", TABLE, row.key());
-      return;
+    if (separator <= 0
+        || !version.matches(NUMBER_PATTERN)
+        || time.isEmpty()
+        || time.get() > storeTimeMillis) {
+      LOG.warn("row that is no sighting ignored table={} key={}", TABLE, row.key());
+      return false;
     }
-    long seenAtMillis = Long.parseLong(value);
+    long seenAtMillis = time.get();
     OwnSighting own = ownSightingByKey.remove(row.key());
     if (own != null && own.seenAtMillis() < seenAtMillis) {
       seenAtMillis = own.seenAtMillis();
       ownSightingByKey.put(own.key(), own);
       lower(own);
     }
-    report(
-        row.key().substring(0, separator),
-        Long.parseLong(version),
-        Math.max(0, nowOnStore - seenAtMillis));
+    String model = row.key().substring(0, separator);
+    long ageMillis = storeTimeMillis - seenAtMillis;
+    LOG.info(
+        "weights version assigned model={} version={} ageMs={} readMs={}",
+        model,
+        version,
+        ageMillis,
+        elapsedMillis);
+    listener.recordVersion(model, Long.parseLong(version), ageMillis, ageMillis + elapsedMillis);
+    return true;
   }
 
-  /**
-   * Reports versions that this process found at its start and that no entry has stored as old,
-   * since nothing limits their age.
-   */
-  private void reportVersionsWithoutSighting(Set<String> storedKeys) {
+  /** Reads again if the newest version of a model has no sighting, which may still be written. */
+  private void readMissingSightings(Set<String> storedKeys) {
     for (Map.Entry<String, Long> newest : newestVersionByModel.entrySet()) {
-      String key = newest.getKey() + SEPARATOR + newest.getValue();
-      if (!storedKeys.contains(key) && !ownSightingByKey.containsKey(key)) {
-        report(newest.getKey(), newest.getValue(), AGE_WITHOUT_SIGHTING_MILLIS);
+      String key = key(newest.getKey(), newest.getValue());
+      boolean missing = !storedKeys.contains(key) && !ownSightingByKey.containsKey(key);
+      if (missing && missingSightingReads < MAX_MISSING_SIGHTING_READS) {
+        missingSightingReads++;
+        loop.schedule(read::request, MISSING_SIGHTING_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        return;
       }
     }
   }
 
-  private void report(String model, long version, long ageMillis) {
-    LOG.info("weights version assigned model={} version={} ageMs={}", model, version, ageMillis);
-    listener.recordVersion(model, version, ageMillis);
-  }
-
   /**
    * Sighting of this entry that may not be stored yet.
    *
@@ -215,7 +239,7 @@
   private record OwnSighting(String model, long version, long seenAtMillis) {
 
     String key() {
-      return model + SEPARATOR + version;
+      return FirstSightings.key(model, version);
     }
 
     byte[] value() {
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -17,11 +17,10 @@
   void updateEvacuatedDomains(Set<String> domains);
 
   /**
-   * Records the age of a version of a model's weights that operators published.
-   *
-   * @param ageMillis time in milliseconds since an entry first saw it
+   * Records the age of a version of a model's weights that operators published: the time in
+   * milliseconds since an entry first saw it, between two bounds.
    */
-  void recordVersion(String model, long version, long ageMillis);
+  void recordVersion(String model, long version, long minAgeMillis, long maxAgeMillis);
 
   /**
    * Records a version of a model's weights that operators published at an unknown time after the
--- a/net/src/main/java/org/cornelchute/net/store/RetryingRead.java
+++ b/net/src/main/java/org/cornelchute/net/store/RetryingRead.java
@@ -25,6 +25,7 @@
   private final Query query;
   private final Listener listener;
   private final Backoff backoff;
+  private long lastRead;
   private boolean reading;
   private boolean requestedWhileReading;
 
@@ -56,19 +57,30 @@
   public void request() {
     if (reading) {
       requestedWhileReading = true;
-      return;
+    } else {
+      restart();
     }
+  }
+
+  /** Reads now and ignores the response to a request that is still open. */
+  public void restart() {
     reading = true;
-    send();
+    send(++lastRead);
   }
 
-  private void send() {
+  private void send(long number) {
+    if (number != lastRead) {
+      return;
+    }
     long requestedAt = clock.getAsLong();
     requestedWhileReading = false;
-    query.send(response -> handle(requestedAt, response));
+    query.send(response -> handle(number, requestedAt, response));
   }
 
-  private void handle(long requestedAt, Either<Failure, RowsResponse> response) {
+  private void handle(long number, long requestedAt, Either<Failure, RowsResponse> response) {
+    if (number != lastRead) {
+      return;
+    }
     if (response.isLeft()) {
       if (!backoff.isActive()) {
         LOG.warn(
@@ -76,7 +88,7 @@
             subject,
             response.getLeft().message());
       }
-      loop.schedule(this::send, backoff.onFailure(), TimeUnit.MILLISECONDS);
+      loop.schedule(() -> send(number), backoff.onFailure(), TimeUnit.MILLISECONDS);
       return;
     }
     if (backoff.isActive()) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -153,12 +153,11 @@
   }
 
   /**
-   * Records a version of a model's weights that operators published.
-   *
-   * @param seenAt time at which the version was first seen
+   * Records when a version of a model's weights that operators published was first seen by any
+   * entry, between two bounds.
    */
-  public void recordVersion(long seenAt, String model, long version) {
-    versionGate.recordVersion(seenAt, model, version);
+  public void recordVersion(long earliestAt, long latestAt, String model, long version) {
+    versionGate.recordSighting(earliestAt, latestAt, model, version);
   }
 
   /**
@@ -168,8 +167,8 @@
    * hold it, and is taken to be that old until {@link #recordVersion} tells its sighting. A process
    * that has no confirmation, since it has just started or was suspended, requires it at once.
    */
-  public void recordVersionOfUnknownAge(String model, long version) {
-    versionGate.recordUnconfirmed(freshness.confirmedAt(), model, version);
+  public void recordVersionOfUnknownAge(long now, String model, long version) {
+    versionGate.recordUnconfirmed(freshness.confirmedAt(), now, model, version);
   }
 
   /** Records the weights switches that agents report, by host. */
@@ -514,7 +513,7 @@
     Choice choice = chooseEndpoint(now, call, maxLoad);
     if (choice.endpoint().isPresent()) {
       dispatch(now, effects, call, choice);
-    } else if (choice.eligibleCount() == 0 && awaitsVersionAge(call)) {
+    } else if (lacksOnlyVersionAge(now, call, maxLoad)) {
       reject(now, effects, call, Rejection.NOT_READY, "age of the weights version is not known");
     } else if (choice.eligibleCount() == 0) {
       reject(now, effects, call, Rejection.NO_ENDPOINT, "no endpoint is eligible");
@@ -529,16 +528,15 @@
   }
 
   private Choice chooseEndpoint(long now, Call call, double maxLoad) {
+    return chooseEndpoint(now, call, maxLoad, requiredVersion(now, call));
+  }
+
+  private Choice chooseEndpoint(long now, Call call, double maxLoad, long minVersion) {
     long version = call.streaming ? call.streamVersion : 0;
     return endpointPool.choose(
         now,
         new Requirements(
-            call.service,
-            call.regions,
-            requiredVersion(now, call),
-            version,
-            maxLoad,
-            call.triedEndpoints));
+            call.service, call.regions, minVersion, version, maxLoad, call.triedEndpoints));
   }
 
   private long requiredVersion(long now, Call call) {
@@ -548,8 +546,19 @@
         .orElse(0L);
   }
 
-  private boolean awaitsVersionAge(Call call) {
-    return call.service.engine().map(e -> !versionGate.isNewestConfirmed(e.model())).orElse(false);
+  /**
+   * Returns whether an endpoint could accept the call if the newest versions turn out to be as
+   * young as possible. Another entry may know their age.
+   */
+  private boolean lacksOnlyVersionAge(long now, Call call, double maxLoad) {
+    if (call.service.engine().isEmpty()) {
+      return false;
+    }
+    long certain =
+        versionGate.certainVersion(
+            now, call.service.engine().get().model(), options.versionGraceMillis());
+    return certain < requiredVersion(now, call)
+        && chooseEndpoint(now, call, maxLoad, certain).endpoint().isPresent();
   }
 
   private void dispatch(long now, List<CallEffect> effects, Call call, Choice choice) {
@@ -637,10 +646,7 @@
     long required =
         call.service
             .engine()
-            .map(
-                e ->
-                    versionGate.confirmedRequiredVersion(
-                        now, e.model(), options.versionCutoffMillis()))
+            .map(e -> versionGate.certainVersion(now, e.model(), options.versionCutoffMillis()))
             .orElse(0L);
     return call.endpoint.version < required;
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
@@ -5,86 +5,89 @@
 import java.util.TreeMap;
 
 /**
- * Determines the minimum version of a model's weights that a new call may start on.
+ * Determines the minimum version of a model's weights that calls may start on.
  *
- * <p>The time since the assignment of a version is confirmed by the first sighting of any entry, or
- * only bounded by what this process knew before. A bound counts as the time of assignment until the
- * sighting is known: a version of unknown age is treated as old, since a call that starts on
- * superseded weights cannot be undone, while a rejected call can be retried elsewhere.
+ * <p>The time at which a version was assigned is known between two bounds only. New calls go by the
+ * earlier one: a call that starts on superseded weights cannot be undone, while a rejected call can
+ * be retried elsewhere. Calls in flight are canceled by the later one, from which on the version is
+ * certainly required.
  */
 final class VersionGate {
 
-  private final Map<String, TreeMap<Long, Sighting>> sightingsByModel = new HashMap<>();
+  private final Map<String, TreeMap<Long, Assignment>> assignmentsByModel = new HashMap<>();
 
-  /** Records the confirmed time of a sighting; the earliest confirmed time counts. */
-  void recordVersion(long seenAt, String model, long version) {
-    sightings(model).merge(version, new Sighting(seenAt, true), Sighting::mergeConfirmed);
+  /**
+   * Records bounds of the time at which a version was first seen by any entry. They narrow earlier
+   * bounds, and replace them if the sighting is an earlier one.
+   */
+  void recordSighting(long earliestAt, long latestAt, String model, long version) {
+    Assignment sighting = new Assignment(earliestAt, latestAt, true);
+    assignments(model).merge(version, sighting, Assignment::narrow);
   }
 
   /**
-   * Records a version whose first sighting is not known yet; ignored if it is confirmed.
+   * Records a version whose first sighting is not known yet; ignored if it is known.
    *
    * @param earliestAt time before which the version cannot have been assigned
+   * @param latestAt time at which this process learned of the version
    */
-  void recordUnconfirmed(long earliestAt, String model, long version) {
-    sightings(model).putIfAbsent(version, new Sighting(earliestAt, false));
+  void recordUnconfirmed(long earliestAt, long latestAt, String model, long version) {
+    assignments(model).putIfAbsent(version, new Assignment(earliestAt, latestAt, false));
   }
 
   /**
-   * Records that the known times no longer hold, since they are on a clock that stood still.
+   * Records that the known times are on a clock that stood still, so that every version may be
+   * older than it seems.
    *
-   * @param earliestAt time that counts as the assignment of each version until it is confirmed
+   * @param earliestAt earlier bound of each version until its sighting is recorded again
    */
   void invalidate(long earliestAt) {
-    for (TreeMap<Long, Sighting> sightings : sightingsByModel.values()) {
-      sightings.replaceAll((version, sighting) -> new Sighting(earliestAt, false));
+    for (TreeMap<Long, Assignment> assignments : assignmentsByModel.values()) {
+      assignments.replaceAll((version, a) -> new Assignment(earliestAt, a.latestAt(), false));
     }
   }
 
-  /** Returns whether the first sighting of the newest version of a model is known. */
-  boolean isNewestConfirmed(String model) {
-    Map.Entry<Long, Sighting> newest = sightings(model).lastEntry();
-    return newest == null || newest.getValue().confirmed();
-  }
-
   /**
-   * Returns the minimum version that a call may start on now; 0 if any version may be used.
+   * Returns the minimum version that a new call may start on now; 0 if any version may be used.
    *
-   * @param graceMillis time from the first sighting of a version until it becomes required
+   * @param graceMillis time from the assignment of a version until it becomes required
    */
   long requiredVersion(long now, String model, long graceMillis) {
-    return findRequired(now, model, graceMillis, false);
-  }
-
-  /** Returns the same as {@link #requiredVersion}, from confirmed sightings only. */
-  long confirmedRequiredVersion(long now, String model, long graceMillis) {
-    return findRequired(now, model, graceMillis, true);
+    for (Map.Entry<Long, Assignment> e : assignments(model).descendingMap().entrySet()) {
+      if (now - e.getValue().earliestAt() >= graceMillis) {
+        return e.getKey();
+      }
+    }
+    return 0;
   }
 
-  private long findRequired(long now, String model, long graceMillis, boolean confirmedOnly) {
-    for (Map.Entry<Long, Sighting> e : sightings(model).descendingMap().entrySet()) {
-      Sighting sighting = e.getValue();
-      if (now - sighting.seenAt() >= graceMillis && (sighting.confirmed() || !confirmedOnly)) {
+  /** Returns the version that is certainly required by now; see {@link #requiredVersion}. */
+  long certainVersion(long now, String model, long graceMillis) {
+    for (Map.Entry<Long, Assignment> e : assignments(model).descendingMap().entrySet()) {
+      if (now - e.getValue().latestAt() >= graceMillis) {
         return e.getKey();
       }
     }
     return 0;
   }
 
-  private TreeMap<Long, Sighting> sightings(String model) {
-    return sightingsByModel.computeIfAbsent(model, m -> new TreeMap<>());
+  private TreeMap<Long, Assignment> assignments(String model) {
+    return assignmentsByModel.computeIfAbsent(model, m -> new TreeMap<>());
   }
 
   /**
-   * Time at which a version was first seen.
+   * Bounds of the time at which a version was assigned.
    *
-   * @param seenAt that time, or a time before it if it is not confirmed
-   * @param confirmed whether the time is that of a sighting
+   * @param confirmed whether they come from the first sighting
    */
-  private record Sighting(long seenAt, boolean confirmed) {
+  private record Assignment(long earliestAt, long latestAt, boolean confirmed) {
 
-    private Sighting mergeConfirmed(Sighting other) {
-      return confirmed && seenAt < other.seenAt ? this : other;
+    private Assignment narrow(Assignment sighting) {
+      long latest = Math.min(latestAt, sighting.latestAt);
+      boolean earlierSighting = sighting.latestAt < earliestAt;
+      boolean keepsBound = confirmed && !earlierSighting;
+      long earliest = keepsBound ? Math.max(earliestAt, sighting.earliestAt) : sighting.earliestAt;
+      return new Assignment(Math.min(earliest, latest), latest, true);
     }
   }
 }
