--- a/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatformListener.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatformListener.java
@@ -9,8 +9,12 @@
   /** Handles the configured model, which the engines on the agents' VMs serve from version 1. */
   void onModelConfigured(String model);
 
-  /** Handles the assignment of a version of a model's weights by operators. */
-  void onVersionAssigned(String model, long version);
+  /**
+   * Handles the assignment of a version of a model's weights by operators.
+   *
+   * @param ageMillis time in milliseconds since the version was first seen, 0 if that is not known
+   */
+  void onVersionAssigned(String model, long version, long ageMillis);
 
   /**
    * Handles a change of the agents.
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -96,17 +96,17 @@
   public void onModelConfigured(String configuredModel) {
     if (model.isEmpty()) {
       setModel(configuredModel);
-      execute(decider.onVersionAssigned(clockMillis.getAsLong(), INITIAL_VERSION));
+      execute(decider.onVersionAssigned(clockMillis.getAsLong(), INITIAL_VERSION, 0));
     }
   }
 
   @Override
-  public void onVersionAssigned(String assignedModel, long version) {
+  public void onVersionAssigned(String assignedModel, long version, long ageMillis) {
     if (model.isEmpty()) {
       setModel(assignedModel);
     }
     if (assignedModel.equals(model)) {
-      execute(decider.onVersionAssigned(clockMillis.getAsLong(), version));
+      execute(decider.onVersionAssigned(clockMillis.getAsLong(), version, ageMillis));
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -34,9 +34,12 @@
 
   private final LoadOptions options;
 
-  /** Time at which this agent learned of the assignment, by version. */
+  /** Time at which the assignment was first seen by any process, by version. */
   private final TreeMap<Long, Long> assignedAtByVersion = new TreeMap<>();
 
+  /** Time at which this agent learned of the assignment, by version. */
+  private final TreeMap<Long, Long> learnedAtByVersion = new TreeMap<>();
+
   /** Time at which every chunk was held and verified, by version. */
   private final TreeMap<Long, Long> completeAtByVersion = new TreeMap<>();
 
@@ -92,16 +95,21 @@
    * <p>Of versions learned of at about the same time, for example after an outage of the store,
    * only the newest is fetched. Otherwise, agents that learn only of the newest one would have no
    * peers to fetch it from while the others fetch the older version first.
+   *
+   * @param ageMillis time since the version was first seen by any process. An agent that learns of
+   *     it late must not count the cutover from then, because no calls are sent to the engine after
+   *     the cutover of the others.
    */
-  public List<LoadEffect> onVersionAssigned(long now, long version) {
+  public List<LoadEffect> onVersionAssigned(long now, long version, long ageMillis) {
     List<LoadEffect> effects = new ArrayList<>(1);
     if (version > targetVersion()) {
-      for (Map.Entry<Long, Long> older : assignedAtByVersion.entrySet()) {
+      for (Map.Entry<Long, Long> older : learnedAtByVersion.entrySet()) {
         if (now - older.getValue() <= options.supersedeWindowMillis() / ASSIGNED_TOGETHER_DIVISOR) {
           drop(older.getKey(), version, effects);
         }
       }
-      assignedAtByVersion.put(version, now);
+      assignedAtByVersion.put(version, now - ageMillis);
+      learnedAtByVersion.put(version, now);
       deferredVersion = version;
       startDeferredFetch(now, effects);
     }
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -29,7 +29,7 @@
 
   @Test
   void startsLoadOnlyAfterStagedChunksVerified() {
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 4));
     assertThat(hasEffect(decider.onEngineReport(now, engine(1, false, 4)), LoadEffect.Stage.class))
         .isFalse();
@@ -44,7 +44,7 @@
 
   @Test
   void startsNoLoadWhenEngineRestartedDuringStaging() {
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
     decider.onVersionComplete(now, 2);
     decider.onEngineReport(now, new Engine(true, START_MILLIS + 1, 0, false, 0));
@@ -64,7 +64,7 @@
     for (int rank = 0; rank < 6; rank++) {
       createDecider();
       decider.setRank(rank);
-      decider.onVersionAssigned(now, 2);
+      decider.onVersionAssigned(now, 2, 0);
       decider.onEngineReport(now, engine(1, false, 0));
       boolean firstHalf =
           hasEffect(decider.onVersionComplete(now + 5_000, 2), LoadEffect.Stage.class);
@@ -79,21 +79,30 @@
   @Test
   void stagesAtOnceWhenEngineMayNotServeCalls() {
     decider.setRank(1);
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(0, false, 0));
     assertThat(hasEffect(decider.onVersionComplete(now + 5_000, 2), LoadEffect.Stage.class))
         .isTrue();
     createDecider();
     decider.setRank(1);
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
     assertThat(hasEffect(decider.onVersionComplete(now + 7_300, 2), LoadEffect.Stage.class))
         .isTrue();
   }
 
+  /** Failure: a restarted agent waited for a cutover that the entries had passed before. */
+  @Test
+  void countsTheCutoverFromTheFirstSighting() {
+    decider.setRank(1);
+    decider.onVersionAssigned(now, 2, 9_000);
+    decider.onEngineReport(now, engine(1, false, 0));
+    assertThat(hasEffect(decider.onVersionComplete(now + 100, 2), LoadEffect.Stage.class)).isTrue();
+  }
+
   @Test
   void announcesSwitchOfServingEngineFirst() {
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
     assertThat(decider.onVersionComplete(now, 2).get(0))
         .isEqualTo(new LoadEffect.AnnounceSwitch(2));
@@ -105,9 +114,9 @@
     for (int rank = 0; rank < 2; rank++) {
       createDecider();
       decider.setRank(rank);
-      decider.onVersionAssigned(now, 2);
+      decider.onVersionAssigned(now, 2, 0);
       decider.onEngineReport(now, engine(1, false, 0));
-      decider.onVersionAssigned(now + 4_000, 3);
+      decider.onVersionAssigned(now + 4_000, 3, 0);
       boolean firstHalf = rank == 0;
       assertThat(hasEffect(decider.onVersionComplete(now + 5_000, 2), LoadEffect.Stage.class))
           .isEqualTo(firstHalf);
@@ -131,9 +140,9 @@
   @Test
   void loadsSupersededVersionWhenNewerOneIsLate() {
     decider.setRank(1);
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
-    decider.onVersionAssigned(now + 4_000, 3);
+    decider.onVersionAssigned(now + 4_000, 3, 0);
     decider.onVersionComplete(now + 5_000, 2);
     assertThat(stagesAt(now + 11_500, engine(1, false, 0))).isFalse();
     assertThat(stagesAt(now + 11_600, engine(1, false, 0))).isTrue();
@@ -142,9 +151,9 @@
   @Test
   void doesNotWaitForVersionAssignedAfterSupersedeWindow() {
     decider.setRank(1);
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
-    decider.onVersionAssigned(now + 6_000, 3);
+    decider.onVersionAssigned(now + 6_000, 3, 0);
     decider.onVersionComplete(now + 6_000, 2);
     assertThat(stagesAt(now + 7_200, engine(1, false, 0))).isTrue();
   }
@@ -152,8 +161,8 @@
   @Test
   void dropsVersionThatCannotCompleteBeforeCutover() {
     // The origin is unavailable while two versions are assigned 3 s apart.
-    decider.onVersionAssigned(now, 2);
-    decider.onVersionAssigned(now + 3_000, 3);
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onVersionAssigned(now + 3_000, 3, 0);
     List<LoadEffect> before = decider.onEngineReport(now + 7_900, Engine.UNREACHABLE);
     assertThat(hasEffect(before, LoadEffect.Drop.class)).isFalse();
     assertThat(decider.onEngineReport(now + 8_000, Engine.UNREACHABLE))
@@ -168,24 +177,24 @@
   @Test
   void fetchesOnlyNewestOfVersionsAssignedTogether() {
     // Two versions are assigned during an outage of the store; some agents learn of one only.
-    decider.onVersionAssigned(now, 2);
-    assertThat(decider.onVersionAssigned(now + 300, 3))
+    decider.onVersionAssigned(now, 2, 0);
+    assertThat(decider.onVersionAssigned(now + 300, 3, 0))
         .contains(new LoadEffect.Drop(2), new LoadEffect.Fetch(3));
   }
 
   @Test
   void needsOnlyTargetVersionAndItsPredecessor() {
-    decider.onVersionAssigned(now, 2);
-    decider.onVersionAssigned(now + 4_000, 3);
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onVersionAssigned(now + 4_000, 3, 0);
     assertThat(decider.isNeeded(2)).isTrue();
     assertThat(decider.isNeeded(1)).isFalse();
-    decider.onVersionAssigned(now + 6_000, 4);
+    decider.onVersionAssigned(now + 6_000, 4, 0);
     assertThat(decider.isNeeded(2)).isFalse();
   }
 
   @Test
   void announcesLoadedVersion() {
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
     decider.onVersionComplete(now, 2);
     decider.onStagingResult(now, 1, true);
@@ -198,10 +207,10 @@
   @Test
   void fetchesVersionsAssignedInQuickSuccessionSequentially() {
     // Versions are assigned 3 s apart, must be in use within 8 s and take 4 s to download.
-    assertThat(decider.onVersionAssigned(now, 2)).contains(new LoadEffect.Fetch(2));
-    assertThat(decider.onVersionAssigned(now + 3_000, 3)).isEmpty();
+    assertThat(decider.onVersionAssigned(now, 2, 0)).contains(new LoadEffect.Fetch(2));
+    assertThat(decider.onVersionAssigned(now + 3_000, 3, 0)).isEmpty();
     assertThat(decider.onVersionComplete(now + 5_000, 2)).contains(new LoadEffect.Fetch(3));
-    assertThat(decider.onVersionAssigned(now + 6_000, 4)).isEmpty();
+    assertThat(decider.onVersionAssigned(now + 6_000, 4, 0)).isEmpty();
     assertThat(decider.onEngineReport(now + 8_400, Engine.UNREACHABLE)).isEmpty();
     assertThat(decider.onEngineReport(now + 8_500, Engine.UNREACHABLE))
         .contains(new LoadEffect.Fetch(4));
@@ -209,7 +218,7 @@
 
   @Test
   void learnsOutcomeOfUnansweredLoadFromEngineReport() {
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
     decider.onVersionComplete(now, 2);
     decider.onStagingResult(now, 1, true);
@@ -221,11 +230,11 @@
   /** Guards against a drop that is logged with the version staged before as its subject. */
   @Test
   void logsDropWithDroppedVersionAsSubject() {
-    decider.onVersionAssigned(now, 2);
+    decider.onVersionAssigned(now, 2, 0);
     decider.onEngineReport(now, engine(1, false, 0));
     decider.onVersionComplete(now, 2);
-    decider.onVersionAssigned(now + 60_000, 3);
-    assertThat(decider.onVersionAssigned(now + 60_100, 4))
+    decider.onVersionAssigned(now + 60_000, 3, 0);
+    assertThat(decider.onVersionAssigned(now + 60_100, 4, 0))
         .contains(new LoadEffect.Drop(3))
         .filteredOn(e -> e instanceof LoadEffect.Log)
         .extracting(e -> ((LoadEffect.Log) e).decision().subject())
