Limit the takeover delay to the longest request timeout

Cause: the delay is four times the mean gap between new chunks, and a gap that a takeover ends is as long as the delay, so each takeover raises the mean by the factor 1.6 and the next delay with it, without an end. A region whose source region responds but reports no chunks reads ever more slowly.

Before: takesOverAtLeastOncePerRequestTimeout fails (24 chunks in 200 s, at least 49 asked); after: passes.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -925,10 +925,13 @@
   /**
    * Returns the time without a new chunk after which the next agent in the ranking imports.
    *
-   * <p>It grows with the mean gap between new chunks, since chunks arrive less often on slow links.
+   * <p>It grows with the mean gap between new chunks, since chunks arrive less often on slow links,
+   * up to the longest request timeout. Without that limit it would grow with each takeover, since a
+   * gap that a takeover ends is as long as the delay.
    */
   private long takeoverDelayMillis() {
-    return Math.max(options.takeoverMillis(), (long) (TAKEOVER_FACTOR * meanNewChunkGapMillis));
+    long adapted = (long) (TAKEOVER_FACTOR * meanNewChunkGapMillis);
+    return Math.max(options.takeoverMillis(), Math.min(options.maxRequestTimeoutMillis(), adapted));
   }
 
   private static void send(List<SwarmEffect> effects, Peer peer, SwarmMessage message) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Random;
@@ -10,6 +11,9 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.model.Member;
+import org.cornelchute.core.model.Role;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -219,6 +223,32 @@
       return new SwarmDecider("a0", "r0", "r0", manifest, held, SwarmOptions.DEFAULTS, 1, 0);
     }
 
+    /** Guards against a takeover delay that grows with each takeover. */
+    @Test
+    void takesOverAtLeastOncePerRequestTimeout() {
+      // The agents of the source region respond but hold nothing.
+      Manifest manifest = Manifest.of("m", "v1", new byte[512 * 16], 16);
+      SwarmOptions options = SwarmOptions.DEFAULTS;
+      SwarmDecider decider =
+          new SwarmDecider("a0", "r1", "r0", manifest, new BitSet(), options, 1, 0);
+      SwarmMessage empty = new SwarmMessage.Bitfield(manifest.digest(), new byte[0], false);
+      decider.onMembersChanged(
+          0,
+          List.of(
+              new Member("b", Role.AGENT, "b", "r0", "d", "", 1, 1, false, Generation.NONE, "v1")));
+      int periods = 50;
+      for (long now = 0; now < periods * options.maxRequestTimeoutMillis(); now += 50) {
+        List<SwarmEffect> effects = new ArrayList<>(decider.onMessage(now, "b", empty));
+        effects.addAll(decider.tick(now));
+        for (int i = 0; i < effects.size(); i++) {
+          if (effects.get(i) instanceof SwarmEffect.FetchOrigin fetch) {
+            effects.addAll(decider.onChunk(now, "", fetch.chunk(), 0, true));
+          }
+        }
+      }
+      assertThat(decider.heldChunkCount()).isGreaterThanOrEqualTo(periods - 1);
+    }
+
     /** Guards against a version that never completes because it was reused as a whole. */
     @Test
     void completesOnceWhenAllChunksAreReused() {
