Bound the bytes of an exchange before the head of its response

Cause: WireConnection skipped informational responses and responses to other requests for as long as they came, at the full rate of the server, until the deadline of the call.

The limit is 1 MiB: a head is at most 40 KB, and a response of another request may come first. The exchange then fails as possibly sent and its connection closes.

New: such faults are counted (meter server.faults) and logged once an address and 10 s. Neither was there before; malformed responses only showed in the reason of the call.

--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -79,7 +79,7 @@
   public DirectAgentDaemon(DirectAgentSettings settings, AgentPlatform platform, long seed) {
     this.settings = settings;
     this.platform = platform;
-    this.wireClient = new WireClient(eventLoopGroup, clockMillis);
+    this.wireClient = new WireClient(eventLoopGroup, clockMillis, metrics);
     long versionMillis =
         settings.versionMillis() > 0 ? settings.versionMillis() : DEFAULT_VERSION_MILLIS;
     LoadDecider decider =
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -83,7 +83,7 @@
       long seed) {
     this.settings = settings;
     this.stateSource = stateSource;
-    this.client = new WireClient(group, clockMillis);
+    this.client = new WireClient(group, clockMillis, metrics);
     CallDecider decider = new CallDecider(toCallOptions(settings), seed);
     if (settings.peers().isEmpty()) {
       this.openCallsReporter = Optional.empty();
--- a/net/src/main/java/org/cornelchute/net/wire/WireClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireClient.java
@@ -1,5 +1,6 @@
 package org.cornelchute.net.wire;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -24,6 +25,7 @@
 
   private final EventLoopGroup eventLoopGroup;
   private final LongSupplier clock;
+  private final ServerFaults faults;
   private final Map<String, WirePool> poolByAddress = new HashMap<>();
 
   /**
@@ -31,10 +33,12 @@
    *
    * @param eventLoopGroup group of exactly one event loop, never null
    * @param clock steady clock in milliseconds
+   * @param metrics registry of the meter of faulty responses
    */
-  public WireClient(EventLoopGroup eventLoopGroup, LongSupplier clock) {
+  public WireClient(EventLoopGroup eventLoopGroup, LongSupplier clock, MetricRegistry metrics) {
     this.eventLoopGroup = eventLoopGroup;
     this.clock = clock;
+    this.faults = new ServerFaults(clock, metrics);
   }
 
   /** Starts the periodic eviction of idle connections. */
@@ -68,7 +72,7 @@
   private void connect(WirePool pool, WireExchange exchange) {
     String address = exchange.request.address();
     int colon = address.lastIndexOf(':');
-    WireConnection connection = new WireConnection(pool);
+    WireConnection connection = new WireConnection(pool, faults, address);
     pool.onConnecting();
     new Bootstrap()
         .group(eventLoopGroup)
@@ -81,6 +85,7 @@
               protected void initChannel(Channel channel) {
                 channel
                     .pipeline()
+                    .addLast(new ReceivedBytesHandler(connection))
                     .addLast(
                         new HttpClientCodec(
                             MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -17,8 +17,8 @@
  * A connection that carries one exchange at a time.
  *
  * <p>A response whose correlation header differs from the request's belongs to an earlier exchange
- * and is skipped, as are informational (1xx) responses. Bytes that arrive while no exchange is in
- * progress close the connection.
+ * and is skipped, as are informational (1xx) responses, up to a number of bytes. Bytes that arrive
+ * while no exchange is in progress close the connection.
  */
 final class WireConnection extends ChannelInboundHandlerAdapter {
 
@@ -34,7 +34,15 @@
 
   private static final String TIMEOUT_PARAMETER = "timeout=";
 
+  /**
+   * Maximum number of bytes of an exchange before the head of its response. More than a head
+   * because responses to earlier exchanges may come first.
+   */
+  private static final long MAX_BYTES_BEFORE_HEAD = 1_048_576;
+
   private final WirePool pool;
+  private final ServerFaults faults;
+  private final String address;
   private Channel channel;
   private WireExchange exchange;
   private int completedExchanges;
@@ -43,11 +51,15 @@
   private boolean reusable;
   private boolean endsOnClose;
   private boolean requestWritten;
+  private boolean closing;
+  private long bytesBeforeHead;
   private long idleSinceMillis;
   private long serverIdleLimitMillis = Long.MAX_VALUE;
 
-  WireConnection(WirePool pool) {
+  WireConnection(WirePool pool, ServerFaults faults, String address) {
     this.pool = pool;
+    this.faults = faults;
+    this.address = address;
   }
 
   @Override
@@ -62,6 +74,7 @@
     skippingResponse = false;
     reusable = false;
     requestWritten = false;
+    bytesBeforeHead = 0;
     next.onSend(this);
     channel
         .writeAndFlush(next.request.message())
@@ -87,19 +100,38 @@
   /** Closes the connection and abandons its exchange without notifying the listener. */
   void close() {
     exchange = null;
-    channel.close();
+    closeChannel();
+  }
+
+  /** Reports what the server sent as a fault, closes the connection and fails the exchange. */
+  void rejectResponse(String reason) {
+    faults.report(address, reason);
+    failExchange(reason);
+  }
+
+  /** Counts received bytes, which the decoder has already handled. */
+  void onBytesReceived(int size) {
+    if (exchange == null || headReceived) {
+      return;
+    }
+    bytesBeforeHead += size;
+    if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+      rejectResponse("no response within " + MAX_BYTES_BEFORE_HEAD + " bytes");
+    }
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
       if (exchange == null) {
-        close();
+        handleUnsolicitedBytes();
         return;
       }
       HttpObject part = (HttpObject) message;
       if (part.decoderResult().isFailure()) {
-        failExchange("response is not valid HTTP");
+        rejectResponse(
+            "response is not valid HTTP: "
+                + part.decoderResult().cause().getClass().getSimpleName());
         return;
       }
       if (part instanceof HttpResponse response) {
@@ -125,6 +157,13 @@
     failExchange("connection closed before the response was complete");
   }
 
+  private void handleUnsolicitedBytes() {
+    if (!closing) {
+      faults.report(address, "bytes that belong to no request");
+      close();
+    }
+  }
+
   private void handleHead(HttpResponse response) {
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     String correlationId =
@@ -183,7 +222,7 @@
     if (reusable && requestWritten && !completed.isEnded()) {
       pool.release(this);
     } else {
-      channel.close();
+      closeChannel();
     }
     completed.complete();
   }
@@ -192,11 +231,16 @@
     WireExchange failed = exchange;
     exchange = null;
     if (failed != null) {
-      channel.close();
+      closeChannel();
       failed.fail(reason);
     }
   }
 
+  private void closeChannel() {
+    closing = true;
+    channel.close();
+  }
+
   private static long parseIdleLimitMillis(String keepAlive) {
     int start = keepAlive.indexOf(TIMEOUT_PARAMETER);
     if (start < 0) {
--- a/net/src/test/java/org/cornelchute/net/wire/WireClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/wire/WireClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -42,7 +43,9 @@
   @BeforeEach
   void open() throws IOException {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    client = new WireClient(group, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    client =
+        new WireClient(
+            group, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), new MetricRegistry());
     server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     Thread thread = new Thread(this::serve);
     thread.setDaemon(true);
