Close connections on which bytes follow a response

Cause: bytes after the end of a response that were not yet a whole message stayed in the decoder, so that the connection was reused and the next response read as garbage. Evidence: WireClientTest.doesNotReuseConnectionsWithBytesThatAreNoResponse failed before with "failed sent=true response is not valid HTTP" for a request whose response was right.

HttpClientCodec does not tell whether it holds bytes, so its decoder is replaced by ResponseDecoder with the same limits; it knows of HEAD requests from the connection (readsResponsesToHeadRequests, which passes before and after). Pipelined requests and CONNECT, the other duties of that codec, are not used.

Bytes that arrive on an idle connection now close it at once; before, only after 8 KB or a whole message.

--- a/net/src/main/java/org/cornelchute/net/wire/WireClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireClient.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -18,9 +18,6 @@
 /** HTTP client with persistent connections; must be called on its event loop only. */
 public final class WireClient {
 
-  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 32_768;
-  private static final int MAX_CHUNK_BYTES = 16_384;
   private static final long IDLE_EVICTION_MILLIS = 5_000;
 
   private final EventLoopGroup eventLoopGroup;
@@ -83,12 +80,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new ReceivedBytesHandler(connection))
-                    .addLast(
-                        new HttpClientCodec(
-                            MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder());
               }
             })
         .connect(
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -18,7 +18,7 @@
  *
  * <p>A response whose correlation header differs from the request's belongs to an earlier exchange
  * and is skipped, as are informational (1xx) responses, up to a number of bytes. Bytes that arrive
- * while no exchange is in progress close the connection.
+ * while no exchange is in progress, or after the end of a response, close the connection.
  */
 final class WireConnection extends ChannelInboundHandlerAdapter {
 
@@ -43,6 +43,7 @@
   private final WirePool pool;
   private final ServerFaults faults;
   private final String address;
+  private final ResponseDecoder decoder = new ResponseDecoder(this);
   private Channel channel;
   private WireExchange exchange;
   private int completedExchanges;
@@ -67,6 +68,19 @@
     channel = ctx.channel();
   }
 
+  /** Returns the decoder of this connection, which precedes it in the pipeline. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
+  boolean hasExchange() {
+    return exchange != null;
+  }
+
+  boolean isHeadRequest() {
+    return exchange != null && exchange.request.message().method() == HttpMethod.HEAD;
+  }
+
   /** Sends a request; the connection must be open and idle. */
   void send(WireExchange next) {
     exchange = next;
@@ -109,8 +123,16 @@
     failExchange(reason);
   }
 
-  /** Counts received bytes, which the decoder has already handled. */
-  void onBytesReceived(int size) {
+  /**
+   * Handles received bytes after the decoder.
+   *
+   * @param solicited whether an exchange was in progress when they arrived
+   */
+  void onBytesReceived(int size, boolean solicited) {
+    if (!solicited) {
+      handleUnsolicitedBytes();
+      return;
+    }
     if (exchange == null || headReceived) {
       return;
     }
@@ -182,10 +204,7 @@
     }
     headReceived = true;
     int status = response.status().code();
-    boolean withoutBody =
-        status == NO_CONTENT
-            || status == NOT_MODIFIED
-            || exchange.request.message().method() == HttpMethod.HEAD;
+    boolean withoutBody = status == NO_CONTENT || status == NOT_MODIFIED || isHeadRequest();
     endsOnClose =
         !withoutBody
             && !HttpUtil.isContentLengthSet(response)
@@ -219,7 +238,9 @@
     WireExchange completed = exchange;
     exchange = null;
     completedExchanges++;
-    if (reusable && requestWritten && !completed.isEnded()) {
+    if (reusable && decoder.hasUndecodedBytes()) {
+      handleUnsolicitedBytes();
+    } else if (reusable && requestWritten && !completed.isEnded()) {
       pool.release(this);
     } else {
       closeChannel();
--- a/net/src/test/java/org/cornelchute/net/wire/WireClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/wire/WireClientTest.java
@@ -84,6 +84,27 @@
     assertThat(send("c")).isEqualTo("end ok");
   }
 
+  /**
+   * Guards against a response taken for garbage because bytes after the response before were still
+   * in the decoder.
+   */
+  @Test
+  void doesNotReuseConnectionsWithBytesThatAreNoResponse() throws Exception {
+    replies.add(String.format(COMPLETE_RESPONSE, "a") + "no answer");
+    assertThat(send("a")).isEqualTo("end ok");
+    replies.add(String.format(COMPLETE_RESPONSE, "c"));
+    assertThat(send("c")).isEqualTo("end ok");
+  }
+
+  /** Guards against waiting for a body that responses to HEAD requests announce but do not have. */
+  @Test
+  void readsResponsesToHeadRequests() throws Exception {
+    replies.add("HTTP/1.1 200 OK\r\nx-id: a\r\nContent-Length: 9\r\n\r\n");
+    assertThat(send(HttpMethod.HEAD, "a")).isEqualTo("end ");
+    replies.add(String.format(COMPLETE_RESPONSE, "b"));
+    assertThat(send("b")).isEqualTo("end ok");
+  }
+
   @Test
   void reportsTruncatedResponsesAsFailures() throws Exception {
     replies.add("HTTP/1.1 200 OK\r\nx-id: a\r\nContent-Length: 9\r\n\r\nokclose");
@@ -103,7 +124,11 @@
   }
 
   private String send(String id) throws InterruptedException {
-    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+    return send(HttpMethod.GET, id);
+  }
+
+  private String send(HttpMethod method, String id) throws InterruptedException {
+    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/");
     request.headers().set(CORRELATION_HEADER, id);
     String address = "127.0.0.1:" + server.getLocalPort();
     group.execute(
