Bound the body of responses that are buffered

Cause: SimpleHttpClient buffered a response body until it ended or its time was over. All requests to the store, to the origin and to the engine on the VM use it. Evidence: SimpleHttpClientTest with a server on loopback that sends without end. On the code before, 3 of 4 cases failed: two ran the test's heap of 512 MB full within 0.9 and 1.3 s ("connection failed: Java heap space", a body that ends on close and one with an excessive length), one read for all of its 2 s (chunked). An entry has 150 MB, an agent 96 MB.

A larger one ends as a Failure (unknown, as bytes were sent), closes the connection, and counts as a fault of the server.

--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -229,7 +229,7 @@
         platform
             .engine()
             .readChunk(
-                model,
+                manifest,
                 chunk,
                 result -> {
                   result.peek(bytes -> weightsDuty.addLocalChunk(manifest, chunk, bytes));
@@ -291,7 +291,7 @@
         platform
             .engine()
             .readChunk(
-                model,
+                manifest,
                 chunk,
                 result ->
                     onChunkProcessed(result.isRight() && manifest.verifies(chunk, result.get())));
--- a/agent/src/main/java/org/cornelchute/agent/direct/LocalEngine.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LocalEngine.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
+import org.cornelchute.policy.weights.Manifest;
 
 /** The engine on the agent's VM; each call invokes its callback exactly once, on the event loop. */
 public interface LocalEngine {
@@ -16,7 +17,7 @@
       String model, int chunk, byte[] bytes, Consumer<Either<Failure, Boolean>> callback);
 
   /** Reads a chunk from the engine's store. */
-  void readChunk(String model, int chunk, Consumer<Either<Failure, byte[]>> callback);
+  void readChunk(Manifest manifest, int chunk, Consumer<Either<Failure, byte[]>> callback);
 
   /**
    * Commands the engine to load a version from its store.
--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
@@ -39,7 +39,8 @@
    * Sends a request and passes the result to a callback on the event loop, exactly once.
    *
    * <p>The result is {@link Failure.Code#UNAVAILABLE} if the request was certainly not sent, and
-   * {@link Failure.Code#UNKNOWN} if it may have been or the timeout expired.
+   * {@link Failure.Code#UNKNOWN} if it may have been, the timeout expired or the response body is
+   * larger than the request permits.
    */
   public void send(SimpleHttpRequest request, Consumer<Either<Failure, Response>> callback) {
     FullHttpRequest message =
@@ -61,8 +62,9 @@
             MAX_CONNECTIONS,
             CONNECT_TIMEOUT_MILLIS,
             MAX_IDLE_MILLIS);
-    ResponseCollector collector = new ResponseCollector(callback);
+    ResponseCollector collector = new ResponseCollector(request.maxBodyBytes(), callback);
     WireExchange exchange = wireClient.send(wireRequest, collector);
+    collector.exchange = exchange;
     collector.timeout =
         loop.schedule(
             () -> {
@@ -88,13 +90,16 @@
 
   private static final class ResponseCollector implements WireListener {
 
+    private final int maxBodyBytes;
     private final Consumer<Either<Failure, Response>> callback;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private boolean done;
+    private WireExchange exchange;
     private ScheduledFuture<?> timeout;
 
-    ResponseCollector(Consumer<Either<Failure, Response>> callback) {
+    ResponseCollector(int maxBodyBytes, Consumer<Either<Failure, Response>> callback) {
+      this.maxBodyBytes = maxBodyBytes;
       this.callback = callback;
     }
 
@@ -105,6 +110,10 @@
 
     @Override
     public void onContent(ByteBuf bytes) {
+      if (bytes.readableBytes() > maxBodyBytes - body.size()) {
+        exchange.reject("response body exceeds " + maxBodyBytes + " bytes");
+        return;
+      }
       byte[] part = new byte[bytes.readableBytes()];
       bytes.readBytes(part);
       body.write(part, 0, part.length);
--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpRequest.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpRequest.java
@@ -10,6 +10,12 @@
  * @param uri path and query
  * @param body request body, empty if there is none
  * @param timeoutMillis maximum time until the response is complete
+ * @param maxBodyBytes maximum size of the response body; a larger one fails the request
  */
 public record SimpleHttpRequest(
-    String address, HttpMethod method, String uri, byte[] body, long timeoutMillis) {}
+    String address,
+    HttpMethod method,
+    String uri,
+    byte[] body,
+    long timeoutMillis,
+    int maxBodyBytes) {}
--- a/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
@@ -35,6 +35,16 @@
     }
   }
 
+  /**
+   * Ends the exchange because the listener does not accept the response: closes the connection,
+   * records a fault of the server and notifies the listener of the failure.
+   */
+  public void reject(String reason) {
+    if (!ended && connection != null) {
+      connection.rejectResponse(reason);
+    }
+  }
+
   boolean isEnded() {
     return ended;
   }
--- /dev/null
+++ b/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
@@ -0,0 +1,101 @@
+package org.cornelchute.net.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cornelchute.core.outcome.Failure;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Over real sockets, responses are buffered up to a size and fail beyond it. */
+class SimpleHttpClientTest {
+
+  private static final String HEAD = "HTTP/1.1 200 OK\r\n";
+  private static final int MAX_BODY_BYTES = 1_048_576;
+  private static final long TIMEOUT_MILLIS = 2_000;
+
+  /** Bytes that a server may send until it notices the close, mostly in socket buffers. */
+  private static final long MAX_SENT_BYTES = 32L * 1_024 * 1_024;
+
+  private final BlockingQueue<Either<Failure, SimpleHttpClient.Response>> results =
+      new LinkedBlockingQueue<>();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private MultiThreadIoEventLoopGroup group;
+  private SimpleHttpClient client;
+
+  @BeforeEach
+  void open() {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoop loop = group.next();
+    client =
+        new SimpleHttpClient(
+            loop,
+            new WireClient(group, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), metrics));
+  }
+
+  @AfterEach
+  void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** Guards against a chunked body that is buffered until memory or time runs out. */
+  @Test
+  void failsOnChunkedBodiesWithoutEnd() throws Exception {
+    assertRejected("Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n");
+  }
+
+  /** Guards against a body without length that is buffered until memory or time runs out. */
+  @Test
+  void failsOnBodiesWithoutEndThatEndOnClose() throws Exception {
+    assertRejected("\r\n", "more");
+  }
+
+  /** Guards against an announced length that is buffered until memory or time runs out. */
+  @Test
+  void failsOnBodiesOfExcessiveLength() throws Exception {
+    assertRejected("Content-Length: 99999999999999\r\n\r\n", "more");
+  }
+
+  /** Guards against a limit that also rejects bodies of just the permitted size. */
+  @Test
+  void returnsBodiesOfTheMaximumSize() throws Exception {
+    String body = "a".repeat(MAX_BODY_BYTES);
+    try (FloodServer server =
+        new FloodServer(HEAD + "Content-Length: " + body.length() + "\r\n\r\n" + body, "more")) {
+      Either<Failure, SimpleHttpClient.Response> result = send(server);
+      assertThat(result.get().body()).hasSize(MAX_BODY_BYTES);
+    }
+  }
+
+  private void assertRejected(String head, String pattern) throws Exception {
+    try (FloodServer server = new FloodServer(HEAD + head, pattern)) {
+      Either<Failure, SimpleHttpClient.Response> result = send(server);
+      assertThat(result.getLeft().code()).isEqualTo(Failure.Code.UNKNOWN);
+      assertThat(result.getLeft().message()).contains(MAX_BODY_BYTES + " bytes");
+      assertThat(server.sentBytes().poll(5, TimeUnit.SECONDS))
+          .isNotNull()
+          .isLessThan(MAX_SENT_BYTES);
+      assertThat(metrics.meter("server.faults").getCount()).isEqualTo(1);
+    }
+  }
+
+  private Either<Failure, SimpleHttpClient.Response> send(FloodServer server)
+      throws InterruptedException {
+    SimpleHttpRequest request =
+        new SimpleHttpRequest(
+            server.address(), HttpMethod.GET, "/", new byte[0], TIMEOUT_MILLIS, MAX_BODY_BYTES);
+    group.execute(() -> client.send(request, results::add));
+    Either<Failure, SimpleHttpClient.Response> result = results.poll(5, TimeUnit.SECONDS);
+    assertThat(result).isNotNull();
+    return result;
+  }
+}
