Bound the response bodies that an entry buffers

Cause: CallDuty kept the body of a response that is not streamed until it ended; an endpoint that sends without end filled the memory of the entry.

A body is now at most 8 MiB, twice what a request may have by default, and all bodies together a fifth of the heap, until they are sent to their callers.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -1,5 +1,6 @@
 package org.cornelchute.entry.direct;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
@@ -62,6 +63,13 @@
 
   private static final long MAX_CONNECTION_IDLE_MILLIS = 1_500;
   private static final int STATUS_MISDIRECTED_REQUEST = 421;
+
+  /** Maximum size of a response body that is buffered, twice that of request bodies by default. */
+  private static final int MAX_RESPONSE_BODY_BYTES = 8_388_608;
+
+  /** Share of the heap that buffered response bodies may use. */
+  private static final double RESPONSE_MEMORY_SHARE = 0.2;
+
   private static final String BEARER_PREFIX = "Bearer ";
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
@@ -74,6 +82,8 @@
   private final Runnable stateRefresher;
   private final Map<Long, OpenCall> openCalls = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
+  private final ResponseBudget responseBudget =
+      new ResponseBudget((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_SHARE));
   private final HeaderCopier headerCopier;
   private final Meter arrivedMeter;
   private final Meter answeredMeter;
@@ -107,6 +117,7 @@
     this.answeredMeter = metrics.meter("calls.answered");
     this.lostMeter = metrics.meter("calls.lost");
     this.latencyHistogram = metrics.histogram("calls.millis");
+    metrics.register("calls.buffered.bytes", (Gauge<Long>) responseBudget::reservedBytes);
   }
 
   /** Schedules the periodic tasks. */
@@ -191,6 +202,7 @@
             connection,
             request,
             parseNumber(headers.get(headerNames.lastEventId()), -1),
+            responseBudget,
             now);
     openCalls.put(call.number, call);
     connection.setCurrentCall(call);
@@ -396,8 +408,11 @@
             call.responseHead.status(),
             call.responseBody.retainedDuplicate());
     headerCopier.copyResponseHeaders(call.responseHead.headers(), response.headers());
+    int reservedBytes = call.takeReservedBytes();
     removeCall(call);
-    call.callerConnection.writeResponse(response);
+    call.callerConnection
+        .writeResponse(response)
+        .addListener(future -> responseBudget.release(reservedBytes));
   }
 
   private void rejectCall(OpenCall call, Rejection rejection, long retryAfterMillis) {
@@ -534,10 +549,7 @@
         return;
       }
       if (!call.streaming) {
-        if (call.responseBody == Unpooled.EMPTY_BUFFER) {
-          call.responseBody = Unpooled.buffer(bytes.readableBytes());
-        }
-        call.responseBody.writeBytes(bytes);
+        appendToBody(bytes);
         return;
       }
       byte[] copy = new byte[bytes.readableBytes()];
@@ -553,6 +565,16 @@
       }
     }
 
+    private void appendToBody(ByteBuf bytes) {
+      if (bytes.readableBytes() > MAX_RESPONSE_BODY_BYTES - call.responseBody.readableBytes()) {
+        call.exchange.reject("response body exceeds " + MAX_RESPONSE_BODY_BYTES + " bytes");
+      } else if (!call.appendToBody(bytes)) {
+        metrics.meter("calls.unbuffered").mark();
+        call.exchange.cancel();
+        onFailure(true, "memory for response bodies is exhausted");
+      }
+    }
+
     @Override
     public void onEnd() {
       if (call.attempt != attempt || !openCalls.containsKey(call.number)) {
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -98,14 +98,16 @@
 
   // Responses
 
-  /** Answers the current request with a complete response. */
-  void writeResponse(FullHttpResponse response) {
+  /** Answers the current request with a complete response; the future ends once it is sent. */
+  ChannelFuture writeResponse(FullHttpResponse response) {
     if (!listener.allowsKeepAlive()) {
       keepAlive = false;
     }
     HttpUtil.setContentLength(response, response.content().readableBytes());
     HttpUtil.setKeepAlive(response, keepAlive);
-    finishResponse(channel.writeAndFlush(response));
+    ChannelFuture future = channel.writeAndFlush(response);
+    finishResponse(future);
+    return future;
   }
 
   /** Starts a response of unknown length, sent in chunked transfer encoding. */
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
@@ -15,11 +15,15 @@
   final FullHttpRequest request;
   final EventStreamDecoder eventDecoder;
   final long arrivedAt;
+  private final ResponseBudget responseBudget;
   WireExchange exchange;
   int attempt;
   HttpResponse responseHead;
   ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
 
+  /** Part of the budget for the body of the response to the current attempt. */
+  private int reservedBytes;
+
   /** Whether the response to the current attempt is forwarded while it arrives. */
   boolean streaming;
 
@@ -31,10 +35,12 @@
       CallerConnection callerConnection,
       FullHttpRequest request,
       long lastEventId,
+      ResponseBudget responseBudget,
       long now) {
     this.number = number;
     this.callerConnection = callerConnection;
     this.request = request;
+    this.responseBudget = responseBudget;
     this.arrivedAt = now;
     this.eventDecoder = new EventStreamDecoder(lastEventId);
   }
@@ -44,14 +50,39 @@
     attempt = nextAttempt;
     responseHead = null;
     streaming = false;
-    responseBody.release();
-    responseBody = Unpooled.EMPTY_BUFFER;
+    releaseBody();
     eventDecoder.discardPartialEvent();
   }
 
+  /** Appends to the buffered body, unless the budget is exhausted. */
+  boolean appendToBody(ByteBuf bytes) {
+    int size = bytes.readableBytes();
+    if (!responseBudget.tryReserve(size)) {
+      return false;
+    }
+    reservedBytes += size;
+    if (responseBody == Unpooled.EMPTY_BUFFER) {
+      responseBody = Unpooled.buffer(size);
+    }
+    responseBody.writeBytes(bytes);
+    return true;
+  }
+
+  /** Returns what was reserved for the body, which the caller of this method must release. */
+  int takeReservedBytes() {
+    int taken = reservedBytes;
+    reservedBytes = 0;
+    return taken;
+  }
+
   void release() {
+    releaseBody();
+    request.release();
+  }
+
+  private void releaseBody() {
     responseBody.release();
     responseBody = Unpooled.EMPTY_BUFFER;
-    request.release();
+    responseBudget.release(takeReservedBytes());
   }
 }
