End streams whose bytes are no events

Cause: EventStreamDecoder kept the bytes of an event until its end came, copied and searched all of them for each part, and took anything between blank lines for an event; CallDuty forwarded it and counted it as progress, so that it kept the stream alive.

The decoder now names a fault of the stream: more than 1 MiB since the last new event (which is also the largest event), or bytes between blank lines of which no line has the form of a field. The exchange then fails as possibly sent and counts as a fault of the server; the stream is resumed elsewhere or aborted. Comments and unknown fields are still forwarded as they come, and blank lines go with the next event; those after the last one are no partial event any more. Parts are appended and searched once (decodesSingleBytesInLinearTime).

Not changed: a comment still counts as data for the idle timeout, as that is what it is for.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -563,6 +563,7 @@
         decider.onResponseProgress(
             clockMillis.getAsLong(), call.number, attempt, call.eventDecoder.lastEventId());
       }
+      call.eventDecoder.fault().ifPresent(call.exchange::reject);
     }
 
     private void appendToBody(ByteBuf bytes) {
--- a/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
@@ -1,11 +1,13 @@
 package org.cornelchute.entry.direct;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -34,7 +36,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Over real sockets, endpoints that send bytes without end. */
+/** Over real sockets, endpoints that send bytes without end, and callers that do not read. */
 @Timeout(30)
 class EndpointFloodTest {
 
@@ -67,9 +69,13 @@
   /** Time within which a flood at the rate of the loopback interface is noticed. */
   private static final long MAX_MILLIS = 4_000;
 
+  /** Bytes that an endpoint may send for a caller that reads nothing, mostly in socket buffers. */
+  private static final long MAX_SENT_BYTES = 32L * 1_024 * 1_024;
+
   private final ExecutorService serverThreads = Executors.newCachedThreadPool();
   private final HttpClient httpClient =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final AtomicLong sentBytes = new AtomicLong();
   private final AtomicLong closedFloods = new AtomicLong();
   private HttpServer floodingEndpoint;
   private HttpServer healthyEndpoint;
@@ -156,6 +162,53 @@
     assertThat(metricsPage()).contains("cornelchute_calls_buffered_bytes 0\n");
   }
 
+  /** Guards against a stream whose bytes are collected without bound because no event ends. */
+  @Test
+  void abortsStreamsWhoseEventsDoNotEnd() throws Exception {
+    pattern = "data: more";
+    assertStreamAborted();
+  }
+
+  /** Guards against bytes that are no events, but are forwarded and keep a stream alive. */
+  @Test
+  void abortsStreamsOfBytesThatAreNoEvents() throws Exception {
+    pattern = "no event\n\n";
+    assertStreamAborted();
+  }
+
+  /** Guards against a stream whose blank lines keep it alive. */
+  @Test
+  void abortsStreamsOfBlankLines() throws Exception {
+    pattern = "\n";
+    assertStreamAborted();
+  }
+
+  /** Guards against a stream of bytes that are no events where another endpoint has the events. */
+  @Test
+  void resumesStreamsWhoseEventsDoNotEndOnAnotherEndpoint() throws Exception {
+    pattern = "data: more";
+    for (int i = 0; i < 4; i++) {
+      assertThat(call("/stream-mixed/").body()).isEqualTo(EVENTS);
+    }
+    awaitClosedFloods(1);
+  }
+
+  private void assertStreamAborted() throws Exception {
+    long startedAt = System.nanoTime();
+    HttpResponse<InputStream> response =
+        httpClient.send(request("/stream-once/"), BodyHandlers.ofInputStream());
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThatThrownBy(
+            () -> {
+              byte[] body = response.body().readNBytes(1);
+              assertThat(body).isEmpty();
+            })
+        .isInstanceOf(IOException.class);
+    assertThat(millisSince(startedAt)).isLessThan(MAX_MILLIS);
+    awaitClosedFloods(1);
+    assertThat(sentBytes.get()).isLessThan(MAX_SENT_BYTES);
+  }
+
   private void awaitClosedFloods(int count) throws InterruptedException {
     for (int i = 0; i < 100 && closedFloods.get() < count; i++) {
       TimeUnit.MILLISECONDS.sleep(20);
@@ -196,6 +249,7 @@
     try {
       while (true) {
         out.write(batch);
+        sentBytes.addAndGet(batch.length);
       }
     } catch (IOException e) {
       closedFloods.incrementAndGet();
@@ -222,7 +276,10 @@
         1,
         List.of(
             route("/once/", CallKind.NON_IDEMPOTENT, FLOODED),
-            route("/again/", CallKind.IDEMPOTENT, MIXED)),
+            route("/again/", CallKind.IDEMPOTENT, MIXED),
+            route("/stream/", CallKind.STREAM, FLOODED),
+            route("/stream-once/", CallKind.STREAM, FLOODED),
+            route("/stream-mixed/", CallKind.STREAM, MIXED)),
         List.of(
             new ServiceSpec(FLOODED, 32, 0, 0, Optional.empty()),
             new ServiceSpec(MIXED, 32, 0, 0, Optional.empty())),
--- a/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
@@ -4,19 +4,45 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Splits the bytes of an event stream into complete events, so that a stream that breaks off can be
  * resumed on another endpoint.
  *
  * <p>An event whose id is not greater than the last id is dropped, since the caller already
- * received it before the stream was resumed.
+ * received it before the stream was resumed. Comments and unknown fields are returned like events,
+ * but count towards the bytes without one. Other bytes between two blank lines, of which no line
+ * has the form of a field, make the stream faulty.
  */
 public final class EventStreamDecoder {
 
-  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  /** Maximum number of bytes between the ends of two events, and so the maximum size of one. */
+  public static final int MAX_BYTES_PER_EVENT = 1_048_576;
 
-  private byte[] partial = new byte[0];
+  private static final byte[] NO_BYTES = new byte[0];
+  private static final byte[] ID_FIELD = "id".getBytes(StandardCharsets.US_ASCII);
+
+  private static final List<byte[]> FIELDS =
+      List.of(
+          "data".getBytes(StandardCharsets.US_ASCII),
+          ID_FIELD,
+          "event".getBytes(StandardCharsets.US_ASCII),
+          "retry".getBytes(StandardCharsets.US_ASCII));
+
+  /** Received bytes that are not part of a complete event yet. */
+  private byte[] buffer = NO_BYTES;
+
+  private int size;
+
+  /** Index of the first buffered byte after leading blank lines. */
+  private int first;
+
+  /** Number of buffered bytes that are known to hold no end of an event. */
+  private int scanned;
+
+  private long bytesSinceEvent;
+  private boolean corrupt;
   private long lastEventId;
 
   /** Creates a decoder; {@code lastEventId} is the id of the last delivered event, or negative. */
@@ -31,72 +57,147 @@
 
   /** Returns whether the received bytes end within an event. */
   public boolean hasPartialEvent() {
-    return partial.length > 0;
+    return first < size;
+  }
+
+  /** Returns why no more events can be expected from the endpoint, empty if they can. */
+  public Optional<String> fault() {
+    if (corrupt) {
+      return Optional.of("stream holds bytes that are no event");
+    }
+    return bytesSinceEvent > MAX_BYTES_PER_EVENT
+        ? Optional.of("no event within " + MAX_BYTES_PER_EVENT + " bytes of the stream")
+        : Optional.empty();
   }
 
   /** Discards the bytes of an incomplete event; called when the stream is resumed. */
   public void discardPartialEvent() {
-    partial = new byte[0];
+    buffer = NO_BYTES;
+    size = 0;
+    first = 0;
+    scanned = 0;
+    bytesSinceEvent = 0;
+    corrupt = false;
   }
 
-  /** Adds received bytes and returns the events that they complete, in order. */
+  /** Adds received bytes and returns the events and comments that they complete, in order. */
   public List<byte[]> decode(byte[] bytes) {
-    byte[] all = bytes;
-    if (partial.length > 0) {
-      all = new byte[partial.length + bytes.length];
-      System.arraycopy(partial, 0, all, 0, partial.length);
-      System.arraycopy(bytes, 0, all, partial.length, bytes.length);
-    }
+    append(bytes);
     List<byte[]> events = new ArrayList<>(2);
     int start = 0;
-    for (int i = 1; i < all.length; i++) {
-      if (all[i] == '\n' && (all[i - 1] == '\n' || i > 2 && isBlankLine(all, i))) {
-        emit(events, all, start, i + 1);
+    skipBlankLines(first);
+    for (int i = Math.max(first, scanned); i < size && !corrupt; i++) {
+      if (endsWithBlankLine(i)) {
+        emit(events, start, i + 1);
         start = i + 1;
+        skipBlankLines(start);
+        i = first - 1;
       }
     }
-    partial = Arrays.copyOfRange(all, start, all.length);
+    keepFrom(start);
     return events;
   }
 
-  private void emit(List<byte[]> events, byte[] all, int start, int end) {
-    long id = findId(all, start, end);
-    if (id >= 0 && id <= lastEventId) {
+  private void append(byte[] bytes) {
+    if (size + bytes.length > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(size + bytes.length, 2 * size));
+    }
+    System.arraycopy(bytes, 0, buffer, size, bytes.length);
+    size += bytes.length;
+    bytesSinceEvent += bytes.length;
+  }
+
+  private void keepFrom(int start) {
+    buffer = start == 0 ? buffer : Arrays.copyOfRange(buffer, start, size);
+    size -= start;
+    first -= start;
+    scanned = size;
+  }
+
+  private void emit(List<byte[]> events, int start, int end) {
+    boolean event = false;
+    boolean ignorable = false;
+    long id = -1;
+    for (int i = first; i < end; i = nextLine(i, end)) {
+      event = event || startsWithField(i);
+      ignorable = ignorable || startsWithName(i);
+      if (id < 0 && isField(i, ID_FIELD)) {
+        id = parseId(i + ID_FIELD.length, end);
+      }
+    }
+    corrupt = !event && !ignorable;
+    if (corrupt || id >= 0 && id <= lastEventId) {
       return;
     }
     if (id >= 0) {
       lastEventId = id;
     }
-    events.add(Arrays.copyOfRange(all, start, end));
+    if (event) {
+      bytesSinceEvent = size - end;
+    }
+    events.add(Arrays.copyOfRange(buffer, start, end));
+  }
+
+  /** Returns whether the line feed at an index ends a blank line after an event. */
+  private boolean endsWithBlankLine(int index) {
+    if (buffer[index] != '\n' || index == first) {
+      return false;
+    }
+    boolean afterCarriageReturn = buffer[index - 1] == '\r' && index - 2 >= first;
+    return buffer[afterCarriageReturn ? index - 2 : index - 1] == '\n';
   }
 
-  /** Returns whether the line feed at an index ends a blank line that is terminated by CR LF. */
-  private static boolean isBlankLine(byte[] bytes, int index) {
-    return bytes[index - 1] == '\r' && bytes[index - 2] == '\n';
+  private void skipBlankLines(int from) {
+    first = from;
+    while (first < size && (buffer[first] == '\n' || buffer[first] == '\r')) {
+      first++;
+    }
   }
 
-  /** Returns the id of an event, -1 if it has none or the id is not a number. */
-  private static long findId(byte[] bytes, int start, int end) {
-    for (int i = start; i + ID_FIELD.length < end; i++) {
-      boolean lineStart = i == start || bytes[i - 1] == '\n';
-      if (lineStart
-          && bytes[i] == ID_FIELD[0]
-          && bytes[i + 1] == ID_FIELD[1]
-          && bytes[i + 2] == ID_FIELD[2]) {
-        return parseId(bytes, i + ID_FIELD.length, end);
+  private int nextLine(int from, int end) {
+    int i = from;
+    while (i < end && buffer[i] != '\n') {
+      i++;
+    }
+    return i + 1;
+  }
+
+  private boolean startsWithField(int index) {
+    for (byte[] field : FIELDS) {
+      if (isField(index, field)) {
+        return true;
       }
     }
-    return -1;
+    return false;
+  }
+
+  /** Returns whether the line at an index is a comment or has the form of a field. */
+  private boolean startsWithName(int index) {
+    int i = index;
+    while (i < size
+        && (Character.isLetterOrDigit(buffer[i]) || buffer[i] == '-' || buffer[i] == '_')) {
+      i++;
+    }
+    return i < size && buffer[i] == ':';
+  }
+
+  /** Returns whether the line at an index has a field, with a value or without. */
+  private boolean isField(int index, byte[] name) {
+    int end = index + name.length;
+    return end < size
+        && Arrays.equals(buffer, index, end, name, 0, name.length)
+        && (buffer[end] == ':' || buffer[end] == '\n' || buffer[end] == '\r');
   }
 
-  private static long parseId(byte[] bytes, int from, int end) {
+  /** Returns the value of an id field, -1 if it is not a number. */
+  private long parseId(int from, int end) {
     long value = 0;
     boolean digits = false;
-    for (int i = from; i < end && bytes[i] != '\n' && bytes[i] != '\r'; i++) {
-      if (bytes[i] >= '0' && bytes[i] <= '9') {
-        value = value * 10 + bytes[i] - '0';
+    for (int i = from; i < end && buffer[i] != '\n' && buffer[i] != '\r'; i++) {
+      if (buffer[i] >= '0' && buffer[i] <= '9') {
+        value = value * 10 + buffer[i] - '0';
         digits = true;
-      } else if (bytes[i] != ' ') {
+      } else if (buffer[i] != ' ' && buffer[i] != ':') {
         return -1;
       }
     }
--- a/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
@@ -1,9 +1,11 @@
 package org.cornelchute.policy.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.ForAll;
@@ -48,6 +50,96 @@
     assertThat(decoder.lastEventId()).isEqualTo(2);
   }
 
+  /** Guards against an event that is buffered without bound because its end never comes. */
+  @Test
+  void exceedsItsLimitOnEventsWithoutEnd() {
+    EventStreamDecoder decoder = new EventStreamDecoder(-1);
+    decoder.decode(new byte[EventStreamDecoder.MAX_BYTES_PER_EVENT]);
+    assertThat(decoder.fault()).isEmpty();
+    decoder.decode(bytes("a"));
+    assertThat(decoder.fault()).isPresent();
+    decoder.discardPartialEvent();
+    assertThat(decoder.fault()).isEmpty();
+  }
+
+  /** Guards against garbage, blank lines, comments or old events that keep a stream alive. */
+  @Test
+  void exceedsItsLimitOnBytesThatAreNoNewEvents() {
+    for (String pattern : List.of("\n", "\r\n", ": comment\n\n", "id: 1\n\n", "other: 1\n\n")) {
+      EventStreamDecoder decoder = new EventStreamDecoder(1);
+      byte[] block = bytes(pattern.repeat(1_000));
+      int sent = 0;
+      while (decoder.fault().isEmpty()) {
+        decoder.decode(block);
+        sent += block.length;
+        assertThat(sent)
+            .as(pattern)
+            .isLessThanOrEqualTo(EventStreamDecoder.MAX_BYTES_PER_EVENT + block.length);
+      }
+    }
+  }
+
+  /** Guards against a limit on whole streams. */
+  @Test
+  void staysWithinItsLimitOnEvents() {
+    EventStreamDecoder decoder = new EventStreamDecoder(-1);
+    byte[] event = bytes("data: " + "a".repeat(100_000) + "\n\n");
+    for (int i = 0; i < 100; i++) {
+      assertThat(decoder.decode(event)).hasSize(1);
+      assertThat(decoder.fault()).isEmpty();
+    }
+  }
+
+  /** Guards against bytes that are no event, taken for one, and against a gap in their place. */
+  @Test
+  void returnsNothingAfterBytesThatAreNoEvent() {
+    for (String garbage : List.of("no event", "\u0001:\u0002", "{\"a\": 1}")) {
+      EventStreamDecoder decoder = new EventStreamDecoder(-1);
+      assertThat(decoder.decode(bytes("data: a\n\n" + garbage + "\n\ndata: b\n\n"))).hasSize(1);
+      assertThat(decoder.fault()).isPresent();
+      decoder.discardPartialEvent();
+      assertThat(decoder.decode(bytes("data: b\n\n"))).hasSize(1);
+      assertThat(decoder.fault()).isEmpty();
+    }
+  }
+
+  /** Guards against a fault in streams with comments and fields that callers ignore. */
+  @Test
+  void returnsCommentsAndUnknownFields() {
+    EventStreamDecoder decoder = new EventStreamDecoder(-1);
+    for (String block : List.of(": comment", "data", "other: 1\nretry: 2", "other-1: 1", ":")) {
+      assertThat(decoder.decode(bytes(block + "\n\n"))).as(block).hasSize(1);
+      assertThat(decoder.fault()).as(block).isEmpty();
+    }
+  }
+
+  /** Guards against blank lines after the last event that are taken for the start of another. */
+  @Test
+  void blankLinesAreNoPartialEvent() {
+    EventStreamDecoder decoder = new EventStreamDecoder(-1);
+    assertThat(decoder.decode(bytes("data: a\n\n\n"))).hasSize(1);
+    assertThat(decoder.hasPartialEvent()).isFalse();
+    assertThat(decoder.decode(bytes("\r\n"))).isEmpty();
+    assertThat(decoder.hasPartialEvent()).isFalse();
+    assertThat(decoder.decode(bytes("data: b\n\n"))).hasSize(1);
+  }
+
+  /** Guards against a time that grows with the square of the bytes of an event. */
+  @Test
+  void decodesSingleBytesInLinearTime() {
+    for (byte b : bytes("a\n")) {
+      EventStreamDecoder decoder = new EventStreamDecoder(-1);
+      byte[] part = {b};
+      assertTimeoutPreemptively(
+          Duration.ofSeconds(5),
+          () -> {
+            while (decoder.fault().isEmpty()) {
+              decoder.decode(part);
+            }
+          });
+    }
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
