Read streams no faster than their callers do

Cause: CallDuty read events as fast as the endpoint sent them and queued them on the connection of the caller, without bound if the caller reads slowly or not at all.

While more than the write buffer's high mark (64 KB) waits for the caller, the entry does not read from the endpoint.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -243,6 +243,13 @@
     removeCall(call);
   }
 
+  @Override
+  public void onWritabilityChanged(OpenCall call) {
+    if (call.streaming && call.exchange != null) {
+      call.exchange.setReading(call.callerConnection.isWritable());
+    }
+  }
+
   // Serving state
 
   @Override
@@ -387,6 +394,7 @@
       call.callerConnection.startResponse(response);
       call.callerConnection.flush();
     }
+    onWritabilityChanged(call);
   }
 
   private void completeCall(CallEffect.Complete effect) {
@@ -490,10 +498,21 @@
   private void sweep() {
     observeClocks(clockMillis.getAsLong());
     if (decider.openCallCount() > 0) {
+      recordPausedStreams();
       apply(decider.sweep(clockMillis.getAsLong()));
     }
   }
 
+  /** Records progress for streams that wait for their callers, so that none counts as stalled. */
+  private void recordPausedStreams() {
+    long now = clockMillis.getAsLong();
+    for (OpenCall call : openCalls.values()) {
+      if (call.streaming && !call.callerConnection.isWritable()) {
+        decider.onResponseProgress(now, call.number, call.attempt, call.eventDecoder.lastEventId());
+      }
+    }
+  }
+
   private void closeTimedOutConnections() {
     long now = clockMillis.getAsLong();
     ServingConfig.CallerLimits limits = decider.config().limits();
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -77,6 +77,13 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (currentCall != null) {
+      listener.onWritabilityChanged(currentCall);
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     ctx.close();
@@ -145,6 +152,11 @@
     currentCall = call;
   }
 
+  /** Returns whether the caller has read most of what was written. */
+  boolean isWritable() {
+    return channel.isWritable();
+  }
+
   boolean isIdle() {
     return currentCall == null && requestHead == null;
   }
@@ -300,6 +312,9 @@
     /** Handles a caller that disconnected before the response to its call was complete. */
     void onCallerDisconnect(OpenCall call);
 
+    /** Handles a change of whether the caller of a call has read most of what was written. */
+    void onWritabilityChanged(OpenCall call);
+
     /**
      * Handles a request that was malformed, too large or not received in time.
      *
--- a/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -193,6 +194,32 @@
     awaitClosedFloods(1);
   }
 
+  /** Guards against events that are buffered without bound for a caller that does not read. */
+  @Test
+  void readsNoFasterFromEndpointsThanCallersDo() throws Exception {
+    pattern = "data: " + "more".repeat(250) + "\n\n";
+    int colon = address.indexOf(':');
+    try (Socket socket =
+        new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+      String request =
+          "POST /stream/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: slow\r\nContent-Length: 0\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      TimeUnit.MILLISECONDS.sleep(2_000);
+      long sentUnread = sentBytes.get();
+      assertThat(sentUnread).isPositive().isLessThan(MAX_SENT_BYTES);
+      // The stream goes on once the caller reads again.
+      InputStream in = socket.getInputStream();
+      byte[] received = new byte[BATCH_BYTES];
+      long total = 0;
+      while (total < 2 * sentUnread) {
+        int size = in.read(received);
+        assertThat(size).isPositive();
+        total += size;
+      }
+    }
+    awaitClosedFloods(1);
+  }
+
   private void assertStreamAborted() throws Exception {
     long startedAt = System.nanoTime();
     HttpResponse<InputStream> response =
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -117,6 +117,10 @@
     closeChannel();
   }
 
+  void setReading(boolean reading) {
+    channel.config().setAutoRead(reading);
+  }
+
   /** Reports what the server sent as a fault, closes the connection and fails the exchange. */
   void rejectResponse(String reason) {
     faults.report(address, reason);
@@ -241,6 +245,7 @@
     if (reusable && decoder.hasUndecodedBytes()) {
       handleUnsolicitedBytes();
     } else if (reusable && requestWritten && !completed.isEnded()) {
+      setReading(true);
       pool.release(this);
     } else {
       closeChannel();
--- a/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
@@ -45,6 +45,13 @@
     }
   }
 
+  /** Pauses or resumes reading the response, so that a slow reader of it is not overrun. */
+  public void setReading(boolean reading) {
+    if (!ended && connection != null) {
+      connection.setReading(reading);
+    }
+  }
+
   boolean isEnded() {
     return ended;
   }
