Forget that a region without members is unreachable

Cause: MembershipDecider only looked at regions that have members which are not dead, so that a region stayed unreachable after the last of them was declared dead. Evidence: MembershipDeciderTest.forgetsUnreachableRegionOnceItHasNoMembers failed before (region r1 still unreachable one minute after the limit of 15 minutes, with all its members evicted).

The effect and its log line say "reachable", as there is no third state; the members are already dead then.

--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -469,7 +469,8 @@
 
   /**
    * Marks a region as unreachable while more than half of its members are suspected. Regions with
-   * few members are excluded, and so is the region of this process.
+   * few members are excluded, and so is the region of this process. A region without members is not
+   * unreachable.
    */
   private void updateUnreachableRegions(List<MembershipEffect> effects) {
     Map<String, int[]> counts = new HashMap<>();
@@ -483,6 +484,9 @@
         totalAndSuspected[1]++;
       }
     }
+    for (String region : List.copyOf(unreachableRegions)) {
+      counts.putIfAbsent(region, new int[2]);
+    }
     counts.forEach(
         (region, totalAndSuspected) -> {
           boolean nowUnreachable =
--- a/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
@@ -45,6 +45,19 @@
     assertThat(network.deciders.values()).allMatch(d -> d.unreachableRegions().isEmpty());
   }
 
+  /** Guards against a region that stays unreachable after all of its members were evicted. */
+  @Test
+  void forgetsUnreachableRegionOnceItHasNoMembers() {
+    SimulatedNetwork network = new SimulatedNetwork(10, 2, 4);
+    network.runUntil(15_000);
+    network.deciders.keySet().removeIf(id -> Integer.parseInt(id.substring(1)) % 2 == 1);
+    network.runUntil(network.now + 60_000);
+    assertThat(network.deciders.get("m0").unreachableRegions()).containsExactly("r1");
+    network.runUntil(network.now + MembershipDecider.UNREACHABLE_REGION_TIMEOUT_MILLIS + 60_000);
+    assertThat(network.deciders.values()).allMatch(d -> d.memberCount() == 5);
+    assertThat(network.deciders.values()).allMatch(d -> d.unreachableRegions().isEmpty());
+  }
+
   @Test
   void spreadsNewRulesVersionFromOneMemberToAll() {
     SimulatedNetwork network = new SimulatedNetwork(24, 2, 3);
