Log rules rows that cannot be parsed

Cause: ControlPlane dropped such a row without a log line, so that a version never came into force and nobody could see why. Evidence: ControlPlaneTest.logsRulesRowsThatCannotBeParsed (a table service over loopback) failed before: no line within 10 s. The row is read again after the fetch timeout, as before.

--- a/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
@@ -268,7 +268,9 @@
       if (effect instanceof ConfigurationEffect.ReadHead) {
         table.read(ConfigurationRecord.HEAD_KEY).subscribe(this::handleHeadRow);
       } else if (effect instanceof ConfigurationEffect.ReadVersion read) {
-        table.read(ConfigurationRecord.key(read.version())).subscribe(this::handleVersionRow);
+        table
+            .read(ConfigurationRecord.key(read.version()))
+            .subscribe(row -> handleVersionRow(read.version(), row));
       } else if (effect instanceof ConfigurationEffect.FetchFromPeer fetch) {
         frameClient.send(fetch.address(), new ControlMessage.RulesRequest(fetch.aboveVersion()));
       } else if (effect instanceof ConfigurationEffect.Adopt adoption) {
@@ -301,7 +303,7 @@
         () -> executeConfigurationEffects(configuration.onHeadVersion(clock.getAsLong(), version)));
   }
 
-  private void handleVersionRow(Either<Failure, Optional<TableRow>> row) {
+  private void handleVersionRow(long version, Either<Failure, Optional<TableRow>> row) {
     if (row.isLeft() || row.get().isEmpty()) {
       duty.offer(
           () -> executeConfigurationEffects(configuration.onFetchFailure(clock.getAsLong())));
@@ -309,11 +311,16 @@
     }
     Either<Failure, ConfigurationRecord> parsed =
         ConfigurationRecord.parse(row.get().get().value());
-    if (parsed.isRight()) {
-      ConfigurationRecord record = parsed.get();
-      submitRulesText(
-          new ControlMessage.RulesText(record.version(), record.digest(), record.text()));
+    if (parsed.isLeft()) {
+      LOG.warn(
+          "rules version {} not read, will be retried key={} cause={}",
+          version,
+          ConfigurationRecord.key(version),
+          parsed.getLeft().message());
+      return;
     }
+    ConfigurationRecord record = parsed.get();
+    submitRulesText(new ControlMessage.RulesText(record.version(), record.digest(), record.text()));
   }
 
   private void submitRulesText(ControlMessage.RulesText fetched) {
