Report an unknown outcome if a claim cannot be decoded

Cause: EntryDaemon treated a claim row that it could not decode like an outage of the table service: no log line, status 503 with Retry-After, "the table service is unavailable". The row does not become readable by sending the request again, and a request with its key may have run.

The request is now refused with 502, outcome_unknown, and the row is named in an error line. JSON that lacks fields ("null", "{}") counts as undecodable as well; by reading, it would have ended the routing duty with a NullPointerException (not run on the code before).

--- a/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/EntryDaemon.java
@@ -44,6 +44,8 @@
 import org.cornelchute.policy.routing.RequestSpec;
 import org.cornelchute.policy.routing.RoutingEffect;
 import org.cornelchute.policy.rules.Rules;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The daemon of an entry: a duty for routing, a duty for control, and the connections to callers,
@@ -51,6 +53,7 @@
  */
 public final class EntryDaemon implements Daemon {
 
+  private static final Logger LOG = LoggerFactory.getLogger(EntryDaemon.class);
   private static final int RING_CAPACITY = 1 << 15;
   private static final long TICK_INTERVAL_MILLIS = 20;
   private static final long POLL_INTERVAL_MILLIS = 20;
@@ -239,7 +242,7 @@
           .findExchange(refuse.request())
           .ifPresent(x -> x.refuse(refuse.refusal(), refuse.reason()));
     } else if (effect instanceof RoutingEffect.ReadClaim read) {
-      tableClient.read(read.row()).subscribe(row -> handleClaimRead(read.request(), row));
+      tableClient.read(read.row()).subscribe(row -> handleClaimRead(read, row));
     } else if (effect instanceof RoutingEffect.WriteClaim write) {
       writeClaim(write);
     } else if (effect instanceof RoutingEffect.Log log) {
@@ -269,7 +272,9 @@
                 routingDuty.offer((d, now) -> d.onClaimWritten(now, effect.request(), result)));
   }
 
-  private void handleClaimRead(String request, Either<Failure, Optional<TableRow>> read) {
+  private void handleClaimRead(
+      RoutingEffect.ReadClaim effect, Either<Failure, Optional<TableRow>> read) {
+    String request = effect.request();
     if (read.isLeft()) {
       routingDuty.offer((d, now) -> d.onClaimReadFailure(now, request));
       return;
@@ -279,12 +284,28 @@
       routingDuty.offer((d, now) -> d.onClaimRead(now, request, Optional.empty(), 0));
       return;
     }
+    Either<Failure, Claim> claim = decodeClaim(row.get().value());
+    if (claim.isLeft()) {
+      LOG.error(
+          "claim row refused key={} request={} cause={}",
+          effect.row(),
+          request,
+          claim.getLeft().message());
+      routingDuty.offer((d, now) -> d.onClaimUndecodable(now, request));
+      return;
+    }
+    long version = row.get().version();
+    routingDuty.offer((d, now) -> d.onClaimRead(now, request, Optional.of(claim.get()), version));
+  }
+
+  private Either<Failure, Claim> decodeClaim(String value) {
     try {
-      Claim claim = mapper.readValue(row.get().value(), Claim.class);
-      long version = row.get().version();
-      routingDuty.offer((d, now) -> d.onClaimRead(now, request, Optional.of(claim), version));
+      Claim claim = mapper.readValue(value, Claim.class);
+      return claim != null && claim.hasAllTexts()
+          ? Either.right(claim)
+          : Either.left(Failure.invalid("fields of the claim are missing"));
     } catch (JsonProcessingException e) {
-      routingDuty.offer((d, now) -> d.onClaimReadFailure(now, request));
+      return Either.left(Failure.invalid("not the JSON of a claim: " + e.getOriginalMessage()));
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/routing/Claim.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/Claim.java
@@ -18,4 +18,14 @@
     String address,
     long boot,
     String claimant,
-    String fingerprint) {}
+    String fingerprint) {
+
+  /** Returns whether all texts are present, which a row from elsewhere may lack. */
+  public boolean hasAllTexts() {
+    return request != null
+        && agent != null
+        && address != null
+        && claimant != null
+        && fingerprint != null;
+  }
+}
--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -359,6 +359,25 @@
     return effects;
   }
 
+  /**
+   * Refuses a request whose claim row exists but cannot be decoded: an earlier request with the
+   * same key may have run, and the row will not become readable by itself.
+   */
+  public List<RoutingEffect> onClaimUndecodable(long now, String id) {
+    List<RoutingEffect> effects = new ArrayList<>();
+    RequestState request = requests.get(id);
+    if (request != null) {
+      refuse(
+          effects,
+          request,
+          Refusal.OUTCOME_UNKNOWN,
+          "the claim row of the idempotency key cannot be decoded: a request with this key may have"
+              + " run");
+      dispatchQueued(now, effects);
+    }
+    return effects;
+  }
+
   // Responses
 
   private void handleResponseEnd(
