Check that no outcome follows the crash of an entry

Cause: RequestLifecycleTest compared the number of outcomes of callers whose entry crashed with itself, which is always true; only "at most one" was checked for them. It now compares it with the number at the time of the crash: a caller that had its outcome keeps exactly that one, another gets none.

--- a/policy/src/test/java/org/cornelchute/policy/lifecycle/RequestLifecycleTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/lifecycle/RequestLifecycleTest.java
@@ -14,9 +14,10 @@
 /**
  * Checks the delivery guarantees of entries and agents under random faults.
  *
- * <p>Each request gets exactly one outcome, or none if its entry crashes. A request that is not
- * safe to repeat runs at most once. A complete answer has all its parts. A request that is reported
- * as not run has not run, unless another request with the same idempotency key ran the work.
+ * <p>Each request gets exactly one outcome, or none if its entry crashes before. A request that is
+ * not safe to repeat runs at most once. A complete answer has all its parts. A request that is
+ * reported as not run has not run, unless another request with the same idempotency key ran the
+ * work.
  */
 class RequestLifecycleTest {
 
@@ -53,7 +54,7 @@
       int runs = simulation.runsByWork.getOrDefault(caller.work, 0);
       assertThat(caller.outcomeCount)
           .as(description)
-          .isEqualTo(caller.abandoned ? caller.outcomeCount : 1);
+          .isEqualTo(caller.abandoned ? caller.outcomeCountAtCrash : 1);
       assertThat(caller.outcomeCount).as(description).isLessThanOrEqualTo(1);
       if (!caller.repeatable) {
         assertThat(runs).as("runs of " + description).isLessThanOrEqualTo(1);
--- a/policy/src/test/java/org/cornelchute/policy/lifecycle/ServingSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/lifecycle/ServingSimulation.java
@@ -128,7 +128,10 @@
       breakConnection(id, agentId);
     }
     for (Caller caller : callers.values()) {
-      caller.abandoned |= caller.entry == entry;
+      if (caller.entry == entry) {
+        caller.abandoned = true;
+        caller.outcomeCountAtCrash = caller.outcomeCount;
+      }
     }
   }
 
@@ -413,6 +416,9 @@
     boolean repeatable;
     boolean abandoned;
 
+    /** Number of outcomes when the entry of the caller crashed. */
+    int outcomeCountAtCrash;
+
     Caller(String id, String work, Entry entry) {
       this.id = id;
       this.work = work;
