--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -233,7 +233,7 @@
         platform
             .engine()
             .readChunk(
-                model,
+                manifest,
                 chunk,
                 result -> {
                   result.peek(bytes -> weightsDuty.addLocalChunk(manifest, chunk, bytes));
@@ -295,7 +295,7 @@
         platform
             .engine()
             .readChunk(
-                model,
+                manifest,
                 chunk,
                 result ->
                     onChunkProcessed(result.isRight() && manifest.verifies(chunk, result.get())));
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -77,6 +77,13 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (currentCall != null) {
+      listener.onWritabilityChanged(currentCall);
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     ctx.close();
@@ -98,14 +105,16 @@
 
   // Responses
 
-  /** Answers the current request with a complete response. */
-  void writeResponse(FullHttpResponse response) {
+  /** Answers the current request with a complete response; the future ends once it is sent. */
+  ChannelFuture writeResponse(FullHttpResponse response) {
     if (!listener.allowsKeepAlive()) {
       keepAlive = false;
     }
     HttpUtil.setContentLength(response, response.content().readableBytes());
     HttpUtil.setKeepAlive(response, keepAlive);
-    finishResponse(channel.writeAndFlush(response));
+    ChannelFuture future = channel.writeAndFlush(response);
+    finishResponse(future);
+    return future;
   }
 
   /** Starts a response of unknown length, sent in chunked transfer encoding. */
@@ -143,6 +152,11 @@
     currentCall = call;
   }
 
+  /** Returns whether the caller has read most of what was written. */
+  boolean isWritable() {
+    return channel.isWritable();
+  }
+
   boolean isIdle() {
     return currentCall == null && requestHead == null;
   }
@@ -298,6 +312,9 @@
     /** Handles a caller that disconnected before the response to its call was complete. */
     void onCallerDisconnect(OpenCall call);
 
+    /** Handles a change of whether the caller of a call has read most of what was written. */
+    void onWritabilityChanged(OpenCall call);
+
     /**
      * Handles a request that was malformed, too large or not received in time.
      *
--- a/net/src/main/java/org/cornelchute/net/wire/WireClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireClient.java
@@ -1,5 +1,6 @@
 package org.cornelchute.net.wire;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -7,7 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -17,13 +18,11 @@
 /** HTTP client with persistent connections; must be called on its event loop only. */
 public final class WireClient {
 
-  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 32_768;
-  private static final int MAX_CHUNK_BYTES = 16_384;
   private static final long IDLE_EVICTION_MILLIS = 5_000;
 
   private final EventLoopGroup eventLoopGroup;
   private final LongSupplier clock;
+  private final ServerFaults faults;
   private final Map<String, WirePool> poolByAddress = new HashMap<>();
 
   /**
@@ -31,10 +30,12 @@
    *
    * @param eventLoopGroup group of exactly one event loop, never null
    * @param clock steady clock in milliseconds
+   * @param metrics registry of the meter of faulty responses
    */
-  public WireClient(EventLoopGroup eventLoopGroup, LongSupplier clock) {
+  public WireClient(EventLoopGroup eventLoopGroup, LongSupplier clock, MetricRegistry metrics) {
     this.eventLoopGroup = eventLoopGroup;
     this.clock = clock;
+    this.faults = new ServerFaults(clock, metrics);
   }
 
   /** Starts the periodic eviction of idle connections. */
@@ -68,7 +69,7 @@
   private void connect(WirePool pool, WireExchange exchange) {
     String address = exchange.request.address();
     int colon = address.lastIndexOf(':');
-    WireConnection connection = new WireConnection(pool);
+    WireConnection connection = new WireConnection(pool, faults, address);
     pool.onConnecting();
     new Bootstrap()
         .group(eventLoopGroup)
@@ -79,11 +80,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(
-                        new HttpClientCodec(
-                            MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder());
               }
             })
         .connect(
--- a/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
@@ -35,6 +35,23 @@
     }
   }
 
+  /**
+   * Ends the exchange because the listener does not accept the response: closes the connection,
+   * records a fault of the server and notifies the listener of the failure.
+   */
+  public void reject(String reason) {
+    if (!ended && connection != null) {
+      connection.rejectResponse(reason);
+    }
+  }
+
+  /** Pauses or resumes reading the response, so that a slow reader of it is not overrun. */
+  public void setReading(boolean reading) {
+    if (!ended && connection != null) {
+      connection.setReading(reading);
+    }
+  }
+
   boolean isEnded() {
     return ended;
   }
