--- a/ctl/src/main/java/org/cornelchute/ctl/CtlProgram.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/CtlProgram.java
@@ -1,6 +1,7 @@
 package org.cornelchute.ctl;
 
 import java.io.PrintStream;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import joptsimple.OptionException;
@@ -60,6 +61,8 @@
         parser.accepts("by").withRequiredArg().defaultsTo(System.getProperty("user.name"));
     final OptionSpec<Integer> wait =
         parser.accepts("wait").withRequiredArg().ofType(Integer.class).defaultsTo(10);
+    final OptionSpec<Integer> timeout =
+        parser.accepts("timeout").withRequiredArg().ofType(Integer.class).defaultsTo(10);
     OptionSet options;
     try {
       options = parser.parse(args);
@@ -83,7 +86,9 @@
     }
     CommandContext context =
         new CommandContext(
-            new RulesLog(new TableClient(options.valueOf(platform))),
+            new RulesLog(
+                new TableClient(options.valueOf(platform)),
+                Duration.ofSeconds(options.valueOf(timeout))),
             new MembersClient(options.valueOf(member)),
             options.has("json"),
             options.valueOf(by),
@@ -130,6 +135,9 @@
           --member URL     operator port of any member     [http://127.0.0.1:4101]
           --by NAME        author recorded with a change   [login name]
           --wait SECONDS   how long apply, out and in wait until the change is in force   [10]
+          --timeout SECONDS
+                           how long calls without an answer from the table service are
+                           repeated   [10]
           --json           print JSON and nothing else on standard output
           --help, --version
         """);
--- a/ctl/src/main/java/org/cornelchute/ctl/RulesLog.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/RulesLog.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.UUID;
 import org.cornelchute.core.outcome.Failure;
@@ -18,18 +19,29 @@
  *
  * <p>One transaction writes the row of the new version and updates the head row, both by
  * compare-and-set. If the answer is lost, the row of the version is read back: its proposal id
- * shows whether this change or another one was accepted.
+ * shows whether this change or another one was accepted. If the row does not exist, the same
+ * transaction is sent again, which is safe because at most one of the two can take effect.
+ *
+ * <p>Calls without an answer are repeated until the time limit of this instance has passed.
  */
 final class RulesLog {
 
-  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
-  private static final int MAX_RESOLVE_ATTEMPTS = 10;
-  private static final long RESOLVE_INTERVAL_MILLIS = 500;
+  private static final Duration RETRY_INTERVAL = Duration.ofMillis(200);
 
   private final TableClient table;
+  private final Duration timeout;
+  private final long startNanos;
 
-  RulesLog(TableClient table) {
+  /**
+   * Creates a log on a table service.
+   *
+   * @param table client of the table service
+   * @param timeout time from now after which a call without an answer is not repeated
+   */
+  RulesLog(TableClient table, Duration timeout) {
     this.table = table;
+    this.timeout = timeout;
+    this.startNanos = System.nanoTime();
   }
 
   /** Reads the head row; its version is 0 if no rules were accepted yet. */
@@ -66,7 +78,8 @@
    * Appends a version after {@code head}.
    *
    * @return the accepted version, or a failure: {@code CONFLICT} if another change was accepted
-   *     first, {@code UNKNOWN} if the answer was lost and reading the row did not show the outcome
+   *     first, {@code UNKNOWN} if the answer was lost and the time limit passed before the outcome
+   *     was known
    */
   Either<Failure, Long> append(Head head, String text, String author) {
     long next = head.version() + 1;
@@ -74,57 +87,83 @@
     ConfigurationRecord record =
         new ConfigurationRecord(
             next, author, System.currentTimeMillis(), UUID.randomUUID().toString(), digest, text);
-    Either<Failure, List<Long>> written =
-        table
-            .commit(
-                List.of(
-                    new TableWrite(ConfigurationRecord.key(next), 0, record.toJson()),
-                    new TableWrite(ConfigurationRecord.HEAD_KEY, head.row(), Long.toString(next))))
-            .block(REQUEST_TIMEOUT);
-    if (written.isRight()) {
-      return Either.right(next);
-    }
-    if (written.getLeft().code() != Failure.Code.UNKNOWN) {
-      return Either.left(written.getLeft());
-    }
-    return resolveUnknownOutcome(next, record.proposal());
+    List<TableWrite> writes =
+        List.of(
+            new TableWrite(ConfigurationRecord.key(next), 0, record.toJson()),
+            new TableWrite(ConfigurationRecord.HEAD_KEY, head.row(), Long.toString(next)));
+    return commit(record, writes);
   }
 
-  /** Determines from the row of a version whether a write with a lost answer took effect. */
-  private Either<Failure, Long> resolveUnknownOutcome(long version, String proposal) {
-    for (int attempt = 0; attempt < MAX_RESOLVE_ATTEMPTS; attempt++) {
-      Either<Failure, ConfigurationRecord> row = readVersion(version);
+  /** Sends the writes of a version until their outcome is known or the time limit has passed. */
+  private Either<Failure, Long> commit(ConfigurationRecord record, List<TableWrite> writes) {
+    boolean anyOutcomeUnknown = false;
+    do {
+      Either<Failure, List<Long>> written = table.commit(writes).block();
+      if (written.isRight()) {
+        return Either.right(record.version());
+      }
+      Failure failure = written.getLeft();
+      if (failure.code() == Failure.Code.UNAVAILABLE && !anyOutcomeUnknown) {
+        return Either.left(failure);
+      }
+      Either<Failure, ConfigurationRecord> row = readVersion(record.version());
       if (row.isRight()) {
-        return row.get().proposal().equals(proposal)
-            ? Either.right(version)
+        return row.get().proposal().equals(record.proposal())
+            ? Either.right(record.version())
             : Either.left(new Failure(Failure.Code.CONFLICT, "another change was accepted first"));
       }
-      if (row.getLeft().code() == Failure.Code.NOT_FOUND && attempt >= MAX_RESOLVE_ATTEMPTS / 2) {
-        return Either.left(
-            Failure.unknown(
-                "the change is not accepted yet, but its write may still take effect; run"
-                    + " 'cornelctl history' before trying again"));
+      if (failure.code() == Failure.Code.CONFLICT
+          && row.getLeft().code() == Failure.Code.NOT_FOUND) {
+        return Either.left(failure);
       }
-      sleep();
-    }
+      anyOutcomeUnknown = true;
+    } while (pauseBeforeRetry());
     return Either.left(
         Failure.unknown(
-            "the table service does not answer, and the change may have been accepted; run"
-                + " 'cornelctl history' when the service is available again"));
+            "the table service did not confirm the change "
+                + withinElapsedTime()
+                + ", and it may have been accepted or may still be; run 'cornelctl history' before"
+                + " trying again"));
   }
 
+  /** Reads a row; repeats the read while it gets no answer. */
   private Either<Failure, Optional<TableRow>> readRow(String key) {
-    return table.read(key).block(REQUEST_TIMEOUT);
+    int attempts = 0;
+    Either<Failure, Optional<TableRow>> row;
+    do {
+      row = table.read(key).block();
+      attempts++;
+      if (row.isRight() || row.getLeft().code() != Failure.Code.UNKNOWN) {
+        return row;
+      }
+    } while (pauseBeforeRetry());
+    return Either.left(
+        Failure.unavailable(
+            row.getLeft().message() + "; reads sent " + withinElapsedTime() + ": " + attempts));
   }
 
-  private static void sleep() {
+  /** Waits before a call is repeated and returns whether it may be. */
+  private boolean pauseBeforeRetry() {
+    if (elapsed().plus(RETRY_INTERVAL).compareTo(timeout) >= 0) {
+      return false;
+    }
     try {
-      Thread.sleep(RESOLVE_INTERVAL_MILLIS);
+      Thread.sleep(RETRY_INTERVAL.toMillis());
+      return true;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+      return false;
     }
   }
 
+  private String withinElapsedTime() {
+    return String.format(Locale.ROOT, "within %.1f s (see --timeout)", elapsed().toMillis() / 1e3);
+  }
+
+  private Duration elapsed() {
+    return Duration.ofNanos(System.nanoTime() - startNanos);
+  }
+
   /**
    * The head row.
    *
--- a/net/src/main/java/org/cornelchute/net/platform/TableClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.vavr.control.Either;
 import java.net.ConnectException;
 import java.net.UnknownHostException;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeoutException;
 import java.util.regex.Pattern;
 import org.cornelchute.core.outcome.Failure;
 import reactor.core.publisher.Mono;
@@ -158,6 +160,9 @@
         || error instanceof UnknownHostException) {
       return Failure.unavailable("table service cannot be reached");
     }
+    if (error instanceof TimeoutException || error instanceof ReadTimeoutException) {
+      return Failure.unknown("no answer from the table service in " + TIMEOUT.toSeconds() + " s");
+    }
     return Failure.unknown("no answer from the table service: " + error.getClass().getSimpleName());
   }
 }
