Report a member that does not answer cornelctl

The list of members was awaited with block(5 s), which throws instead of returning a failure: a member that accepts the connection and does not answer ended cornelctl with an uncaught IllegalStateException, also after a change had been accepted. The limit now belongs to the call, and its expiry is a failure with a message.

CtlProgramTest.reportsMemberThatDoesNotAnswer failed before: IllegalStateException, "Timeout on blocking read for NANOSECONDS".

--- a/ctl/src/main/java/org/cornelchute/ctl/MembersClient.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/MembersClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.cornelchute.core.message.ControlMessage;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.model.Member;
@@ -112,15 +113,17 @@
         .aggregate()
         .asString()
         .map(Either::<Failure, String>right)
-        .onErrorResume(
-            error ->
-                Mono.just(
-                    Either.left(
-                        Failure.unavailable(
-                            "cannot reach "
-                                + operatorUrl
-                                + "; give a member's operator port with --member"))))
-        .block(REQUEST_TIMEOUT);
+        .timeout(REQUEST_TIMEOUT)
+        .onErrorResume(error -> Mono.just(Either.left(toFailure(error))))
+        .block();
+  }
+
+  private Failure toFailure(Throwable error) {
+    return Failure.unavailable(
+        (error instanceof TimeoutException
+                ? "no answer from " + operatorUrl + " in " + REQUEST_TIMEOUT.toSeconds() + " s"
+                : "cannot reach " + operatorUrl)
+            + "; give a member's operator port with --member");
   }
 
   /** Collects the answers by address and counts down the outstanding requests. */
--- a/ctl/src/test/java/org/cornelchute/ctl/CtlProgramTest.java
+++ b/ctl/src/test/java/org/cornelchute/ctl/CtlProgramTest.java
@@ -10,6 +10,9 @@
 import org.cornelchute.core.cli.ExitCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
 
 class CtlProgramTest {
 
@@ -53,6 +56,20 @@
     assertThat(err.toString()).contains("cannot be reached");
   }
 
+  /** Guards against a member that accepts connections but never answers: an uncaught exception. */
+  @Test
+  void reportsMemberThatDoesNotAnswer() {
+    DisposableServer silentMember =
+        HttpServer.create().host("127.0.0.1").handle((q, r) -> Mono.never()).bindNow();
+    try {
+      assertThat(run("status", "--member", "http://127.0.0.1:" + silentMember.port()))
+          .isEqualTo(ExitCode.FAILED);
+      assertThat(err.toString()).contains("no answer from http://127.0.0.1:");
+    } finally {
+      silentMember.disposeNow();
+    }
+  }
+
   @Test
   void printsHelpAndDigest() {
     assertThat(run("--help")).isEqualTo(ExitCode.OK);
