Keep a table watch running after an exception of its listener

Cause: an exception thrown by the listener of a TableWatch ended the chain of polls without a log line, as WireConnection closes the connection on it: the entry or agent kept its copy for good.

--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -131,8 +131,9 @@
       changedKeys.add(row.key());
     }
     version = response.get().version();
-    notifyChanged(requestedAtMillis, response.get(), changedKeys);
-    poll();
+    if (notifyChanged(requestedAtMillis, response.get(), changedKeys)) {
+      poll();
+    }
   }
 
   private void handleChanges(long requestedAtMillis, Either<Failure, RowsResponse> response) {
@@ -163,7 +164,9 @@
     if (changedKeys.isEmpty()) {
       listener.onUnchanged(requestedAtMillis);
     } else {
-      notifyChanged(requestedAtMillis, response.get(), changedKeys);
+      if (!notifyChanged(requestedAtMillis, response.get(), changedKeys)) {
+        return;
+      }
       if (batchDelayMillis > 0) {
         loop.schedule(this::poll, batchDelayMillis, TimeUnit.MILLISECONDS);
         return;
@@ -172,12 +175,25 @@
     poll();
   }
 
-  private void notifyChanged(
+  /**
+   * Notifies the listener and returns whether it handled the change. If it failed, the whole table
+   * is read again later, so that the change is not taken for known.
+   */
+  private boolean notifyChanged(
       long requestedAtMillis, RowsResponse response, Set<String> changedKeys) {
     boolean initial = !initialized;
     initialized = true;
-    listener.onChanged(
-        new TableChange(requestedAtMillis, response.storeTimeMillis(), initial, rows, changedKeys));
+    TableChange change =
+        new TableChange(requestedAtMillis, response.storeTimeMillis(), initial, rows, changedKeys);
+    try {
+      listener.onChanged(change);
+      return true;
+    } catch (RuntimeException e) {
+      LOG.error("change not handled, will read the table again table={}", table, e);
+      version = -1;
+      loop.schedule(this::poll, MAX_BACKOFF_MILLIS, TimeUnit.MILLISECONDS);
+      return false;
+    }
   }
 
   private void handleFailure(Failure failure) {
