Wait for the first byte before the caller stops reading

EndpointFloodTest.readsNoFasterFromEndpointsThanCallersDo slept 2 s from its request on; on a busy machine that may be over before the first event, as classes are loaded then. Not seen to fail; the bounds are unchanged.

--- a/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
@@ -204,11 +204,12 @@
       String request =
           "POST /stream/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: slow\r\nContent-Length: 0\r\n\r\n";
       socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      InputStream in = socket.getInputStream();
+      assertThat(in.read()).isPositive();
       TimeUnit.MILLISECONDS.sleep(2_000);
       long sentUnread = sentBytes.get();
       assertThat(sentUnread).isPositive().isLessThan(MAX_SENT_BYTES);
       // The stream goes on once the caller reads again.
-      InputStream in = socket.getInputStream();
       byte[] received = new byte[BATCH_BYTES];
       long total = 0;
       while (total < 2 * sentUnread) {
