Forget what a peer held and asked for when it leaves or restarts

Cause: a peer that leaves the member list, or restarts under its ID, was replaced without the state that depends on it: the region still counted its chunks as held until a takeover delay without a new chunk had passed, and the uploads that its previous incarnation had requested still used the link. Only the loss of its connection did both.

Before: forgetsChunksOfPeerThatLeftOrRestarted (4 chunks counted, 0 asked) and dropsUploadsQueuedForPreviousIncarnation (1 queued, 0 asked) fail; after: pass.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -213,16 +213,14 @@
       Peer known = peers.get(m.id());
       if (known == null || known.boot != m.boot() || !known.address.equals(m.address())) {
         if (known != null) {
-          closeRequests(known.id);
+          removePeer(known.id);
         }
         peers.put(m.id(), new Peer(m.id(), m.address(), m.region(), m.boot()));
       }
     }
-    for (String gone : new ArrayList<>(peers.keySet())) {
-      if (!present.contains(gone)) {
-        closeRequests(gone);
-        uploadQueue.removeIf(u -> u.peerId.equals(gone));
-        peers.remove(gone);
+    for (String id : new ArrayList<>(peers.keySet())) {
+      if (!present.contains(id)) {
+        removePeer(id);
       }
     }
     sourceOrder = findSourceOrder();
@@ -781,6 +779,14 @@
     readsOrigin = first.equals(region);
   }
 
+  /** Removes a peer that has left or restarted, with its requests and queued uploads. */
+  private void removePeer(String id) {
+    closeRequests(id);
+    uploadQueue.removeIf(u -> u.peerId.equals(id));
+    peers.remove(id);
+    recomputeRegionChunks();
+  }
+
   /** Resets a peer whose connection was lost or that does not respond on an open connection. */
   private void markLost(long now, Peer peer) {
     closeRequests(peer.id);
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -223,6 +223,45 @@
       return new SwarmDecider("a0", "r0", "r0", manifest, held, SwarmOptions.DEFAULTS, 1, 0);
     }
 
+    private Member peer(String region, long boot) {
+      return new Member(
+          "b", Role.AGENT, "b", region, "d", "", boot, 1, false, Generation.NONE, "v1");
+    }
+
+    /** A decider whose only peer, of the same region, holds every chunk. */
+    private SwarmDecider deciderBesideHolder() {
+      SwarmDecider decider = decider(new BitSet());
+      decider.onMembersChanged(0, List.of(peer("r0", 1)));
+      decider.onMessage(
+          1, "b", new SwarmMessage.Bitfield(manifest.digest(), new byte[] {15}, false));
+      return decider;
+    }
+
+    /** Guards against chunks that a region counts as held by a peer that has left or restarted. */
+    @Test
+    void forgetsChunksOfPeerThatLeftOrRestarted() {
+      for (List<Member> members : List.of(List.<Member>of(), List.of(peer("r0", 2)))) {
+        SwarmDecider decider = deciderBesideHolder();
+        assertThat(decider.progress(1).inRegion()).isEqualTo(manifest.chunks().size());
+        decider.onMembersChanged(2, members);
+        assertThat(decider.progress(2).inRegion()).isZero();
+      }
+    }
+
+    /** Guards against uploads that the previous incarnation of a peer has requested. */
+    @Test
+    void dropsUploadsQueuedForPreviousIncarnation() {
+      BitSet all = new BitSet();
+      all.set(0, manifest.chunks().size());
+      SwarmDecider decider = decider(all);
+      decider.onMembersChanged(0, List.of(peer("r0", 1)));
+      decider.onMessage(1, "b", new SwarmMessage.ChunkRequest(manifest.digest(), 0));
+      decider.onMessage(1, "b", new SwarmMessage.ChunkRequest(manifest.digest(), 1));
+      assertThat(decider.queuedUploadCount()).isEqualTo(1);
+      decider.onMembersChanged(2, List.of(peer("r0", 2)));
+      assertThat(decider.queuedUploadCount()).isZero();
+    }
+
     /** Guards against a takeover delay that grows with each takeover. */
     @Test
     void takesOverAtLeastOncePerRequestTimeout() {
@@ -232,10 +271,7 @@
       SwarmDecider decider =
           new SwarmDecider("a0", "r1", "r0", manifest, new BitSet(), options, 1, 0);
       SwarmMessage empty = new SwarmMessage.Bitfield(manifest.digest(), new byte[0], false);
-      decider.onMembersChanged(
-          0,
-          List.of(
-              new Member("b", Role.AGENT, "b", "r0", "d", "", 1, 1, false, Generation.NONE, "v1")));
+      decider.onMembersChanged(0, List.of(peer("r0", 1)));
       int periods = 50;
       for (long now = 0; now < periods * options.maxRequestTimeoutMillis(); now += 50) {
         List<SwarmEffect> effects = new ArrayList<>(decider.onMessage(now, "b", empty));
