Reject calls of region-bound routes without key on an old configuration

Cause: an entry takes it for an outage for all if the other entries that report to it do not reach the store either.

A route that is bound to regions is now served without a key only by a configuration younger than the bound for keys, whatever the others report. Routes without regions are served through an outage for all, as before.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -218,6 +218,11 @@
         : isSuperseded(now);
   }
 
+  /** Returns whether a route is bound to regions that were not confirmed recently enough. */
+  private boolean hasOldRegions(RouteSpec route, long ageMillis) {
+    return !route.regions().isEmpty() && ageMillis > options.maxKeyAgeMillis();
+  }
+
   /**
    * Returns whether routes and regions of the configuration may have changed, while another entry
    * can probably serve calls by the current ones. In an outage of the store for all entries, the
@@ -279,7 +284,7 @@
         return effects;
       }
       workspace = found.get();
-    } else if (isSuperseded(now)) {
+    } else if (isSuperseded(now) || hasOldRegions(route.get(), ageMillis)) {
       rejectOnArrival(
           now, effects, spec, Rejection.NOT_READY, "configuration is not confirmed", ageMillis);
       return effects;
