Close idle connections to an address after one went silent

Cause: the pool hands out the most recently used idle connection. Connections to the store that went silent together were so tried one after the other, 0.8 to 1.5 s each.

Now a request that times out before a response has begun closes the idle connections to its address.

SimpleHttpClientTest.doesNotReuseOtherIdleConnectionsAfterOneWentSilent failed before ("get() on Left": the second request timed out on the second silent connection) and passes now.

--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
@@ -68,7 +68,7 @@
     collector.timeout =
         loop.schedule(
             () -> {
-              exchange.cancel();
+              exchange.cancelOnTimeout();
               collector.onFailure(
                   true, "no complete response within " + request.timeoutMillis() + " ms");
             },
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -117,6 +117,18 @@
     closeChannel();
   }
 
+  /**
+   * Closes the connection, whose exchange has timed out. If no response has begun, the idle
+   * connections to the address are closed too, since they may be dead without a reset as well.
+   */
+  void closeOnTimeout() {
+    boolean silent = exchange != null && !headReceived;
+    close();
+    if (silent) {
+      pool.closeIdle();
+    }
+  }
+
   void setReading(boolean reading) {
     channel.config().setAutoRead(reading);
   }
--- a/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
@@ -35,6 +35,22 @@
     }
   }
 
+  /**
+   * Cancels the exchange like {@link #cancel()} because its response did not arrive in time, and
+   * closes the idle connections to the address, which may be dead as well.
+   */
+  public void cancelOnTimeout() {
+    if (ended) {
+      return;
+    }
+    if (connection == null) {
+      cancel();
+      return;
+    }
+    ended = true;
+    connection.closeOnTimeout();
+  }
+
   /**
    * Ends the exchange because the listener does not accept the response: closes the connection,
    * records a fault of the server and notifies the listener of the failure.
--- a/net/src/main/java/org/cornelchute/net/wire/WirePool.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WirePool.java
@@ -40,6 +40,13 @@
     }
   }
 
+  /** Closes all idle connections. */
+  void closeIdle() {
+    while (!idleConnections.isEmpty()) {
+      idleConnections.pollFirst().close();
+    }
+  }
+
   boolean isEmpty() {
     return openCount == 0;
   }
--- a/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
@@ -22,6 +22,7 @@
   private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final int MAX_BODY_BYTES = 1_048_576;
   private static final long TIMEOUT_MILLIS = 2_000;
+  private static final long SHORT_TIMEOUT_MILLIS = 200;
 
   /** Bytes that a server may send until it notices the close, mostly in socket buffers. */
   private static final long MAX_SENT_BYTES = 32L * 1_024 * 1_024;
@@ -76,6 +77,28 @@
     }
   }
 
+  /**
+   * Guards against open connections that went silent together being tried one after the other, each
+   * until its timeout.
+   */
+  @Test
+  void doesNotReuseOtherIdleConnectionsAfterOneWentSilent() throws Exception {
+    int connections = 4;
+    try (SilentServer server = new SilentServer(connections)) {
+      for (int i = 0; i < connections; i++) {
+        sendWithin(SHORT_TIMEOUT_MILLIS * 10, server.address());
+      }
+      for (int i = 0; i < connections; i++) {
+        assertThat(results.poll(5, TimeUnit.SECONDS).isRight()).isTrue();
+      }
+      sendWithin(SHORT_TIMEOUT_MILLIS, server.address());
+      assertThat(results.poll(5, TimeUnit.SECONDS).getLeft().code())
+          .isEqualTo(Failure.Code.UNKNOWN);
+      sendWithin(SHORT_TIMEOUT_MILLIS, server.address());
+      assertThat(results.poll(5, TimeUnit.SECONDS).get().status()).isEqualTo(200);
+    }
+  }
+
   private void assertRejected(String head, String pattern) throws Exception {
     try (FloodServer server = new FloodServer(HEAD + head, pattern)) {
       Either<Failure, SimpleHttpClient.Response> result = send(server);
@@ -90,12 +113,16 @@
 
   private Either<Failure, SimpleHttpClient.Response> send(FloodServer server)
       throws InterruptedException {
-    SimpleHttpRequest request =
-        new SimpleHttpRequest(
-            server.address(), HttpMethod.GET, "/", new byte[0], TIMEOUT_MILLIS, MAX_BODY_BYTES);
-    group.execute(() -> client.send(request, results::add));
+    sendWithin(TIMEOUT_MILLIS, server.address());
     Either<Failure, SimpleHttpClient.Response> result = results.poll(5, TimeUnit.SECONDS);
     assertThat(result).isNotNull();
     return result;
   }
+
+  private void sendWithin(long timeoutMillis, String address) {
+    SimpleHttpRequest request =
+        new SimpleHttpRequest(
+            address, HttpMethod.GET, "/", new byte[0], timeoutMillis, MAX_BODY_BYTES);
+    group.execute(() -> client.send(request, results::add));
+  }
 }
