--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.cornelchute.core.outcome.Failure;
 import org.slf4j.Logger;
@@ -40,6 +41,9 @@
   private boolean initialized;
   private boolean closed;
 
+  /** Number of the newest request; responses to earlier ones are ignored. */
+  private long requestNumber;
+
   /**
    * Creates a watch that sends no request before {@link #start()}.
    *
@@ -97,6 +101,17 @@
         });
   }
 
+  /**
+   * Polls at once instead of waiting for the response to the request that is under way, because its
+   * connection is probably dead. Does nothing before the first read of the table and while requests
+   * are retried.
+   */
+  public void renew() {
+    if (version >= 0 && !closed && !backoff.isActive()) {
+      poll();
+    }
+  }
+
   /** Sends no further requests. */
   public void close() {
     closed = true;
@@ -107,16 +122,29 @@
       return;
     }
     long requestedAtMillis = clock.getAsLong();
+    long number = ++requestNumber;
     if (version < 0) {
-      store.readTable(table, response -> handleTable(requestedAtMillis, response));
+      store.readTable(
+          table, ifNewest(number, response -> handleTable(requestedAtMillis, response)));
     } else {
       // After an outage, a short poll confirms the copy without the delay of a long poll.
       long pollMillis = backoff.isActive() ? MIN_POLL_MILLIS : longPollMillis;
       store.pollChanges(
-          table, version, pollMillis, response -> handleChanges(requestedAtMillis, response));
+          table,
+          version,
+          pollMillis,
+          ifNewest(number, response -> handleChanges(requestedAtMillis, response)));
     }
   }
 
+  private <T> Consumer<T> ifNewest(long number, Consumer<T> handler) {
+    return response -> {
+      if (number == requestNumber) {
+        handler.accept(response);
+      }
+    };
+  }
+
   private void handleTable(long requestedAtMillis, Either<Failure, RowsResponse> response) {
     if (response.isLeft()) {
       handleFailure(response.getLeft());
--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -94,6 +94,20 @@
     return Either.right(new RowsResponse(List.of(), 7, 0, historyLost));
   }
 
+  /** Guards against a copy that waits for the timeout of a poll whose connection is dead. */
+  @Test
+  void replacesTheRequestUnderWayOnRenewal() throws Exception {
+    now = 3_000;
+    runOnLoop(watch::renew);
+    assertThat(store.polls).hasSize(2);
+    runOnLoop(() -> store.polls.remove(1).accept(response(false)));
+    assertThat(confirmations).endsWith(3_000L);
+    // The response to the request that was replaced starts no second poll.
+    runOnLoop(() -> store.polls.remove(0).accept(Either.left(Failure.unavailable("timeout"))));
+    assertThat(store.polls).hasSize(1);
+    assertThat(store.pollMillis).containsOnly(LONG_POLL_MILLIS);
+  }
+
   private void runOnLoop(Runnable task) throws InterruptedException, ExecutionException {
     loop.submit(task).get();
   }
