--- a/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
@@ -3,13 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -22,12 +18,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.cornelchute.policy.forward.CallKind;
-import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.RouteSpec;
 import org.cornelchute.policy.forward.ServiceSpec;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -39,21 +33,6 @@
 /** Tests an entry over real sockets, with HTTP servers of this test as endpoints. */
 class DirectEntryDaemonTest {
 
-  private static final CallHeaderNames HEADER_NAMES =
-      new CallHeaderNames(
-          "x-id",
-          "x-deadline",
-          "x-instance",
-          "x-weights",
-          "x-workspace",
-          "x-priority",
-          "x-tokens",
-          "x-hint",
-          "last-event-id",
-          "x-not-executed",
-          "x-signature",
-          "x-version",
-          "x-load");
   private static final String SERVICE = "s";
   private static final long SLOW_RESPONSE_MILLIS = 4_000;
 
@@ -69,43 +48,30 @@
 
   @BeforeEach
   void start() throws IOException {
-    healthyEndpoint = startEndpoint(this::handleRequest);
-    overloadedEndpoint = startEndpoint(this::refuseRequest);
-    address = freeAddress();
-    readiness = freeAddress();
-    DirectSettings defaults = DirectSettings.DEFAULTS;
+    healthyEndpoint = EntryFixture.startEndpoint(this::handleRequest, null);
+    overloadedEndpoint = EntryFixture.startEndpoint(this::refuseRequest, null);
+    address = EntryFixture.freeAddress();
+    readiness = EntryFixture.freeAddress();
     DirectSettings settings =
-        new DirectSettings(
-            "e1",
-            "d1",
-            Map.of("d1", "r1"),
+        EntryFixture.settings(
             address,
             readiness,
-            freeAddress(),
-            freeAddress(),
-            "127.0.0.1:1",
-            defaults.keyAgeMillis(),
-            defaults.configMillis(),
-            defaults.versionMillis(),
-            defaults.retryRatio(),
-            defaults.retryAllowance(),
-            defaults.retryWindowSeconds(),
-            defaults.coldOverrun(),
-            defaults.coldAllowance(),
-            8);
+            EntryFixture.freeAddress(),
+            EntryFixture.freeAddress(),
+            DirectSettings.DEFAULTS.keyAgeMillis());
+    ServingStateSource state =
+        EntryFixture.fixedState(
+            config(),
+            List.of(
+                EntryFixture.endpointSpec("good", SERVICE, healthyEndpoint),
+                EntryFixture.endpointSpec("full", SERVICE, overloadedEndpoint)));
     entry =
         new DirectEntryDaemon(
             settings,
-            HEADER_NAMES,
+            EntryFixture.HEADER_NAMES,
             (entryLoop, client, clock, listener) -> {
               eventLoop = entryLoop;
-              listener.updateConfig(config());
-              listener.updateEvacuatedDomains(Set.of());
-              listener.updateEndpoints(
-                  List.of(
-                      endpointSpec("good", healthyEndpoint),
-                      endpointSpec("full", overloadedEndpoint)));
-              listener.recordConfirmation(clock.getAsLong());
+              state.start(entryLoop, client, clock, listener);
             },
             1);
     entry.start();
@@ -245,11 +211,6 @@
         ServingConfig.CallerLimits.DEFAULTS);
   }
 
-  private static EndpointSpec endpointSpec(String id, HttpServer server) {
-    String address = "127.0.0.1:" + server.getAddress().getPort();
-    return new EndpointSpec(id, SERVICE, address, "d1", "r1", 8, false, 0, 1, "", 0);
-  }
-
   private void handleRequest(HttpExchange exchange) throws IOException {
     final byte[] requestBody = exchange.getRequestBody().readAllBytes();
     receivedRequests.add(
@@ -278,18 +239,4 @@
     exchange.sendResponseHeaders(503, -1);
     exchange.close();
   }
-
-  private static HttpServer startEndpoint(HttpHandler handler) throws IOException {
-    HttpServer server =
-        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16);
-    server.createContext("/", handler);
-    server.start();
-    return server;
-  }
-
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
 }
--- a/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
@@ -4,14 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -22,13 +18,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cornelchute.policy.forward.CallKind;
-import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.RouteSpec;
 import org.cornelchute.policy.forward.ServiceSpec;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -41,22 +35,6 @@
 @Timeout(30)
 class EndpointFloodTest {
 
-  private static final CallHeaderNames HEADER_NAMES =
-      new CallHeaderNames(
-          "x-id",
-          "x-deadline",
-          "x-instance",
-          "x-weights",
-          "x-workspace",
-          "x-priority",
-          "x-tokens",
-          "x-hint",
-          "last-event-id",
-          "x-not-executed",
-          "x-signature",
-          "x-version",
-          "x-load");
-
   /** Service of the endpoint that floods. */
   private static final String FLOODED = "flooded";
 
@@ -66,6 +44,7 @@
   private static final String EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
   private static final int BATCH_BYTES = 16_384;
   private static final long DEADLINE_MILLIS = 6_000;
+  private static final long KEY_AGE_MILLIS = 60_000;
 
   /** Time within which a flood at the rate of the loopback interface is noticed. */
   private static final long MAX_MILLIS = 4_000;
@@ -87,44 +66,21 @@
 
   @BeforeEach
   void start() throws IOException {
-    floodingEndpoint = startEndpoint(this::flood);
-    healthyEndpoint = startEndpoint(this::respond);
-    address = freeAddress();
-    operators = freeAddress();
-    DirectSettings defaults = DirectSettings.DEFAULTS;
-    DirectSettings settings =
-        new DirectSettings(
-            "e1",
-            "d1",
-            Map.of("d1", "r1"),
-            address,
-            freeAddress(),
-            "",
-            operators,
-            "127.0.0.1:1",
-            60_000,
-            defaults.configMillis(),
-            defaults.versionMillis(),
-            defaults.retryRatio(),
-            defaults.retryAllowance(),
-            defaults.retryWindowSeconds(),
-            defaults.coldOverrun(),
-            defaults.coldAllowance(),
-            8);
+    floodingEndpoint = EntryFixture.startEndpoint(this::flood, serverThreads);
+    healthyEndpoint = EntryFixture.startEndpoint(this::respond, serverThreads);
+    address = EntryFixture.freeAddress();
+    operators = EntryFixture.freeAddress();
     entry =
         new DirectEntryDaemon(
-            settings,
-            HEADER_NAMES,
-            (entryLoop, client, clock, listener) -> {
-              listener.updateConfig(config());
-              listener.updateEvacuatedDomains(Set.of());
-              listener.updateEndpoints(
-                  List.of(
-                      endpointSpec("f", FLOODED, floodingEndpoint),
-                      endpointSpec("m1", MIXED, floodingEndpoint),
-                      endpointSpec("m2", MIXED, healthyEndpoint)));
-              listener.recordConfirmation(clock.getAsLong());
-            },
+            EntryFixture.settings(
+                address, EntryFixture.freeAddress(), "", operators, KEY_AGE_MILLIS),
+            EntryFixture.HEADER_NAMES,
+            EntryFixture.fixedState(
+                config(),
+                List.of(
+                    EntryFixture.endpointSpec("f", FLOODED, floodingEndpoint),
+                    EntryFixture.endpointSpec("m1", MIXED, floodingEndpoint),
+                    EntryFixture.endpointSpec("m2", MIXED, healthyEndpoint))),
             1);
     entry.start();
   }
@@ -331,24 +287,4 @@
         List.of(),
         List.of(new RouteSpec.WeightedService(service, 1)));
   }
-
-  private static EndpointSpec endpointSpec(String id, String service, HttpServer server) {
-    String address = "127.0.0.1:" + server.getAddress().getPort();
-    return new EndpointSpec(id, service, address, "d1", "r1", 8, false, 0, 1, "", 0);
-  }
-
-  private HttpServer startEndpoint(HttpHandler handler) throws IOException {
-    HttpServer server =
-        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16);
-    server.setExecutor(serverThreads);
-    server.createContext("/", handler);
-    server.start();
-    return server;
-  }
-
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
 }
--- /dev/null
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -0,0 +1,104 @@
+package org.cornelchute.entry.direct;
+
+import com.sun.net.httpserver.HttpHandler;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.ServingConfig;
+
+/** What tests of an entry over real sockets have in common. */
+final class EntryFixture {
+
+  static final CallHeaderNames HEADER_NAMES =
+      new CallHeaderNames(
+          "x-id",
+          "x-deadline",
+          "x-instance",
+          "x-weights",
+          "x-workspace",
+          "x-priority",
+          "x-tokens",
+          "x-hint",
+          "last-event-id",
+          "x-not-executed",
+          "x-signature",
+          "x-version",
+          "x-load");
+
+  private static final String HOST = "127.0.0.1";
+  private static final String DOMAIN = "d1";
+  private static final String REGION = "r1";
+  private static final int STOP_SECONDS = 8;
+
+  private EntryFixture() {}
+
+  /**
+   * Returns the settings of an entry that shares its state with no others unless {@code peers} is
+   * an address, and has no store.
+   */
+  static DirectSettings settings(
+      String callers, String readiness, String peers, String operators, long keyAgeMillis) {
+    DirectSettings defaults = DirectSettings.DEFAULTS;
+    return new DirectSettings(
+        "e1",
+        DOMAIN,
+        Map.of(DOMAIN, REGION),
+        callers,
+        readiness,
+        peers,
+        operators,
+        HOST + ":1",
+        keyAgeMillis,
+        defaults.configMillis(),
+        defaults.versionMillis(),
+        defaults.retryRatio(),
+        defaults.retryAllowance(),
+        defaults.retryWindowSeconds(),
+        defaults.coldOverrun(),
+        defaults.coldAllowance(),
+        STOP_SECONDS);
+  }
+
+  /** Returns a source of a state that is confirmed once, at the start, and never changes. */
+  static ServingStateSource fixedState(ServingConfig config, List<EndpointSpec> endpoints) {
+    return (loop, client, clock, listener) -> {
+      listener.updateConfig(config);
+      listener.updateEvacuatedDomains(Set.of());
+      listener.updateEndpoints(endpoints);
+      listener.recordConfirmation(clock.getAsLong());
+    };
+  }
+
+  static EndpointSpec endpointSpec(String id, String service, HttpServer server) {
+    String address = HOST + ":" + server.getAddress().getPort();
+    return new EndpointSpec(id, service, address, DOMAIN, REGION, 8, false, 0, 1, "", 0);
+  }
+
+  /**
+   * Starts an endpoint.
+   *
+   * @param executor runs the handler, null for the thread that accepts the connections
+   */
+  static HttpServer startEndpoint(HttpHandler handler, Executor executor) throws IOException {
+    HttpServer server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16);
+    server.setExecutor(executor);
+    server.createContext("/", handler);
+    server.start();
+    return server;
+  }
+
+  /** Returns an address of this machine on which nothing listens. */
+  static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return HOST + ":" + socket.getLocalPort();
+    }
+  }
+}
--- a/entry/src/test/java/org/cornelchute/entry/direct/FailureLogTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FailureLogTest.java
@@ -8,9 +8,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -18,10 +15,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cornelchute.policy.forward.CallKind;
-import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.RouteSpec;
 import org.cornelchute.policy.forward.ServiceSpec;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -34,6 +29,7 @@
 /** Tests that the three kinds of failure in docs/OPERATIONS.md write the log lines named there. */
 class FailureLogTest {
 
+  private static final String SERVICE = "s";
   private static final long KEY_AGE_MILLIS = 2_000;
   private static final int SLOW_RESPONSE_MILLIS = 300;
   private static final int MAX_POLLS = 50;
@@ -49,57 +45,19 @@
 
   @BeforeEach
   void start() throws IOException {
-    endpoint = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16);
-    endpoint.createContext("/", FailureLogTest::handleRequest);
-    endpoint.start();
-    address = freeAddress();
-    DirectSettings defaults = DirectSettings.DEFAULTS;
-    DirectSettings settings =
-        new DirectSettings(
-            "e1",
-            "d1",
-            Map.of("d1", "r1"),
-            address,
-            freeAddress(),
-            "",
-            freeAddress(),
-            "127.0.0.1:1",
-            KEY_AGE_MILLIS,
-            defaults.configMillis(),
-            defaults.versionMillis(),
-            defaults.retryRatio(),
-            defaults.retryAllowance(),
-            defaults.retryWindowSeconds(),
-            defaults.coldOverrun(),
-            defaults.coldAllowance(),
-            8);
-    String endpointAddress = "127.0.0.1:" + endpoint.getAddress().getPort();
+    endpoint = EntryFixture.startEndpoint(FailureLogTest::handleRequest, null);
+    address = EntryFixture.freeAddress();
     entry =
         new DirectEntryDaemon(
-            settings,
-            new CallHeaderNames(
-                "x-id",
-                "x-deadline",
-                "x-instance",
-                "x-weights",
-                "x-workspace",
-                "x-priority",
-                "x-tokens",
-                "x-hint",
-                "last-event-id",
-                "x-not-executed",
-                "x-signature",
-                "x-version",
-                "x-load"),
-            (loop, client, clock, listener) -> {
-              listener.updateConfig(config());
-              listener.updateEvacuatedDomains(Set.of());
-              listener.updateEndpoints(
-                  List.of(
-                      new EndpointSpec(
-                          "i-1", "s", endpointAddress, "d1", "r1", 8, false, 0, 1, "", 0)));
-              listener.recordConfirmation(clock.getAsLong());
-            },
+            EntryFixture.settings(
+                address,
+                EntryFixture.freeAddress(),
+                "",
+                EntryFixture.freeAddress(),
+                KEY_AGE_MILLIS),
+            EntryFixture.HEADER_NAMES,
+            EntryFixture.fixedState(
+                config(), List.of(EntryFixture.endpointSpec("i-1", SERVICE, endpoint))),
             1);
     logAppender.start();
     decisionLogger.addAppender(logAppender);
@@ -197,19 +155,13 @@
             2,
             false,
             List.of(),
-            List.of(new RouteSpec.WeightedService("s", 1)));
+            List.of(new RouteSpec.WeightedService(SERVICE, 1)));
     return new ServingConfig(
         1,
         List.of(route),
-        List.of(new ServiceSpec("s", 32, 0, 0, Optional.empty())),
+        List.of(new ServiceSpec(SERVICE, 32, 0, 0, Optional.empty())),
         true,
         Map.of("key", new WorkspaceSpec("w", 1, List.of())),
         ServingConfig.CallerLimits.DEFAULTS);
   }
-
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
 }
