Take an empty first list of endpoints for not known yet, for 2.3 s

An entry that started just after an outage of the store read a list of endpoints that expiry had emptied, took it for complete and told callers to come back as late as they honor, though other entries knew the endpoints. It also reported itself ready.

Cause: `CallDecider.isReady` held once any list was received; a service without a listed endpoint counted as without any. Ruled out: the grace of `onDirectoryRecovered`, which keeps endpoints that this entry knew before only.

Now the entry is not ready while no endpoint was ever listed, for at most 2.3 s (two seconds to register again and the delivery), and calls to a service none of whose endpoints was ever listed are rejected as not ready in that time.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -134,7 +134,8 @@
   // State
 
   boolean isReady() {
-    return decider.isReady() && !draining && !decider.shouldDivertCalls(clockMillis.getAsLong());
+    long now = clockMillis.getAsLong();
+    return decider.isReady(now) && !draining && !decider.shouldDivertCalls(now);
   }
 
   int openCallCount() {
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -97,7 +97,6 @@
   private final List<Call> queue = new ArrayList<>();
   private final Map<String, Long> longestDeadlineByRoute = new HashMap<>();
   private ServingConfig config = ServingConfig.EMPTY;
-  private boolean endpointsKnown;
 
   /** Creates a decider without configuration and endpoints. */
   public CallDecider(CallOptions options, long seed) {
@@ -117,9 +116,9 @@
     return calls.size();
   }
 
-  /** Returns whether a configuration and a list of endpoints have been received. */
-  public boolean isReady() {
-    return config.version() > 0 && endpointsKnown;
+  /** Returns whether a configuration has been received and the endpoints are known. */
+  public boolean isReady(long now) {
+    return config.version() > 0 && endpointPool.isKnown(now);
   }
 
   /** Returns the current configuration, never null. */
@@ -139,7 +138,6 @@
   /** Replaces the list of endpoints with the complete list from the directory. */
   public void updateEndpoints(long now, Collection<EndpointSpec> endpoints) {
     endpointPool.updateEndpoints(now, endpoints);
-    endpointsKnown = true;
   }
 
   /** Records that the directory of endpoints is available again after an outage. */
@@ -261,9 +259,9 @@
   public List<CallEffect> onCall(long now, CallSpec spec) {
     List<CallEffect> effects = new ArrayList<>(3);
     long ageMillis = freshness.ageMillis(now);
-    if (!isReady()) {
-      rejectOnArrival(
-          now, effects, spec, Rejection.NOT_READY, "no configuration received yet", ageMillis);
+    if (!isReady(now)) {
+      String missing = config.version() > 0 ? "endpoints are not known" : "no configuration";
+      rejectOnArrival(now, effects, spec, Rejection.NOT_READY, missing + " yet", ageMillis);
       return effects;
     }
     Optional<RouteSpec> route = config.findRoute(spec.host(), spec.path());
@@ -520,6 +518,8 @@
       dispatch(now, effects, call, choice);
     } else if (lacksOnlyVersionAge(now, call, maxLoad)) {
       reject(now, effects, call, Rejection.NOT_READY, "age of the weights version is not known");
+    } else if (endpointPool.mayLackEndpoints(now, call.service.name())) {
+      reject(now, effects, call, Rejection.NOT_READY, "endpoints of the service are not known yet");
     } else if (choice.eligibleCount() == 0) {
       reject(now, effects, call, Rejection.NO_ENDPOINT, "no endpoint is eligible");
     } else if (!tryEnqueue(now, call)) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -31,6 +31,14 @@
   /** Time for endpoints to register again after their registrations expired in an outage. */
   private static final long RELISTING_GRACE_MILLIS = 1_700;
 
+  /**
+   * Time from the first list until running endpoints are certainly listed, if the process started
+   * just after an outage: about two seconds to register again, and the delivery of the list.
+   */
+  private static final long FIRST_LIST_GRACE_MILLIS = 2_300;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
   /**
    * If at least this many endpoints, and at least {@link #MASS_EXPIRY_MIN_SHARE} of all, are
    * missing from the list at once, their registrations are assumed to have expired.
@@ -51,11 +59,15 @@
   private final CallOptions options;
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
+  private final Set<String> listedServices = new HashSet<>();
   private final Map<String, SwitchReport> switchReportByHost = new HashMap<>();
   private Set<String> evacuatedDomains = Set.of();
   private final EntryList entries;
   private long recoveryGraceUntil;
 
+  /** Time up to which running endpoints may be missing from the first list. */
+  private long firstListGraceUntil = NEVER;
+
   EndpointPool(CallOptions options) {
     this.options = options;
     this.entries = new EntryList(options.self());
@@ -134,11 +146,31 @@
     }
   }
 
+  /**
+   * Returns whether the endpoints are known. An empty first list is not taken for known before
+   * endpoints whose registrations expired in an outage had time to register again.
+   */
+  boolean isKnown(long now) {
+    return !listedServices.isEmpty() || now >= firstListGraceUntil;
+  }
+
+  /**
+   * Returns whether endpoints of a service may be missing because they are not listed again yet:
+   * shortly after the first list, if none of them was ever listed.
+   */
+  boolean mayLackEndpoints(long now, String service) {
+    return now < firstListGraceUntil && !listedServices.contains(service);
+  }
+
   /** Replaces the list of endpoints; the state of incarnations that are still listed is kept. */
   void updateEndpoints(long now, Collection<EndpointSpec> specs) {
+    if (firstListGraceUntil == NEVER) {
+      firstListGraceUntil = now + FIRST_LIST_GRACE_MILLIS;
+    }
     Set<String> listedIds = new HashSet<>();
     for (EndpointSpec spec : specs) {
       listedIds.add(spec.id());
+      listedServices.add(spec.service());
       Endpoint endpoint = byId.get(spec.id());
       boolean newIncarnation =
           endpoint == null
--- a/policy/src/main/java/org/cornelchute/policy/forward/Rejection.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Rejection.java
@@ -2,7 +2,7 @@
 
 /** Final responses that the entry produces instead of an endpoint. */
 public enum Rejection {
-  /** No configuration has been received, or the current one is too old. */
+  /** Configuration or endpoints are not known, or the configuration is too old. */
   NOT_READY(true),
   /** No route matches the call. */
   UNKNOWN_ROUTE(true),
