Spend no retry allowance in the first window after a restart

Where all entries restart within a window, a service got up to 1.6 times the retry allowance (two shares of 0.8 each) beyond the ratio of its calls.

Cause: `RetryBudget` of a new process knows nothing of the retries that its predecessor spent, and took its share of the allowance at once. Calls and ratio are not concerned: the calls that a predecessor counted are in the window of the rule too.

Now a process spends the ratio of its own calls only until one window after its start. Ruled out: `firstStart` alone (the platform fills it in at each start), and storing what was spent (a write per retry).

Tests changed: the deciders of Fixture, EntryShareTest, StaleConfigurationTest and ClusterSimulation are of processes that started long before (as their checks assume), and the three tests of entry.direct that supply their own serving state report a first start: two tests of EndpointFloodTest need one retry of a single call, which a restarted entry may not make ("expected: 200 but was: 502"). No check or bound changed.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -253,6 +253,11 @@
 
   // Serving state
 
+  @Override
+  public void recordFirstStart() {
+    decider.recordFirstStart();
+  }
+
   @Override
   public void updateConfig(ServingConfig config) {
     decider.updateConfig(config);
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -87,7 +87,7 @@
     this.settings = settings;
     this.stateSource = stateSource;
     this.client = new WireClient(group, clockMillis, metrics);
-    CallDecider decider = new CallDecider(toCallOptions(settings), seed);
+    CallDecider decider = new CallDecider(toCallOptions(settings), seed, clockMillis.getAsLong());
     if (settings.peers().isEmpty()) {
       this.openCallsReporter = Optional.empty();
     } else {
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectSettings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectSettings.java
@@ -24,6 +24,7 @@
  * @param coldOverrun factor by which the limit of a cold endpoint may be exceeded
  * @param coldAllowance calls by which that limit may be exceeded in addition
  * @param stopSeconds time from the request to stop until the process is killed
+ * @param firstStart whether all processes of the system are started for the first time
  */
 public record DirectSettings(
     String name,
@@ -42,7 +43,8 @@
     double retryWindowSeconds,
     double coldOverrun,
     double coldAllowance,
-    double stopSeconds)
+    double stopSeconds,
+    boolean firstStart)
     implements Settings {
 
   /** Default values, for a process on the loopback interface. */
@@ -64,7 +66,8 @@
           10,
           1.5,
           5,
-          8);
+          8,
+          false);
 
   private static final long HOUR_MILLIS = 3_600_000;
   private static final long HOUR_SECONDS = 3_600;
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -10,6 +10,9 @@
 /** Receives the serving state from the platform's table service; called on the event loop only. */
 public interface ServingStateListener {
 
+  /** Records that no earlier process ran under the name of this entry. */
+  void recordFirstStart();
+
   /** Updates the configuration. */
   void updateConfig(ServingConfig config);
 
--- a/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/DirectEntryDaemonTest.java
@@ -92,13 +92,15 @@
             defaults.retryWindowSeconds(),
             defaults.coldOverrun(),
             defaults.coldAllowance(),
-            8);
+            8,
+            false);
     entry =
         new DirectEntryDaemon(
             settings,
             HEADER_NAMES,
             (entryLoop, client, clock, listener) -> {
               eventLoop = entryLoop;
+              listener.recordFirstStart();
               listener.updateConfig(config());
               listener.updateEvacuatedDomains(Set.of());
               listener.updateEndpoints(
--- a/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EndpointFloodTest.java
@@ -110,12 +110,14 @@
             defaults.retryWindowSeconds(),
             defaults.coldOverrun(),
             defaults.coldAllowance(),
-            8);
+            8,
+            false);
     entry =
         new DirectEntryDaemon(
             settings,
             HEADER_NAMES,
             (entryLoop, client, clock, listener) -> {
+              listener.recordFirstStart();
               listener.updateConfig(config());
               listener.updateEvacuatedDomains(Set.of());
               listener.updateEndpoints(
--- a/entry/src/test/java/org/cornelchute/entry/direct/FailureLogTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FailureLogTest.java
@@ -72,7 +72,8 @@
             defaults.retryWindowSeconds(),
             defaults.coldOverrun(),
             defaults.coldAllowance(),
-            8);
+            8,
+            false);
     String endpointAddress = "127.0.0.1:" + endpoint.getAddress().getPort();
     entry =
         new DirectEntryDaemon(
@@ -92,6 +93,7 @@
                 "x-version",
                 "x-load"),
             (loop, client, clock, listener) -> {
+              listener.recordFirstStart();
               listener.updateConfig(config());
               listener.updateEvacuatedDomains(Set.of());
               listener.updateEndpoints(
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -98,14 +98,18 @@
   private final Map<String, Long> longestDeadlineByRoute = new HashMap<>();
   private ServingConfig config = ServingConfig.EMPTY;
 
-  /** Creates a decider without configuration and endpoints. */
-  public CallDecider(CallOptions options, long seed) {
+  /**
+   * Creates a decider without configuration and endpoints.
+   *
+   * @param startedAt time at which the process started
+   */
+  public CallDecider(CallOptions options, long seed, long startedAt) {
     this.options = options;
     this.endpointPool = new EndpointPool(options);
     this.versionGate = new VersionGate();
     this.retryBudget =
         new RetryBudget(
-            options.retryRatio(), options.retryAllowance(), options.retryWindowMillis());
+            options.retryRatio(), options.retryAllowance(), options.retryWindowMillis(), startedAt);
     this.random = new Random(seed);
   }
 
@@ -128,6 +132,14 @@
 
   // Cached state
 
+  /**
+   * Records that no earlier process ran under the name of this entry, so that none can have spent
+   * its shares of limits. Until then, an earlier one is assumed.
+   */
+  public void recordFirstStart() {
+    retryBudget.recordFirstStart();
+  }
+
   /** Replaces the configuration if the offered version is newer; otherwise does nothing. */
   public void updateConfig(ServingConfig offered) {
     if (offered.version() > config.version()) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/RetryBudget.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/RetryBudget.java
@@ -11,6 +11,9 @@
  * constant allowance. Each entry uses the ratio of its own new calls plus an equal share of the
  * allowance, so that the total limit holds without messages between entries. Windows are counted in
  * buckets; a retry counts against all buckets that a sliding window may overlap.
+ *
+ * <p>A process does not know which retries its predecessor spent in the window before its start. It
+ * therefore uses the ratio only in its first window, unless there was no predecessor.
  */
 final class RetryBudget {
 
@@ -20,11 +23,23 @@
   private final double allowance;
   private final long bucketMillis;
   private final Map<String, Window> windows = new HashMap<>();
+  private long allowanceFrom;
 
-  RetryBudget(double ratio, double allowance, long windowMillis) {
+  /**
+   * Creates the budget of a process.
+   *
+   * @param startedAt time at which the process started
+   */
+  RetryBudget(double ratio, double allowance, long windowMillis, long startedAt) {
     this.ratio = ratio;
     this.allowance = allowance;
     this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+    this.allowanceFrom = startedAt + windowMillis;
+  }
+
+  /** Records that no earlier process under the name of this entry can have spent retries. */
+  void recordFirstStart() {
+    allowanceFrom = Long.MIN_VALUE;
   }
 
   /** Counts a new call to a service. */
@@ -41,7 +56,8 @@
    */
   boolean trySpend(long now, String service, int entryCount) {
     Window window = window(now, service);
-    double limit = ratio * sum(window.calls) + allowance / Math.max(1, entryCount);
+    double share = now < allowanceFrom ? 0 : allowance / Math.max(1, entryCount);
+    double limit = ratio * sum(window.calls) + share;
     if (sum(window.retries) + 1 > limit) {
       return false;
     }
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -185,7 +185,7 @@
 
     @Test
     void limitsRetriesToTheShareOfThisEntry() {
-      RetryBudget budget = new RetryBudget(0.16, 80, 10_000);
+      RetryBudget budget = new RetryBudget(0.16, 80, 10_000, -10_000);
       int retries = 0;
       int calls = 200;
       for (int i = 0; i < calls; i++) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
@@ -79,7 +79,7 @@
               defaults.retryWindowMillis(),
               defaults.coldOverrunFactor(),
               defaults.coldAllowance());
-      CallDecider decider = new CallDecider(options, seed + i);
+      CallDecider decider = new CallDecider(options, seed + i, 0);
       decider.updateConfig(
           Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of()))));
       decider.updateEntries(names);
--- a/policy/src/test/java/org/cornelchute/policy/forward/EntryShareTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EntryShareTest.java
@@ -101,7 +101,7 @@
             OPTIONS.retryWindowMillis(),
             OPTIONS.coldOverrunFactor(),
             OPTIONS.coldAllowance());
-    CallDecider decider = new CallDecider(options, name.hashCode());
+    CallDecider decider = new CallDecider(options, name.hashCode(), 0);
     decider.updateConfig(
         Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w1", 1, List.of()))));
     decider.updateEndpoints(NOW, List.of(endpoints));
--- a/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -29,7 +29,7 @@
   }
 
   Fixture(CallOptions options) {
-    decider = new CallDecider(options, 7);
+    decider = new CallDecider(options, 7, 0);
   }
 
   /** Provides the configuration, these endpoints and a current confirmation to the decider. */
--- a/policy/src/test/java/org/cornelchute/policy/forward/StaleConfigurationTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/StaleConfigurationTest.java
@@ -83,7 +83,7 @@
   }
 
   private CallDecider entryWithConfigOfAge(long ageMillis, String... entries) {
-    CallDecider decider = new CallDecider(OPTIONS, 1);
+    CallDecider decider = new CallDecider(OPTIONS, 1, 0);
     decider.updateConfig(config());
     decider.updateEntries(List.of(entries));
     decider.updateEndpoints(now, List.of(Fixture.plain("p1")));
