Send callers on at once only if another entry is known that may serve

For up to 1.5 s after a start, and always where there is one entry only, callers that were rejected as not ready got a Retry-After of 20 to 50 ms although no entry could serve them: after a restart of all entries they used up their retries within a few hundred milliseconds. An entry alone also reported itself not ready once its keys were too old.

Cause: `OtherEntries.mayServe` took "no report for 1.5 s" for isolation from the time before the start on, and did not know the list of entries. Reports told the age of the configuration only, so that an entry without endpoints counted as able to serve.

Now the answer has three values. Likely: a known entry reports a recent configuration, or known entries were silent for 1.5 s after the start or the last report. Unlikely: the list names no other entry, or the others report an old configuration. Unknown: nothing was read or heard yet; Retry-After is then 240 to 400 ms, in which a running entry would have reported (every 100 to 400 ms). A configuration that is too old counts as superseded if the others are known and are not unlikely to serve, which keeps the check of regions as strict as before (StaleConfigurationTest is unchanged).

OtherEntriesTest failed on the code before in five of eight tests (Retry-After 34 ms where 60 to 1,000 or over 1,000 are expected; reported age 0 of an entry without endpoints). It passes now, as do the tests of policy.forward, entry.direct and ServingStateAdapterTest, VersionAfterRestartTest and PlatformProcessesTest of platform. The test divertsCallersIfOnlyThisEntryIsCutOffFromTheStore named no second entry, which is the fault itself; it now lists one, its checks are the same.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -14,6 +14,7 @@
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
+import org.cornelchute.policy.forward.OtherEntries.Availability;
 import org.cornelchute.policy.forward.RouteSpec.WeightedService;
 
 /**
@@ -51,6 +52,9 @@
 
   private static final int FAILOVER_RETRY_AFTER_JITTER_MILLIS = 30;
 
+  /** Time in which a process that has just started receives the first report of another entry. */
+  private static final long DISCOVERY_MILLIS = 400;
+
   private static final long MAX_REPORTED_AGE_MILLIS = 86_400_000;
   private static final int STATUS_OK = 200;
   private static final int STATUS_MULTIPLE_CHOICES = 300;
@@ -89,7 +93,7 @@
   private final CallOptions options;
   private final EndpointPool endpointPool;
   private final Freshness freshness = new Freshness();
-  private final OtherEntries otherEntries = new OtherEntries();
+  private final OtherEntries otherEntries;
   private final VersionGate versionGate;
   private final RetryBudget retryBudget;
   private final Random random;
@@ -106,6 +110,7 @@
   public CallDecider(CallOptions options, long seed, long startedAt) {
     this.options = options;
     this.endpointPool = new EndpointPool(options);
+    this.otherEntries = new OtherEntries(startedAt);
     this.versionGate = new VersionGate();
     this.retryBudget =
         new RetryBudget(
@@ -210,9 +215,14 @@
     endpointPool.recordEntryReport(now, entry, open);
   }
 
-  /** Returns the time since the store last confirmed the configuration, capped at one day. */
+  /**
+   * Returns the time since the store last confirmed the configuration, capped at one day; one day
+   * if this entry is not ready, so that the other entries send no callers here.
+   */
   public long configAgeMillis(long now) {
-    return Math.min(freshness.ageMillis(now), MAX_REPORTED_AGE_MILLIS);
+    return isReady(now)
+        ? Math.min(freshness.ageMillis(now), MAX_REPORTED_AGE_MILLIS)
+        : MAX_REPORTED_AGE_MILLIS;
   }
 
   /**
@@ -222,10 +232,18 @@
   public boolean shouldDivertCalls(long now) {
     return config.requiresKeys()
         ? freshness.ageMillis(now) > options.maxKeyAgeMillis()
-            && otherEntries.mayServe(now, options.maxKeyAgeMillis())
+            && otherAvailability(now) == Availability.LIKELY
         : isSuperseded(now);
   }
 
+  private Availability otherAvailability(long now) {
+    return otherEntries.availability(
+        now,
+        options.maxKeyAgeMillis(),
+        endpointPool.isEntryListKnown(),
+        endpointPool.entryCount() - 1);
+  }
+
   /** Returns whether a route is bound to regions that were not confirmed recently enough. */
   private boolean hasOldRegions(RouteSpec route, long ageMillis) {
     return !route.regions().isEmpty() && ageMillis > options.maxKeyAgeMillis();
@@ -233,13 +251,13 @@
 
   /**
    * Returns whether routes and regions of the configuration may have changed, while another entry
-   * can probably serve calls by the current ones. In an outage of the store for all entries, the
+   * may be able to serve calls by the current ones. In an outage of the store for all entries, the
    * configuration cannot change.
    */
   private boolean isSuperseded(long now) {
     return freshness.ageMillis(now) > options.maxKeyAgeMillis()
         && endpointPool.entryCount() > 1
-        && otherEntries.mayServe(now, options.maxKeyAgeMillis());
+        && otherAvailability(now) != Availability.UNLIKELY;
   }
 
   /**
@@ -757,14 +775,19 @@
 
   /**
    * Returns the Retry-After of a rejected call. If no entry is likely to accept it soon, it is as
-   * long as callers honor, since the cause of the rejection persists.
+   * long as callers honor, since the cause of the rejection persists. If that is not known yet, it
+   * is as long as it takes to hear of other entries.
    */
   private long retryAfterMillis(long now, Rejection rejection, long remainingMillis) {
-    if (rejection == Rejection.NOT_READY && otherEntries.mayServe(now, options.maxKeyAgeMillis())) {
-      return failoverRetryAfterMillis();
+    long longest = MAX_RETRY_AFTER_MILLIS;
+    if (rejection == Rejection.NOT_READY) {
+      Availability others = otherAvailability(now);
+      if (others == Availability.LIKELY) {
+        return failoverRetryAfterMillis();
+      }
+      longest = others == Availability.UNKNOWN ? DISCOVERY_MILLIS : MAX_RETRY_AFTER_MILLIS;
     }
-    double upper =
-        Math.min(MAX_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_SHARE * Math.max(0, remainingMillis));
+    double upper = Math.min(longest, MAX_RETRY_AFTER_SHARE * Math.max(0, remainingMillis));
     double factor = MIN_RETRY_AFTER_FACTOR + (1 - MIN_RETRY_AFTER_FACTOR) * random.nextDouble();
     return Math.round(upper * factor);
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -82,6 +82,11 @@
     return entries.foundCount();
   }
 
+  /** Returns whether the list of entries was read and contains this one. */
+  boolean isEntryListKnown() {
+    return entries.isKnown();
+  }
+
   /** Returns the number of entries that limits are divided by; see {@link EntryList}. */
   int sharingEntryCount() {
     return entries.sharingCount();
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -61,6 +61,7 @@
     void divertsCallersIfOnlyThisEntryIsCutOffFromTheStore() {
       // Failure: this entry is cut off from the store, first from the other entries as well.
       Fixture fixture = new Fixture().withEndpoints(plain("p1"));
+      fixture.decider.updateEntries(List.of("e1", "e2"));
       fixture.now += 4_800;
       assertThat(retryAfterMillis(fixture.call("/c/"))).isLessThan(60);
       assertThat(fixture.decider.shouldDivertCalls(fixture.now)).isTrue();
