--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -134,7 +134,8 @@
   // State
 
   boolean isReady() {
-    return decider.isReady() && !draining && !decider.shouldDivertCalls(clockMillis.getAsLong());
+    long now = clockMillis.getAsLong();
+    return decider.isReady(now) && !draining && !decider.shouldDivertCalls(now);
   }
 
   int openCallCount() {
@@ -252,6 +253,11 @@
 
   // Serving state
 
+  @Override
+  public void recordFirstStart() {
+    decider.recordFirstStart();
+  }
+
   @Override
   public void updateConfig(ServingConfig config) {
     decider.updateConfig(config);
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -33,6 +33,7 @@
           "x-load");
 
   private static final String HOST = "127.0.0.1";
+  private static final String NAME = "e1";
   private static final String DOMAIN = "d1";
   private static final String REGION = "r1";
   private static final int STOP_SECONDS = 8;
@@ -47,7 +48,7 @@
       String callers, String readiness, String peers, String operators, long keyAgeMillis) {
     DirectSettings defaults = DirectSettings.DEFAULTS;
     return new DirectSettings(
-        "e1",
+        NAME,
         DOMAIN,
         Map.of(DOMAIN, REGION),
         callers,
@@ -63,21 +64,31 @@
         defaults.retryWindowSeconds(),
         defaults.coldOverrun(),
         defaults.coldAllowance(),
-        STOP_SECONDS);
+        STOP_SECONDS,
+        false);
   }
 
-  /** Returns a source of a state that is confirmed once, at the start, and never changes. */
+  /**
+   * Returns a source of a state that is confirmed once, at the first start of the only entry, and
+   * never changes.
+   */
   static ServingStateSource fixedState(ServingConfig config, List<EndpointSpec> endpoints) {
     return (loop, client, clock, listener) -> {
+      listener.recordFirstStart();
       listener.updateConfig(config);
       listener.updateEvacuatedDomains(Set.of());
+      listener.updateEntries(Map.of(NAME, ""));
       listener.updateEndpoints(endpoints);
       listener.recordConfirmation(clock.getAsLong());
     };
   }
 
   static EndpointSpec endpointSpec(String id, String service, HttpServer server) {
-    String address = HOST + ":" + server.getAddress().getPort();
+    return endpointSpec(id, service, server.getAddress().getPort());
+  }
+
+  static EndpointSpec endpointSpec(String id, String service, int port) {
+    String address = HOST + ":" + port;
     return new EndpointSpec(id, service, address, DOMAIN, REGION, 8, false, 0, 1, "", 0);
   }
 
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -61,6 +61,7 @@
     void divertsCallersIfOnlyThisEntryIsCutOffFromTheStore() {
       // Failure: this entry is cut off from the store, first from the other entries as well.
       Fixture fixture = new Fixture().withEndpoints(plain("p1"));
+      fixture.decider.updateEntries(List.of("e1", "e2"));
       fixture.now += 4_800;
       assertThat(retryAfterMillis(fixture.call("/c/"))).isLessThan(60);
       assertThat(fixture.decider.shouldDivertCalls(fixture.now)).isTrue();
@@ -185,7 +186,7 @@
 
     @Test
     void limitsRetriesToTheShareOfThisEntry() {
-      RetryBudget budget = new RetryBudget(0.16, 80, 10_000);
+      RetryBudget budget = new RetryBudget(0.16, 80, 10_000, -10_000);
       int retries = 0;
       int calls = 200;
       for (int i = 0; i < calls; i++) {
