Cancel calls in flight by the earlier bound of a known sighting

A call sent to an engine on superseded weights could begin after the limit (VERSION): the two bounds of a sighting lie as far apart as its read took, and calls in flight were canceled by the later one. Cost: calls without a response are canceled earlier by at most the time of the read.

cancelsCallsThatDidNotStartBeforeTheVersionCutoff had equal bounds; it now counts from the acknowledgement with a read of 1 s, which is stricter. The test with an unread sighting is kept and has a sibling with a read one. On the code before: "NoSuchElement No value present" (no CancelAttempt) and "Expecting Optional to contain a value but it was empty".

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -651,7 +651,7 @@
     long required =
         call.service
             .engine()
-            .map(e -> versionGate.certainVersion(now, e.model(), options.versionCutoffMillis()))
+            .map(e -> versionGate.cutoffVersion(now, e.model(), options.versionCutoffMillis()))
             .orElse(0L);
     return call.endpoint.version < required;
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/VersionGate.java
@@ -9,8 +9,9 @@
  *
  * <p>The time at which a version was assigned is known between two bounds only. New calls go by the
  * earlier one: a call that starts on superseded weights cannot be undone, while a rejected call can
- * be retried elsewhere. Calls in flight are canceled by the later one, from which on the version is
- * certainly required.
+ * be retried elsewhere. Calls in flight are canceled by the earlier one as well once the first
+ * sighting is known; until then the earlier one may be long past, and they are canceled by the
+ * later one.
  */
 final class VersionGate {
 
@@ -61,6 +62,23 @@
     return 0;
   }
 
+  /**
+   * Returns the minimum version of calls in flight that have not started; 0 if any version may be
+   * used.
+   *
+   * @param cutoffMillis time from the assignment of a version until such calls are canceled
+   */
+  long cutoffVersion(long now, String model, long cutoffMillis) {
+    for (Map.Entry<Long, Assignment> e : assignments(model).descendingMap().entrySet()) {
+      Assignment assignment = e.getValue();
+      long assignedAt = assignment.confirmed() ? assignment.earliestAt() : assignment.latestAt();
+      if (now - assignedAt >= cutoffMillis) {
+        return e.getKey();
+      }
+    }
+    return 0;
+  }
+
   /** Returns the version that is certainly required by now; see {@link #requiredVersion}. */
   long certainVersion(long now, String model, long graceMillis) {
     for (Map.Entry<Long, Assignment> e : assignments(model).descendingMap().entrySet()) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -295,18 +295,20 @@
       assertThat(dispatch(fixture.call("/s/")).expectedVersion()).isEqualTo(2);
     }
 
+    /** Failure: a read of the sighting that took 1 s let calls start 1 s past the limit. */
     @Test
     void cancelsCallsThatDidNotStartBeforeTheVersionCutoff() {
       Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1), engine("b", "d1", 2));
       fixture.decider.updateEvacuatedDomains(Set.of());
-      fixture.decider.recordVersion(fixture.now, fixture.now, "m", 2);
+      fixture.decider.recordVersion(fixture.now - 50, fixture.now + 1_000, "m", 2);
       fixture.now += 6_900;
       fixture.decider.recordConfirmation(fixture.now);
       CallEffect.Dispatch outdated = dispatch(fixture.call("/s/"));
       while (!outdated.endpoint().id().equals("a")) {
         outdated = dispatch(fixture.call("/s/"));
       }
-      fixture.now += 700;
+      // 7,600 ms after the earlier bound of the acknowledgement.
+      fixture.now += 650;
       List<CallEffect> swept = fixture.decider.sweep(fixture.now);
       assertThat(find(swept, CallEffect.CancelAttempt.class).orElseThrow().call())
           .isEqualTo(outdated.call());
@@ -367,6 +369,22 @@
       assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
     }
 
+    /** Failure: calls were canceled by the time at which the entry learned of the version. */
+    @Test
+    void cancelsCallsInFlightByTheAcknowledgementOnceTheSightingIsRead() {
+      Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
+      fixture.now += 1_000;
+      fixture.decider.recordVersionOfUnknownAge(fixture.now, "m", 2);
+      fixture.now += 5_900;
+      fixture.decider.recordConfirmation(fixture.now);
+      assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      // The version was acknowledged 6,900 ms ago.
+      fixture.decider.recordVersion(fixture.now - 6_900, fixture.now - 6_000, "m", 2);
+      fixture.now += 700;
+      assertThat(find(fixture.decider.sweep(fixture.now), CallEffect.CancelAttempt.class))
+          .isPresent();
+    }
+
     /** Failure: calls in flight on old weights were kept while the sighting could not be read. */
     @Test
     void cancelsCallsInFlightOnceTheVersionIsCertainlyRequired() {
