Send no calls to endpoints past their grace period

Selection now checks the time itself. On the code before the test printed: expected: "a" but was: "b".

--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -177,11 +177,16 @@
 
   /** Removes endpoints that did not register again within the grace period. */
   void removeExpired(long now) {
-    if (byId.values().removeIf(e -> e.removeAt > 0 && now >= e.removeAt)) {
+    if (byId.values().removeIf(e -> isExpired(now, e))) {
       rebuildServiceIndex();
     }
   }
 
+  /** Returns whether an endpoint did not register again within the grace period. */
+  private static boolean isExpired(long now, Endpoint endpoint) {
+    return endpoint.removeAt > 0 && now >= endpoint.removeAt;
+  }
+
   /**
    * Removes endpoints that are no longer listed. If their registrations have probably expired in an
    * outage, they stay for a grace period in which they can register again.
@@ -226,7 +231,7 @@
     List<Endpoint> healthy = new ArrayList<>();
     List<Endpoint> inBackoff = new ArrayList<>();
     for (Endpoint endpoint : byService.getOrDefault(requirements.service().name(), List.of())) {
-      if (isEligible(endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
+      if (isEligible(now, endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
         (now < endpoint.avoidUntil ? inBackoff : healthy).add(endpoint);
       }
     }
@@ -265,7 +270,10 @@
     endpoint.avoidUntil = 0;
   }
 
-  private boolean isEligible(Endpoint endpoint, Requirements requirements) {
+  private boolean isEligible(long now, Endpoint endpoint, Requirements requirements) {
+    if (isExpired(now, endpoint)) {
+      return false;
+    }
     if (endpoint.spec.draining() || evacuatedDomains.contains(endpoint.spec.domain())) {
       return false;
     }
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -482,6 +482,26 @@
       assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
     }
 
+    /** Failure: without open calls, endpoints stayed in use after their grace period. */
+    @Test
+    void doesNotUseEndpointsAfterTheirGracePeriodWithoutSweep() {
+      EndpointSpec listed = engine("a", "d1", 1);
+      Fixture fixture =
+          new Fixture()
+              .withEndpoints(
+                  listed,
+                  engine("b", "d1", 1),
+                  engine("c", "d1", 1),
+                  engine("d", "d1", 1),
+                  engine("e", "d1", 1));
+      fixture.decider.updateEndpoints(fixture.now, List.of(listed));
+      fixture.now += 5_000;
+      fixture.decider.recordConfirmation(fixture.now);
+      for (int i = 0; i < 10; i++) {
+        assertThat(dispatch(fixture.call("/s/")).endpoint().id()).isEqualTo("a");
+      }
+    }
+
     @Test
     void retriesOnAnotherEndpointAfterInstanceMismatch() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
