Do not take an unread list of entries for a single entry

An entry that had not read the list of entries and had lost the store sent keyless calls by its old configuration, although another entry may know the current one. It now assumes other entries, as the split of limits does.

Routes bound to regions were rejected already because of the age of their regions; the test covers both kinds of routes and failed on the unbound one, to which regions may have been added. On the code before it printed "NoSuchElement No value present" (no rejection) at the call to "/b/".

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -228,7 +228,7 @@
    */
   private boolean isSuperseded(long now) {
     return freshness.ageMillis(now) > options.maxKeyAgeMillis()
-        && endpointPool.entryCount() > 1
+        && endpointPool.sharingEntryCount() > 1
         && otherEntries.mayServe(now, options.maxKeyAgeMillis());
   }
 
--- a/policy/src/test/java/org/cornelchute/policy/forward/StaleConfigurationTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/StaleConfigurationTest.java
@@ -65,9 +65,19 @@
     assertThat(find(call(decider, "/b/"), CallEffect.Dispatch.class)).isPresent();
   }
 
+  /** Failure: an entry that had not read the list of entries took itself for the only one. */
+  @Test
+  void doesNotServeRoutesWithoutRegionsUntilTheListOfEntriesIsRead() {
+    CallDecider decider = entryWithConfigOfAge(STALE_MILLIS, Set.of());
+    assertThat(find(call(decider), CallEffect.Reject.class).orElseThrow().rejection())
+        .isEqualTo(Rejection.NOT_READY);
+    assertThat(find(call(decider, "/b/"), CallEffect.Reject.class).orElseThrow().rejection())
+        .isEqualTo(Rejection.NOT_READY);
+  }
+
   @Test
   void servesCallsThroughAnOutageOfTheStoreIfThereIsNoOtherEntry() {
-    CallDecider decider = entryWithConfigOfAge(STALE_MILLIS, "e1");
+    CallDecider decider = entryWithConfigOfAge(STALE_MILLIS, Set.of("e1"));
     assertThat(find(call(decider, "/b/"), CallEffect.Dispatch.class)).isPresent();
   }
 
@@ -79,13 +89,13 @@
   }
 
   private CallDecider entryWithConfigOfAge(long ageMillis) {
-    return entryWithConfigOfAge(ageMillis, "e1", "e2");
+    return entryWithConfigOfAge(ageMillis, Set.of("e1", "e2"));
   }
 
-  private CallDecider entryWithConfigOfAge(long ageMillis, String... entries) {
+  private CallDecider entryWithConfigOfAge(long ageMillis, Set<String> entries) {
     CallDecider decider = new CallDecider(OPTIONS, 1);
     decider.updateConfig(config());
-    decider.updateEntries(List.of(entries));
+    decider.updateEntries(entries);
     decider.updateEndpoints(now, List.of(Fixture.plain("p1")));
     decider.updateEvacuatedDomains(Set.of());
     decider.recordConfirmation(now);
