See a suspension although the wall clock is set back

A process that was suspended while the wall clock was set back kept its cached keys, routes and ages of versions, because only an advance of the wall clock over the steady clock counted. A change in either direction now requires a new confirmation; a step back without a suspension costs one request to the store. On the code before the test printed "Expecting value to be true but was false".

--- a/policy/src/main/java/org/cornelchute/policy/forward/Freshness.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Freshness.java
@@ -5,12 +5,13 @@
  *
  * <p>A confirmation counts from the time of its request, because the state may have changed while
  * the response was on its way. The monotonic clock does not advance while the process is suspended,
- * so it is compared with the wall clock. If the wall clock has advanced further, the cached state
- * is unconfirmed until a request sent after the suspension is answered.
+ * so it is compared with the wall clock. If the difference has changed, the cached state is
+ * unconfirmed until a request sent after the suspension is answered. A change in the other
+ * direction counts too, since the wall clock may have been set back during the suspension.
  */
 final class Freshness {
 
-  /** Advance of the wall clock over the monotonic clock above which a suspension is assumed. */
+  /** Change of the difference between the two clocks above which a suspension is assumed. */
   private static final long MIN_SUSPENSION_MILLIS = 250;
 
   private static final long NEVER = Long.MIN_VALUE / 4;
@@ -31,7 +32,8 @@
   boolean detectSuspension(long now, long wallMillis) {
     long currentOffset = wallMillis - now;
     boolean suspended =
-        wallOffset != Long.MIN_VALUE && currentOffset - wallOffset > MIN_SUSPENSION_MILLIS;
+        wallOffset != Long.MIN_VALUE
+            && Math.abs(currentOffset - wallOffset) > MIN_SUSPENSION_MILLIS;
     if (suspended) {
       confirmedAt = NEVER;
       minRequestedAt = now;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -95,6 +95,16 @@
       assertThat(find(fixture.call("/c/"), CallEffect.Dispatch.class)).isPresent();
     }
 
+    /** Failure: a suspension was not seen if the wall clock was set back at the same time. */
+    @Test
+    void requiresConfirmationAfterSuspensionWithBackwardStepOfTheWallClock() {
+      Fixture fixture = new Fixture().withEndpoints(plain("p1"));
+      fixture.decider.detectSuspension(fixture.now, 5_000_000);
+      fixture.now += 50;
+      assertThat(fixture.decider.detectSuspension(fixture.now, 5_000_050 - 1_000)).isTrue();
+      assertThat(rejection(fixture.call("/c/"))).isEqualTo(Rejection.NOT_READY);
+    }
+
     @Test
     void ignoresOlderConfiguration() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"));
