Do not confirm the state while a row of operators cannot be read

An entry confirmed its state although a row of the operators' table could not be read: a version row that cannot be decoded was only logged, and a row without a valid key or row version was dropped, so that a poll that held only such a row counted as unchanged. A revoked key, a changed route, an evacuation or a new version was then missed without a limit in time.

Responses of the store now name the keys of rows that were dropped. Such a table is read again after 500 ms, since the row itself may be sound. Rows with keys that the entry does not know, and rows of other tables, are skipped as before.

--- a/net/src/main/java/org/cornelchute/net/store/TableChange.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableChange.java
@@ -12,10 +12,13 @@
  * @param initial whether this is the first read of the table in this process
  * @param rows all rows of the table by key; valid during the call only
  * @param changedKeys keys of the rows that were changed or deleted
+ * @param unreadableKeys keys of the rows whose newest state could not be read, so that {@code rows}
+ *     lacks them or holds an earlier state; see {@link RowsResponse#unreadableKeys()}
  */
 public record TableChange(
     long requestedAtMillis,
     long storeTimeMillis,
     boolean initial,
     Map<String, StoredRow> rows,
-    Set<String> changedKeys) {}
+    Set<String> changedKeys,
+    Set<String> unreadableKeys) {}
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -23,7 +23,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(TableWatch.class);
   private static final long MIN_POLL_MILLIS = 1;
 
-  /** Delay until the table is read again after its listener failed to handle a change. */
+  /**
+   * Delay until the table is read again after its listener failed to handle a change, or a row that
+   * it needs could not be read.
+   */
   private static final long RELOAD_DELAY_MILLIS = 500;
 
   private final EventLoop loop;
@@ -35,6 +38,7 @@
   private final Backoff backoff;
   private final Listener listener;
   private final Map<String, StoredRow> rows = new HashMap<>();
+  private final Set<String> unreadableKeys = new HashSet<>();
   private long version = -1;
   private long unavailableSinceMillis;
   private boolean initialized;
@@ -91,7 +95,8 @@
         response -> {
           if (response.isRight()
               && !response.get().historyLost()
-              && response.get().rows().isEmpty()) {
+              && response.get().rows().isEmpty()
+              && response.get().unreadableKeys().isEmpty()) {
             listener.onUnchanged(requestedAtMillis);
           }
         });
@@ -123,8 +128,10 @@
       return;
     }
     handleRecovery();
-    Set<String> changedKeys = new HashSet<>(rows.keySet());
+    final Set<String> changedKeys = new HashSet<>(rows.keySet());
     rows.clear();
+    unreadableKeys.clear();
+    unreadableKeys.addAll(response.get().unreadableKeys());
     for (StoredRow row : response.get().rows()) {
       rows.put(row.key(), row);
       changedKeys.add(row.key());
@@ -153,14 +160,16 @@
     Set<String> changedKeys = new HashSet<>();
     for (StoredRow row : response.get().rows()) {
       changedKeys.add(row.key());
+      unreadableKeys.remove(row.key());
       if (row.deleted()) {
         rows.remove(row.key());
       } else {
         rows.put(row.key(), row);
       }
     }
+    unreadableKeys.addAll(response.get().unreadableKeys());
     version = Math.max(version, response.get().version());
-    if (changedKeys.isEmpty()) {
+    if (changedKeys.isEmpty() && response.get().unreadableKeys().isEmpty()) {
       listener.onUnchanged(requestedAtMillis);
     } else {
       if (!notifyChanged(requestedAtMillis, response.get(), changedKeys)) {
@@ -175,24 +184,32 @@
   }
 
   /**
-   * Notifies the listener and returns whether it handled the change. If it failed, the whole table
-   * is read again later, so that the change is not taken for known.
+   * Notifies the listener and returns whether polling goes on. If the listener failed, or needs a
+   * row that could not be read, the whole table is read again later, so that the change is not
+   * taken for known.
    */
   private boolean notifyChanged(
       long requestedAtMillis, RowsResponse response, Set<String> changedKeys) {
     TableChange change =
         new TableChange(
-            requestedAtMillis, response.storeTimeMillis(), !initialized, rows, changedKeys);
+            requestedAtMillis,
+            response.storeTimeMillis(),
+            !initialized,
+            rows,
+            changedKeys,
+            unreadableKeys);
     try {
       listener.onChanged(change);
       initialized = true;
-      return true;
+      if (unreadableKeys.stream().noneMatch(listener::needsRow)) {
+        return true;
+      }
     } catch (RuntimeException e) {
       LOG.error("change not handled, will read the table again table={}", table, e);
-      version = -1;
-      loop.schedule(this::poll, RELOAD_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-      return false;
     }
+    version = -1;
+    loop.schedule(this::poll, RELOAD_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    return false;
   }
 
   private void handleFailure(Failure failure) {
@@ -226,6 +243,15 @@
     /** Handles a confirmation that the table had no further changes at the given time. */
     void onUnchanged(long requestedAtMillis);
 
+    /**
+     * Returns whether the table must be read again if the row with this key could not be read.
+     *
+     * @param key key of the row, or {@link RowsResponse#UNREADABLE_KEY}
+     */
+    default boolean needsRow(String key) {
+      return false;
+    }
+
     /** Handles the first request that failed after a successful one. */
     default void onUnavailable() {}
 
