--- a/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatformListener.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatformListener.java
@@ -10,9 +10,11 @@
   void onModelConfigured(String model);
 
   /**
-   * Handles the assignment of a version of a model's weights by operators.
+   * Handles the assignment of a version of a model's weights by operators. Called again if another
+   * age becomes known.
    *
-   * @param ageMillis time in milliseconds since the version was first seen, 0 if that is not known
+   * @param ageMillis time in milliseconds since the version was first seen; 0 if no entry has
+   *     stored that, and very large if it could not be read
    */
   void onVersionAssigned(String model, long version, long ageMillis);
 
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -90,7 +90,7 @@
 
   /**
    * Handles the assignment of a version by operators; ignores it unless it is newer than the target
-   * version.
+   * version, or known and older than it seemed.
    *
    * <p>Of versions learned of at about the same time, for example after an outage of the store,
    * only the newest is fetched. Otherwise, agents that learn only of the newest one would have no
@@ -112,6 +112,8 @@
       learnedAtByVersion.put(version, now);
       deferredVersion = version;
       startDeferredFetch(now, effects);
+    } else {
+      assignedAtByVersion.computeIfPresent(version, (v, at) -> Math.min(at, now - ageMillis));
     }
     return effects;
   }
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -100,6 +100,25 @@
     assertThat(hasEffect(decider.onVersionComplete(now + 100, 2), LoadEffect.Stage.class)).isTrue();
   }
 
+  /** Failure: an age that was known only later did not bring the cutover forward. */
+  @Test
+  void countsTheCutoverFromAnEarlierSightingThatIsKnownLater() {
+    decider.setRank(1);
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onEngineReport(now, engine(1, false, 0));
+    assertThat(hasEffect(decider.onVersionComplete(now + 100, 2), LoadEffect.Stage.class))
+        .isFalse();
+    decider.onVersionAssigned(now + 200, 2, 9_000);
+    assertThat(stagesAt(now + 300, engine(1, false, 0))).isTrue();
+    // A later sighting does not move the cutover back.
+    createDecider();
+    decider.setRank(1);
+    decider.onVersionAssigned(now, 2, 9_000);
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onEngineReport(now, engine(1, false, 0));
+    assertThat(hasEffect(decider.onVersionComplete(now + 100, 2), LoadEffect.Stage.class)).isTrue();
+  }
+
   @Test
   void announcesSwitchOfServingEngineFirst() {
     decider.onVersionAssigned(now, 2, 0);
