Count an endpoint as cold again for the same remaining time

Entries of the directory now carry their revision, the version of the row: each newly written one starts the remaining time again, and one that is only listed again does not. The second test guards the latter; it passed before.

On the code before the test printed "Expecting actual: 60 to be between: [1, 44]" (calls within one second).

--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -151,7 +151,8 @@
       }
       if (spec.coldRemainingMillis() > 0
           && (newIncarnation
-              || endpoint.spec.coldRemainingMillis() != spec.coldRemainingMillis())) {
+              || endpoint.spec.coldRemainingMillis() != spec.coldRemainingMillis()
+              || endpoint.spec.revision() != spec.revision())) {
         endpoint.coldUntil = Math.max(endpoint.coldUntil, now + spec.coldRemainingMillis());
       }
       boolean directoryLags =
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointSpec.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointSpec.java
@@ -14,6 +14,7 @@
  * @param startedAtMillis start of this incarnation in milliseconds since the epoch, 0 if unknown
  * @param model model that the endpoint serves, empty if none
  * @param version version of the model's weights, 0 if none are loaded
+ * @param revision number of the directory that changes whenever the endpoint writes its entry
  */
 public record EndpointSpec(
     String id,
@@ -26,4 +27,34 @@
     long coldRemainingMillis,
     long startedAtMillis,
     String model,
-    long version) {}
+    long version,
+    long revision) {
+
+  /** Creates an endpoint whose entry in the directory was not written again since it started. */
+  public EndpointSpec(
+      String id,
+      String service,
+      String address,
+      String domain,
+      String region,
+      int slots,
+      boolean draining,
+      long coldRemainingMillis,
+      long startedAtMillis,
+      String model,
+      long version) {
+    this(
+        id,
+        service,
+        address,
+        domain,
+        region,
+        slots,
+        draining,
+        coldRemainingMillis,
+        startedAtMillis,
+        model,
+        version,
+        0);
+  }
+}
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -480,6 +480,46 @@
       assertThat(sent).isPositive();
     }
 
+    /** Failure: an endpoint that became cold again for the same time counted as warm. */
+    @Test
+    void limitsCallsToEndpointThatIsColdAgainForTheSameTime() {
+      Fixture fixture = new Fixture();
+      fixture.decider.updateEntries(List.of("e1"));
+      fixture.withEndpoints(coldEngine(1));
+      fixture.now += 3_100;
+      fixture.decider.recordConfirmation(fixture.now);
+      // The changes in between were missed.
+      fixture.decider.updateEndpoints(fixture.now, List.of(coldEngine(2)));
+      assertThat(countDispatches(fixture, "/s/")).isBetween(1, (int) (26 * 1.5 + 5));
+    }
+
+    /** Guards against an endpoint that stays cold because others change. */
+    @Test
+    void doesNotLimitCallsToEndpointThatIsListedAgainWithoutChange() {
+      Fixture fixture = new Fixture();
+      fixture.decider.updateEntries(List.of("e1"));
+      fixture.withEndpoints(coldEngine(1));
+      fixture.now += 2_000;
+      fixture.decider.updateEndpoints(fixture.now, List.of(coldEngine(1)));
+      fixture.now += 1_100;
+      fixture.decider.recordConfirmation(fixture.now);
+      assertThat(countDispatches(fixture, "/s/")).isEqualTo(60);
+    }
+
+    private static EndpointSpec coldEngine(long revision) {
+      return new EndpointSpec(
+          "x", "engines", "10.0.0.1:80", "d1", "r1", 99, false, 3_000, 1, "m", 1, revision);
+    }
+
+    /** Sends 60 calls and returns how many of them were dispatched. */
+    private static int countDispatches(Fixture fixture, String path) {
+      int sent = 0;
+      for (int i = 0; i < 60; i++) {
+        sent += find(fixture.call(path), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
+      }
+      return sent;
+    }
+
     @Test
     void keepsEndpointsWhoseRegistrationsExpiredInAnOutage() {
       Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1), plain("p1"));
