Limit cold endpoints of services without a cold rate to the allowance

A missing or zero coldPerS was taken for no limit. Services that name no rate have no cold start either on the sites seen (coldStartS 0), so that nothing changes for endpoints that are not cold.

On the code before the test printed "Expecting actual: 60 to be between: [1, 5]" (calls within one second).

--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -293,9 +293,6 @@
   /** Returns whether this entry's share of the limit of a cold endpoint allows another call. */
   private boolean hasColdCapacity(long now, Endpoint endpoint, Requirements requirements) {
     double limit = requirements.service().coldCallsPerSecond();
-    if (limit <= 0) {
-      return true;
-    }
     double allowedCalls = limit * options.coldOverrunFactor() + options.coldAllowance();
     int sharedCalls = (int) Math.floor(allowedCalls * COLD_LIMIT_SAFETY_FACTOR);
     return endpoint.recentDispatches.count(now) < entries.shareOf(sharedCalls, endpoint.spec.id());
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -1,6 +1,7 @@
 package org.cornelchute.policy.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.cornelchute.policy.forward.Fixture.OPTIONS;
 import static org.cornelchute.policy.forward.Fixture.dispatch;
 import static org.cornelchute.policy.forward.Fixture.engine;
 import static org.cornelchute.policy.forward.Fixture.find;
@@ -506,6 +507,16 @@
       assertThat(countDispatches(fixture, "/s/")).isEqualTo(60);
     }
 
+    /** Failure: a cold endpoint of a service without a cold rate received any number of calls. */
+    @Test
+    void limitsCallsToColdEndpointsOfServiceWithoutColdRateToTheAllowance() {
+      Fixture fixture = new Fixture();
+      fixture.decider.updateEntries(List.of("e1"));
+      fixture.withEndpoints(
+          new EndpointSpec("p", "plain", "10.0.0.2:80", "d1", "r1", 99, false, 3_000, 1, "", 0));
+      assertThat(countDispatches(fixture, "/c/")).isBetween(1, (int) OPTIONS.coldAllowance());
+    }
+
     private static EndpointSpec coldEngine(long revision) {
       return new EndpointSpec(
           "x", "engines", "10.0.0.1:80", "d1", "r1", 99, false, 3_000, 1, "m", 1, revision);
