Replace a sighting only in the version that was read

An entry that lowered a stored first sighting wrote without a condition. The write now requires the version of the row that was read; after a conflict the sighting is read and compared again.

On the code before the test printed expected: "3000" but was: "5000".

--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -133,33 +133,34 @@
   }
 
   private void create(OwnSighting own) {
-    store.create(TABLE, own.key(), own.value(), result -> handleCreated(own, result));
+    store.create(
+        TABLE, own.key(), own.value(), result -> handleWritten(own, result, () -> create(own)));
   }
 
-  private void handleCreated(OwnSighting own, Either<Failure, Long> result) {
+  /** Reads the stored sighting after a write or a conflict; retries the write otherwise. */
+  private void handleWritten(OwnSighting own, Either<Failure, Long> result, Runnable retry) {
     boolean conflict = result.isLeft() && result.getLeft().code() == Failure.Code.CONFLICT;
     if (result.isRight() || conflict) {
       writeBackoff.reset();
       read.request();
     } else {
-      retryWrite(own, result.getLeft(), () -> create(own));
+      retryWrite(own, result.getLeft(), retry);
     }
   }
 
-  /** Replaces a stored sighting that is later than the one of this entry. */
-  private void lower(OwnSighting own) {
-    store.write(
+  /**
+   * Replaces a stored sighting that is later than the one of this entry.
+   *
+   * @param storedVersion version of the row that holds the later sighting; a write that is
+   *     performed late must not replace an earlier sighting that was stored meanwhile
+   */
+  private void lower(OwnSighting own, long storedVersion) {
+    store.replace(
         TABLE,
         own.key(),
         own.value(),
-        result -> {
-          if (result.isRight()) {
-            writeBackoff.reset();
-            read.request();
-          } else {
-            retryWrite(own, result.getLeft(), () -> lower(own));
-          }
-        });
+        storedVersion,
+        result -> handleWritten(own, result, () -> lower(own, storedVersion)));
   }
 
   private void retryWrite(OwnSighting own, Failure failure, Runnable retry) {
@@ -204,7 +205,7 @@
     if (own != null && own.seenAtMillis() < seenAtMillis) {
       seenAtMillis = own.seenAtMillis();
       ownSightingByKey.put(own.key(), own);
-      lower(own);
+      lower(own, row.version());
     }
     String model = row.key().substring(0, separator);
     long ageMillis = storeTimeMillis - seenAtMillis;
--- a/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
@@ -181,6 +181,19 @@
     assertThat(ageByVersion).containsExactly(Map.entry(2L, 4_500L));
   }
 
+  /** Failure: a write that was performed late raised the time again that another entry stored. */
+  @Test
+  void doesNotReplaceEarlierSightingByWriteThatIsPerformedLate() throws Exception {
+    store.rows.put("m/2", "9000");
+    store.storeTimeMillis = 9_500;
+    store.delaysWrites = true;
+    assign(2, false, 5_000);
+    runOnLoop(() -> store.rows.put("m/2", "3000"));
+    runOnLoop(store::performDelayedWrites);
+    assertThat(callOnLoop(() -> store.rows.get("m/2"))).isEqualTo("3000");
+    awaitOnLoop(() -> ageByVersion.getOrDefault(2L, 0L) == 6_500);
+  }
+
   /** Failure: ages on the steady clock omit the time for which the process was suspended. */
   @Test
   void readsTheAgesAgainOnRefresh() throws Exception {
@@ -259,6 +272,8 @@
     private long readMillis;
     private boolean delaysReads;
     private final List<Consumer<Either<Failure, RowsResponse>>> delayedReads = new ArrayList<>();
+    private boolean delaysWrites;
+    private final List<Runnable> delayedWrites = new ArrayList<>();
 
     private void answerDelayedRead(long millis) {
       storeTimeMillis = millis;
@@ -266,6 +281,12 @@
       readTable(FirstSightings.TABLE, delayedReads.remove(0));
     }
 
+    private void performDelayedWrites() {
+      delaysWrites = false;
+      delayedWrites.forEach(Runnable::run);
+      delayedWrites.clear();
+    }
+
     @Override
     public void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback) {
       if (delaysReads) {
@@ -281,7 +302,9 @@
       List<StoredRow> storedRows = new ArrayList<>();
       rows.forEach(
           (key, value) ->
-              storedRows.add(new StoredRow(key, value.getBytes(StandardCharsets.UTF_8), 1, false)));
+              storedRows.add(
+                  new StoredRow(
+                      key, value.getBytes(StandardCharsets.UTF_8), versionOf(value), false)));
       callback.accept(Either.right(new RowsResponse(storedRows, 1, storeTimeMillis, false)));
     }
 
@@ -318,13 +341,36 @@
     }
 
     @Override
-    public void write(
-        String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback) {
+    public void replace(
+        String table,
+        String key,
+        byte[] value,
+        long expectedVersion,
+        Consumer<Either<Failure, Long>> callback) {
       if (failWrite(callback)) {
         return;
       }
-      rows.put(key, new String(value, StandardCharsets.UTF_8));
-      callback.accept(Either.right(1L));
+      if (delaysWrites) {
+        delayedWrites.add(() -> replace(table, key, value, expectedVersion, callback));
+        return;
+      }
+      if (versionOf(rows.get(key)) == expectedVersion) {
+        rows.put(key, new String(value, StandardCharsets.UTF_8));
+        callback.accept(Either.right(1L));
+      } else {
+        callback.accept(Either.left(new Failure(Failure.Code.CONFLICT, "another version")));
+      }
+    }
+
+    /** Returns a row version that differs for each value that the tests store. */
+    private static long versionOf(String value) {
+      return Integer.toUnsignedLong(value.hashCode());
+    }
+
+    @Override
+    public void write(
+        String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback) {
+      throw new UnsupportedOperationException();
     }
 
     private boolean failWrite(Consumer<Either<Failure, Long>> callback) {
--- a/net/src/main/java/org/cornelchute/net/store/RowStore.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowStore.java
@@ -37,6 +37,18 @@
   /** Creates one row; fails with a conflict and leaves the row unchanged if it exists. */
   void create(String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback);
 
+  /**
+   * Replaces one row; fails with a conflict and leaves the row unchanged if it has another version.
+   *
+   * @param expectedVersion version that the row must have
+   */
+  void replace(
+      String table,
+      String key,
+      byte[] value,
+      long expectedVersion,
+      Consumer<Either<Failure, Long>> callback);
+
   /** Writes one row unconditionally. */
   void write(String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback);
 }
--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -172,6 +172,16 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void replace(
+        String table,
+        String key,
+        byte[] value,
+        long expectedVersion,
+        Consumer<Either<Failure, Long>> callback) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void write(
         String table, String key, byte[] value, Consumer<Either<Failure, Long>> callback) {
