--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -256,7 +256,7 @@
    */
   private boolean isSuperseded(long now) {
     return freshness.ageMillis(now) > options.maxKeyAgeMillis()
-        && endpointPool.entryCount() > 1
+        && endpointPool.sharingEntryCount() > 1
         && otherAvailability(now) != Availability.UNLIKELY;
   }
 
@@ -681,7 +681,7 @@
     long required =
         call.service
             .engine()
-            .map(e -> versionGate.certainVersion(now, e.model(), options.versionCutoffMillis()))
+            .map(e -> versionGate.cutoffVersion(now, e.model(), options.versionCutoffMillis()))
             .orElse(0L);
     return call.endpoint.version < required;
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -188,7 +188,8 @@
       }
       if (spec.coldRemainingMillis() > 0
           && (newIncarnation
-              || endpoint.spec.coldRemainingMillis() != spec.coldRemainingMillis())) {
+              || endpoint.spec.coldRemainingMillis() != spec.coldRemainingMillis()
+              || endpoint.spec.revision() != spec.revision())) {
         endpoint.coldUntil = Math.max(endpoint.coldUntil, now + spec.coldRemainingMillis());
       }
       boolean directoryLags =
@@ -214,11 +215,16 @@
 
   /** Removes endpoints that did not register again within the grace period. */
   void removeExpired(long now) {
-    if (byId.values().removeIf(e -> e.removeAt > 0 && now >= e.removeAt)) {
+    if (byId.values().removeIf(e -> isExpired(now, e))) {
       rebuildServiceIndex();
     }
   }
 
+  /** Returns whether an endpoint did not register again within the grace period. */
+  private static boolean isExpired(long now, Endpoint endpoint) {
+    return endpoint.removeAt > 0 && now >= endpoint.removeAt;
+  }
+
   /**
    * Removes endpoints that are no longer listed. If their registrations have probably expired in an
    * outage, they stay for a grace period in which they can register again.
@@ -263,7 +269,7 @@
     List<Endpoint> healthy = new ArrayList<>();
     List<Endpoint> inBackoff = new ArrayList<>();
     for (Endpoint endpoint : byService.getOrDefault(requirements.service().name(), List.of())) {
-      if (isEligible(endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
+      if (isEligible(now, endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
         (now < endpoint.avoidUntil ? inBackoff : healthy).add(endpoint);
       }
     }
@@ -302,7 +308,10 @@
     endpoint.avoidUntil = 0;
   }
 
-  private boolean isEligible(Endpoint endpoint, Requirements requirements) {
+  private boolean isEligible(long now, Endpoint endpoint, Requirements requirements) {
+    if (isExpired(now, endpoint)) {
+      return false;
+    }
     if (endpoint.spec.draining() || evacuatedDomains.contains(endpoint.spec.domain())) {
       return false;
     }
@@ -321,9 +330,6 @@
   /** Returns whether this entry's share of the limit of a cold endpoint allows another call. */
   private boolean hasColdCapacity(long now, Endpoint endpoint, Requirements requirements) {
     double limit = requirements.service().coldCallsPerSecond();
-    if (limit <= 0) {
-      return true;
-    }
     double allowedCalls = limit * options.coldOverrunFactor() + options.coldAllowance();
     int sharedCalls = (int) Math.floor(allowedCalls * COLD_LIMIT_SAFETY_FACTOR);
     return endpoint.recentDispatches.count(now) < entries.shareOf(sharedCalls, endpoint.spec.id());
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -1,6 +1,7 @@
 package org.cornelchute.policy.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.cornelchute.policy.forward.Fixture.OPTIONS;
 import static org.cornelchute.policy.forward.Fixture.dispatch;
 import static org.cornelchute.policy.forward.Fixture.engine;
 import static org.cornelchute.policy.forward.Fixture.find;
@@ -96,6 +97,16 @@
       assertThat(find(fixture.call("/c/"), CallEffect.Dispatch.class)).isPresent();
     }
 
+    /** Failure: a suspension was not seen if the wall clock was set back at the same time. */
+    @Test
+    void requiresConfirmationAfterSuspensionWithBackwardStepOfTheWallClock() {
+      Fixture fixture = new Fixture().withEndpoints(plain("p1"));
+      fixture.decider.detectSuspension(fixture.now, 5_000_000);
+      fixture.now += 50;
+      assertThat(fixture.decider.detectSuspension(fixture.now, 5_000_050 - 1_000)).isTrue();
+      assertThat(rejection(fixture.call("/c/"))).isEqualTo(Rejection.NOT_READY);
+    }
+
     @Test
     void ignoresOlderConfiguration() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"));
@@ -296,18 +307,20 @@
       assertThat(dispatch(fixture.call("/s/")).expectedVersion()).isEqualTo(2);
     }
 
+    /** Failure: a read of the sighting that took 1 s let calls start 1 s past the limit. */
     @Test
     void cancelsCallsThatDidNotStartBeforeTheVersionCutoff() {
       Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1), engine("b", "d1", 2));
       fixture.decider.updateEvacuatedDomains(Set.of());
-      fixture.decider.recordVersion(fixture.now, fixture.now, "m", 2);
+      fixture.decider.recordVersion(fixture.now - 50, fixture.now + 1_000, "m", 2);
       fixture.now += 6_900;
       fixture.decider.recordConfirmation(fixture.now);
       CallEffect.Dispatch outdated = dispatch(fixture.call("/s/"));
       while (!outdated.endpoint().id().equals("a")) {
         outdated = dispatch(fixture.call("/s/"));
       }
-      fixture.now += 700;
+      // 7,600 ms after the earlier bound of the acknowledgement.
+      fixture.now += 650;
       List<CallEffect> swept = fixture.decider.sweep(fixture.now);
       assertThat(find(swept, CallEffect.CancelAttempt.class).orElseThrow().call())
           .isEqualTo(outdated.call());
@@ -368,6 +381,22 @@
       assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
     }
 
+    /** Failure: calls were canceled by the time at which the entry learned of the version. */
+    @Test
+    void cancelsCallsInFlightByTheAcknowledgementOnceTheSightingIsRead() {
+      Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
+      fixture.now += 1_000;
+      fixture.decider.recordVersionOfUnknownAge(fixture.now, "m", 2);
+      fixture.now += 5_900;
+      fixture.decider.recordConfirmation(fixture.now);
+      assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+      // The version was acknowledged 6,900 ms ago.
+      fixture.decider.recordVersion(fixture.now - 6_900, fixture.now - 6_000, "m", 2);
+      fixture.now += 700;
+      assertThat(find(fixture.decider.sweep(fixture.now), CallEffect.CancelAttempt.class))
+          .isPresent();
+    }
+
     /** Failure: calls in flight on old weights were kept while the sighting could not be read. */
     @Test
     void cancelsCallsInFlightOnceTheVersionIsCertainlyRequired() {
@@ -453,6 +482,56 @@
       assertThat(sent).isPositive();
     }
 
+    /** Failure: an endpoint that became cold again for the same time counted as warm. */
+    @Test
+    void limitsCallsToEndpointThatIsColdAgainForTheSameTime() {
+      Fixture fixture = new Fixture();
+      fixture.decider.updateEntries(List.of("e1"));
+      fixture.withEndpoints(coldEngine(1));
+      fixture.now += 3_100;
+      fixture.decider.recordConfirmation(fixture.now);
+      // The changes in between were missed.
+      fixture.decider.updateEndpoints(fixture.now, List.of(coldEngine(2)));
+      assertThat(countDispatches(fixture, "/s/")).isBetween(1, (int) (26 * 1.5 + 5));
+    }
+
+    /** Guards against an endpoint that stays cold because others change. */
+    @Test
+    void doesNotLimitCallsToEndpointThatIsListedAgainWithoutChange() {
+      Fixture fixture = new Fixture();
+      fixture.decider.updateEntries(List.of("e1"));
+      fixture.withEndpoints(coldEngine(1));
+      fixture.now += 2_000;
+      fixture.decider.updateEndpoints(fixture.now, List.of(coldEngine(1)));
+      fixture.now += 1_100;
+      fixture.decider.recordConfirmation(fixture.now);
+      assertThat(countDispatches(fixture, "/s/")).isEqualTo(60);
+    }
+
+    /** Failure: a cold endpoint of a service without a cold rate received any number of calls. */
+    @Test
+    void limitsCallsToColdEndpointsOfServiceWithoutColdRateToTheAllowance() {
+      Fixture fixture = new Fixture();
+      fixture.decider.updateEntries(List.of("e1"));
+      fixture.withEndpoints(
+          new EndpointSpec("p", "plain", "10.0.0.2:80", "d1", "r1", 99, false, 3_000, 1, "", 0));
+      assertThat(countDispatches(fixture, "/c/")).isBetween(1, (int) OPTIONS.coldAllowance());
+    }
+
+    private static EndpointSpec coldEngine(long revision) {
+      return new EndpointSpec(
+          "x", "engines", "10.0.0.1:80", "d1", "r1", 99, false, 3_000, 1, "m", 1, revision);
+    }
+
+    /** Sends 60 calls and returns how many of them were dispatched. */
+    private static int countDispatches(Fixture fixture, String path) {
+      int sent = 0;
+      for (int i = 0; i < 60; i++) {
+        sent += find(fixture.call(path), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
+      }
+      return sent;
+    }
+
     @Test
     void keepsEndpointsWhoseRegistrationsExpiredInAnOutage() {
       Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1), plain("p1"));
@@ -465,6 +544,26 @@
       assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
     }
 
+    /** Failure: without open calls, endpoints stayed in use after their grace period. */
+    @Test
+    void doesNotUseEndpointsAfterTheirGracePeriodWithoutSweep() {
+      EndpointSpec listed = engine("a", "d1", 1);
+      Fixture fixture =
+          new Fixture()
+              .withEndpoints(
+                  listed,
+                  engine("b", "d1", 1),
+                  engine("c", "d1", 1),
+                  engine("d", "d1", 1),
+                  engine("e", "d1", 1));
+      fixture.decider.updateEndpoints(fixture.now, List.of(listed));
+      fixture.now += 5_000;
+      fixture.decider.recordConfirmation(fixture.now);
+      for (int i = 0; i < 10; i++) {
+        assertThat(dispatch(fixture.call("/s/")).endpoint().id()).isEqualTo("a");
+      }
+    }
+
     @Test
     void retriesOnAnotherEndpointAfterInstanceMismatch() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
