--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -42,8 +42,6 @@
   /** Poll interval while the engine serves the target version. */
   private static final long IDLE_POLL_INTERVAL_MILLIS = 700;
 
-  private static final long MANIFEST_RETRY_DELAY_MILLIS = 250;
-
   /** Maximum number of concurrent reads or writes of chunks in the engine's store. */
   private static final int MAX_CONCURRENT_CHUNKS = 4;
 
@@ -53,6 +51,7 @@
   private final LongSupplier clockMillis;
   private final String region;
   private final SwitchRank rank;
+  private final ManifestReader manifestReader;
   private final Map<Long, Manifest> manifestByVersion = new HashMap<>();
   private WeightsDuty weightsDuty;
 
@@ -78,6 +77,7 @@
     this.clockMillis = clockMillis;
     this.region = region;
     this.rank = new SwitchRank(self, region);
+    this.manifestReader = new ManifestReader(loop, platform::origin);
   }
 
   /** Sets the duty that fetches chunks; must be called once, before {@link #start()}. */
@@ -188,26 +188,8 @@
 
   /** Fetches the manifest of a version, with retries for as long as the version is needed. */
   private void fetchManifest(long version) {
-    if (!decider.isNeeded(version)) {
-      return;
-    }
-    platform
-        .origin()
-        .readManifest(
-            model,
-            version,
-            result -> {
-              if (result.isRight()) {
-                startFetch(version, result.get());
-                return;
-              }
-              LOG.warn(
-                  "reading the manifest failed, will be retried version={} cause={}",
-                  version,
-                  result.getLeft().message());
-              loop.schedule(
-                  () -> fetchManifest(version), MANIFEST_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-            });
+    manifestReader.read(
+        model, version, () -> decider.isNeeded(version), manifest -> startFetch(version, manifest));
   }
 
   private void startFetch(long version, Manifest manifest) {
