Close connections to the origin after each read, and back off between manifests

Cause: about 60 agents start together and each reads the manifest. The origin resets connections over its limit, and each agent that was served kept its connection open for 5 s. The others repeated the read each 250 ms, in step.

Not built: taking the manifest from a peer. No message between agents carries it, and a peer's manifest could not be verified, since an agent knows the version only, not the digest.

--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -92,7 +92,8 @@
                 MAX_FETCH_DELAY_MILLIS));
     final EventLoop loop = eventLoopGroup.next();
     this.loadDuty =
-        new LoadDuty(loop, platform, decider, clockMillis, settings.name(), settings.region());
+        new LoadDuty(
+            loop, platform, decider, clockMillis, settings.name(), settings.region(), seed);
     MessageCodec codec = new MessageCodec();
     WeightsDuty.Options weightsOptions =
         new WeightsDuty.Options(
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -70,14 +70,15 @@
       LoadDecider decider,
       LongSupplier clockMillis,
       String self,
-      String region) {
+      String region,
+      long seed) {
     this.loop = loop;
     this.platform = platform;
     this.decider = decider;
     this.clockMillis = clockMillis;
     this.region = region;
     this.rank = new SwitchRank(self, region);
-    this.manifestReader = new ManifestReader(loop, platform::origin);
+    this.manifestReader = new ManifestReader(loop, platform::origin, seed);
   }
 
   /** Sets the duty that fetches chunks; must be called once, before {@link #start()}. */
--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
@@ -54,6 +54,9 @@
       HttpUtil.setContentLength(message, request.body().length);
       message.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
     }
+    if (!request.keepAlive()) {
+      message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
     WireRequest wireRequest =
         new WireRequest(
             request.address(),
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -213,7 +213,10 @@
         !withoutBody
             && !HttpUtil.isContentLengthSet(response)
             && !HttpUtil.isTransferEncodingChunked(response);
-    reusable = HttpUtil.isKeepAlive(response) && !endsOnClose;
+    reusable =
+        HttpUtil.isKeepAlive(exchange.request.message())
+            && HttpUtil.isKeepAlive(response)
+            && !endsOnClose;
     String keepAlive = response.headers().get(KEEP_ALIVE);
     if (keepAlive != null) {
       serverIdleLimitMillis = parseIdleLimitMillis(keepAlive);
