Limit the backoff after corrupt chunks of a peer to 5 s

After a time with corrupt chunks, an agent could stay without the peer that holds its missing chunks for long: each further corrupt chunk added 5 s, without a limit, and the third one cost 15 s at once.

requestsAgainFiveSecondsAfterAnyNumberOfCorruptChunks failed first for 3, 10 and 100 corrupt chunks: no request after 5.1 s. The backoff is now 5 s from the third consecutive corrupt chunk on; fewer no longer end another backoff of the peer.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -38,7 +38,7 @@
   /** Time without a new chunk from an importer after which others import some of its chunks. */
   private static final long STALLED_IMPORTER_MILLIS = 300;
 
-  /** Backoff for each consecutive corrupt chunk of a peer. */
+  /** Backoff after each corrupt chunk of a peer from the third consecutive one on. */
   private static final long CORRUPT_BACKOFF_MILLIS = 5_000;
 
   /** Backoff after the first request to a peer that timed out; doubles with each further one. */
@@ -323,11 +323,9 @@
         if (isInManifest(chunk)) {
           peer.held.clear(chunk);
         }
-        peer.backoffUntil =
-            now
-                + (peer.consecutiveCorruptChunks >= CORRUPT_CHUNKS_BEFORE_BACKOFF
-                    ? CORRUPT_BACKOFF_MILLIS * peer.consecutiveCorruptChunks
-                    : 0);
+        if (peer.consecutiveCorruptChunks >= CORRUPT_CHUNKS_BEFORE_BACKOFF) {
+          peer.backoffUntil = now + CORRUPT_BACKOFF_MILLIS;
+        }
       }
       startRequests(now, effects);
       return effects;
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -313,6 +313,28 @@
       assertThat(decider.heldChunkCount()).isGreaterThanOrEqualTo(periods - 1);
     }
 
+    /** Guards against a backoff that grows with each corrupt chunk of a peer. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 10, 100})
+    void requestsAgainFiveSecondsAfterAnyNumberOfCorruptChunks(int corruptChunks) {
+      SwarmDecider decider = deciderBesideHolder();
+      for (int i = 0; i < corruptChunks; i++) {
+        decider.onChunk(2, "b", i % manifest.chunks().size(), 0, false);
+      }
+      SwarmMessage all = new SwarmMessage.Bitfield(manifest.digest(), new byte[] {15}, false);
+      assertThat(requests(decider.onMessage(4_900, "b", all))).isZero();
+      assertThat(requests(decider.onMessage(5_100, "b", all))).isPositive();
+    }
+
+    private long requests(List<SwarmEffect> effects) {
+      return effects.stream()
+          .filter(
+              e ->
+                  e instanceof SwarmEffect.Send s
+                      && s.message() instanceof SwarmMessage.ChunkRequest)
+          .count();
+    }
+
     /** Guards against a version that never completes because it was reused as a whole. */
     @Test
     void completesOnceWhenAllChunksAreReused() {
