Poll tables of agents and engines less often while changes go on

What callers would see: nothing; the store is called less often while many agents join or many engines switch weights.

Cause: after each change a watch polled again after a fixed delay (80 ms for engines, 400 ms for agents), so that a burst cost each daemon a poll for almost each writer: daemons times changes over the fleet.

The delay now doubles while changes go on, up to 320 ms for engines and 1,600 ms for agents, and starts over after a quiet time. The first change is still delivered at once. Endpoints and entries keep their 300 ms: the bound of cold endpoints (FAILBACK) and of shared limits depends on them. Engines' rows are a hint only; the version of a call is verified by the endpoint (VERSION).

--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -30,7 +30,7 @@
   private final RowStore store;
   private final String table;
   private final long longPollMillis;
-  private final long batchDelayMillis;
+  private final BatchDelay batchDelay;
   private final LongSupplier clock;
   private final Backoff backoff;
   private final Listener listener;
@@ -45,8 +45,8 @@
    *
    * @param longPollMillis maximum duration of a long poll, and so the longest time between two
    *     confirmations of an unchanged table
-   * @param batchDelayMillis delay of the next poll after a change, so that one request returns a
-   *     burst of changes
+   * @param batchDelay delay of the next poll after a change, so that one request returns several
+   *     changes
    * @param clock steady clock in milliseconds
    * @param seed seed of the random part of the retry delays
    */
@@ -55,7 +55,7 @@
       RowStore store,
       String table,
       long longPollMillis,
-      long batchDelayMillis,
+      BatchDelay batchDelay,
       LongSupplier clock,
       long seed,
       Listener listener) {
@@ -63,7 +63,7 @@
     this.store = store;
     this.table = table;
     this.longPollMillis = longPollMillis;
-    this.batchDelayMillis = batchDelayMillis;
+    this.batchDelay = batchDelay;
     this.clock = clock;
     this.backoff = new Backoff(seed);
     this.listener = listener;
@@ -166,8 +166,9 @@
       if (!notifyChanged(requestedAtMillis, response.get(), changedKeys)) {
         return;
       }
-      if (batchDelayMillis > 0) {
-        loop.schedule(this::poll, batchDelayMillis, TimeUnit.MILLISECONDS);
+      long delayMillis = batchDelay.onChange(clock.getAsLong());
+      if (delayMillis > 0) {
+        loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
         return;
       }
     }
--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -39,7 +39,7 @@
             store,
             "t",
             LONG_POLL_MILLIS,
-            0,
+            BatchDelay.none(),
             () -> now,
             1,
             new TableWatch.Listener() {
