Let one watch of an entry find silent connections for all

What callers would see: after connections to the store went silent, calls no longer go to endpoints that have left for up to 4.8 s, or to engines that switch weights for up to 20.8 s; the limit is now the timeout of the operators' table, 2.6 s, and a short poll. Where keys are revoked within less than about 4.3 s, calls with keys are no longer rejected between two polls.

Cause: each watch found silence by the timeout of its own poll, so that the endpoints' table was polled every 4 s without a change. A request of the operators' table that gets no response now restarts the other watches with a short poll, and these poll for 30 s, the longest that the store permits.

--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -37,6 +37,8 @@
   private final Map<String, StoredRow> rows = new HashMap<>();
   private long version = -1;
   private long unavailableSinceMillis;
+  private long lastRequest;
+  private boolean requestOpen;
   private boolean initialized;
   private boolean closed;
 
@@ -97,24 +99,61 @@
         });
   }
 
+  /**
+   * Repeats the open request, whose connection may deliver nothing further, as a short poll, and
+   * ignores a response to the first one. Does nothing if the next request is scheduled anyway.
+   */
+  public void restart() {
+    if (requestOpen) {
+      sendRequest(MIN_POLL_MILLIS);
+    }
+  }
+
   /** Sends no further requests. */
   public void close() {
     closed = true;
   }
 
   private void poll() {
+    // After an outage, a short poll confirms the copy without the delay of a long poll.
+    sendRequest(backoff.isActive() ? MIN_POLL_MILLIS : longPollMillis);
+  }
+
+  private void sendRequest(long pollMillis) {
     if (closed) {
       return;
     }
     long requestedAtMillis = clock.getAsLong();
+    long request = ++lastRequest;
+    requestOpen = true;
     if (version < 0) {
-      store.readTable(table, response -> handleTable(requestedAtMillis, response));
+      store.readTable(
+          table,
+          response -> {
+            if (closeRequest(request)) {
+              handleTable(requestedAtMillis, response);
+            }
+          });
     } else {
-      // After an outage, a short poll confirms the copy without the delay of a long poll.
-      long pollMillis = backoff.isActive() ? MIN_POLL_MILLIS : longPollMillis;
       store.pollChanges(
-          table, version, pollMillis, response -> handleChanges(requestedAtMillis, response));
+          table,
+          version,
+          pollMillis,
+          response -> {
+            if (closeRequest(request)) {
+              handleChanges(requestedAtMillis, response);
+            }
+          });
+    }
+  }
+
+  /** Returns whether a request is the last one, whose response must be handled. */
+  private boolean closeRequest(long request) {
+    if (request != lastRequest) {
+      return false;
     }
+    requestOpen = false;
+    return true;
   }
 
   private void handleTable(long requestedAtMillis, Either<Failure, RowsResponse> response) {
@@ -205,6 +244,9 @@
           version,
           failure.message());
       listener.onUnavailable();
+      if (failure.code() == Failure.Code.UNKNOWN) {
+        listener.onNoResponse();
+      }
     }
     loop.schedule(this::poll, backoff.onFailure(), TimeUnit.MILLISECONDS);
   }
@@ -230,6 +272,9 @@
     /** Handles the first request that failed after a successful one. */
     default void onUnavailable() {}
 
+    /** Handles such a request if it got no response, so that its connection may be silent. */
+    default void onNoResponse() {}
+
     /** Handles the first successful response after failures. */
     default void onRecovered() {}
   }
