--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -126,10 +126,17 @@
     return model + SEPARATOR + version;
   }
 
-  /** Decodes the time of a sighting, in milliseconds on the store's clock; empty if invalid. */
-  public static Option<Long> decodeTime(byte[] value) {
-    String text = new String(value, StandardCharsets.UTF_8);
-    return text.matches(NUMBER_PATTERN) ? Option.of(Long.parseLong(text)) : Option.none();
+  /** Decodes a row of the table; empty if it holds no sighting. */
+  public static Option<Sighting> decode(StoredRow row) {
+    int separator = row.key().lastIndexOf(SEPARATOR);
+    String version = row.key().substring(separator + 1);
+    String time = new String(row.value(), StandardCharsets.UTF_8);
+    if (separator <= 0 || !version.matches(NUMBER_PATTERN) || !time.matches(NUMBER_PATTERN)) {
+      return Option.none();
+    }
+    return Option.some(
+        new Sighting(
+            row.key().substring(0, separator), Long.parseLong(version), Long.parseLong(time)));
   }
 
   private void create(OwnSighting own) {
@@ -189,24 +196,20 @@
    * @return whether the row holds a sighting
    */
   private boolean handleRow(StoredRow row, long storeTimeMillis, long elapsedMillis) {
-    Option<Long> time = decodeTime(row.value());
-    int separator = row.key().lastIndexOf(SEPARATOR);
-    String version = row.key().substring(separator + 1);
-    if (separator <= 0
-        || !version.matches(NUMBER_PATTERN)
-        || time.isEmpty()
-        || time.get() > storeTimeMillis) {
+    Option<Sighting> sighting = decode(row).filter(s -> s.seenAtMillis() <= storeTimeMillis);
+    if (sighting.isEmpty()) {
       LOG.warn("row that is no sighting ignored table={} key={}", TABLE, row.key());
       return false;
     }
-    long seenAtMillis = time.get();
+    String model = sighting.get().model();
+    long version = sighting.get().version();
+    long seenAtMillis = sighting.get().seenAtMillis();
     OwnSighting own = ownSightingByKey.remove(row.key());
     if (own != null && own.seenAtMillis() < seenAtMillis) {
       seenAtMillis = own.seenAtMillis();
       ownSightingByKey.put(own.key(), own);
       lower(own);
     }
-    String model = row.key().substring(0, separator);
     long ageMillis = storeTimeMillis - seenAtMillis;
     LOG.info(
         "weights version assigned model={} version={} ageMs={} readMs={}",
@@ -214,7 +217,7 @@
         version,
         ageMillis,
         elapsedMillis);
-    listener.recordVersion(model, Long.parseLong(version), ageMillis, ageMillis + elapsedMillis);
+    listener.recordVersion(model, version, ageMillis, ageMillis + elapsedMillis);
     return true;
   }
 
@@ -231,6 +234,15 @@
     }
   }
 
+  /**
+   * Stored first sighting of a version.
+   *
+   * @param model name of the model
+   * @param version version of its weights
+   * @param seenAtMillis time of the sighting on the store's clock
+   */
+  public record Sighting(String model, long version, long seenAtMillis) {}
+
   /**
    * Sighting of this entry that may not be stored yet.
    *
