Take an engine for restarted only by its start time or its order sequence

Callers would see an engine that serves the new weights later than it could: one poll of the engine that failed gave up a staging in progress, and the chunks were written to the engine a second time.

Cause: a failed report stood for an engine with start time 0, version 0, not busy. The decider took the start time for a restart, and "not busy" for the end of a load.

The state before a failed report is now kept and marked as unreachable. A restart is shown by another start time or by a smaller order sequence. Chunks that are verified while the engine is unreachable wait for its next report; the load starts then if it is of the same incarnation, within the limit for stagings.

Four tests in LoadDeciderTest; on the code before three failed: "Expecting value to be false but was true" (staged again), "[AnnounceSwitch, Stage 2] to contain StartLoad", "expected: 1L but was: 0L". The fourth, a restart while no report came, passed and guards the other side.

--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -326,7 +326,9 @@
             model,
             response -> {
               handleEngineReport(response);
-              boolean targetLoaded = decider.engine().version() == decider.targetVersion();
+              Engine engine = decider.engine();
+              boolean targetLoaded =
+                  engine.reachable() && engine.version() == decider.targetVersion();
               loop.schedule(
                   this::pollEngine,
                   targetLoaded ? IDLE_POLL_INTERVAL_MILLIS : POLL_INTERVAL_MILLIS,
@@ -335,8 +337,10 @@
   }
 
   private void handleEngineReport(Either<Failure, Engine> response) {
-    Engine reported = response.getOrElse(Engine.UNREACHABLE);
     Engine previous = decider.engine();
+    List<LoadEffect> effects =
+        decider.onEngineReport(clockMillis.getAsLong(), response.getOrElse(Engine.UNREACHABLE));
+    Engine reported = decider.engine();
     if (reported.reachable() != engineReachable || reported.version() != previous.version()) {
       engineReachable = reported.reachable();
       LOG.info(
@@ -344,8 +348,8 @@
           reported,
           response.fold(Failure::message, state -> "report"));
     }
+    execute(effects);
     boolean becameReachable = !previous.reachable() && reported.reachable();
-    execute(decider.onEngineReport(clockMillis.getAsLong(), reported));
     Manifest manifest = manifestByVersion.get(reported.version());
     if (becameReachable && manifest != null && newestCompleteVersion < reported.version()) {
       recoverChunksFromEngine(manifest);
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -83,7 +83,7 @@
     return newer == null || newer.equals(assignedAtByVersion.lastKey());
   }
 
-  /** Returns the last reported state of the engine. */
+  /** Returns the last reported state of the engine, not reachable if the last report failed. */
   public Engine engine() {
     return engine;
   }
@@ -129,16 +129,27 @@
     return effects;
   }
 
-  /** Handles a report of the engine's state. */
+  /**
+   * Handles a report of the engine's state.
+   *
+   * <p>A report that failed shows neither a restart nor the end of a load: the state before it is
+   * kept and marked as unreachable.
+   *
+   * @param reported reported state, {@link Engine#UNREACHABLE} if no report was received
+   */
   public List<LoadEffect> onEngineReport(long now, Engine reported) {
-    boolean restarted = reported.startMillis() != engine.startMillis();
-    engine = reported;
-    boolean timedOut = step == Step.STAGING && now - stagingStartedAt >= STAGING_TIMEOUT_MILLIS;
-    if ((restarted || timedOut) && step != Step.IDLE) {
+    boolean restarted = reported.reachable() && isOfOtherIncarnation(reported);
+    engine = reported.reachable() ? reported : engine.asUnreachable();
+    boolean staging = step == Step.STAGING || step == Step.STAGED;
+    boolean timedOut = staging && now - stagingStartedAt >= STAGING_TIMEOUT_MILLIS;
+    if (restarted || timedOut) {
       step = Step.IDLE;
     }
     List<LoadEffect> effects = new ArrayList<>(2);
-    if (step == Step.LOADING && !reported.busy()) {
+    if (step == Step.STAGED && engine.reachable()) {
+      startLoad(effects);
+    }
+    if (step == Step.LOADING && engine.reachable() && !engine.busy()) {
       step = Step.IDLE;
       boolean loaded = reported.version() == stepVersion;
       retryAt = loaded ? 0 : now + options.retryDelayMillis();
@@ -157,12 +168,19 @@
     if (step != Step.STAGING || stagingId != lastStagingId) {
       return effects;
     }
-    step = Step.IDLE;
-    boolean sameIncarnation = engine.reachable() && engine.startMillis() == stepEngineStartMillis;
-    if (!verified || !sameIncarnation) {
+    if (!verified || engine.startMillis() != stepEngineStartMillis) {
+      step = Step.IDLE;
       retryAt = now + options.retryDelayMillis();
       return effects;
     }
+    step = Step.STAGED;
+    if (engine.reachable()) {
+      startLoad(effects);
+    }
+    return effects;
+  }
+
+  private void startLoad(List<LoadEffect> effects) {
     step = Step.LOAD_REQUESTED;
     effects.add(new LoadEffect.StartLoad(stepVersion, engine.sequence()));
     log(
@@ -170,7 +188,12 @@
         stepVersion,
         "order",
         "sequence=" + engine.sequence() + " loaded=" + engine.version());
-    return effects;
+  }
+
+  /** Returns whether a report is not of the incarnation of the last one. */
+  private boolean isOfOtherIncarnation(Engine reported) {
+    return reported.startMillis() != engine.startMillis()
+        || reported.sequence() < engine.sequence();
   }
 
   /**
@@ -306,6 +329,10 @@
   private enum Step {
     IDLE,
     STAGING,
+
+    /** Every chunk is staged and verified, but the engine is unreachable. */
+    STAGED,
+
     LOAD_REQUESTED,
     LOADING
   }
@@ -313,7 +340,7 @@
   /**
    * State of an engine as last reported.
    *
-   * @param reachable whether the engine answered
+   * @param reachable whether the engine answered; if not, the rest is as it was before
    * @param startMillis start time of its incarnation in milliseconds since the epoch
    * @param version version that it has loaded, 0 if none
    * @param busy whether a load is in progress
@@ -322,8 +349,12 @@
   public record Engine(
       boolean reachable, long startMillis, long version, boolean busy, long sequence) {
 
-    /** State of an engine that does not answer. */
+    /** State of an engine that has not answered yet; also stands for a failed report. */
     public static final Engine UNREACHABLE = new Engine(false, 0, 0, false, 0);
+
+    private Engine asUnreachable() {
+      return new Engine(false, startMillis, version, busy, sequence);
+    }
   }
 
   /**
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -54,6 +54,65 @@
     assertThat(decider.onStagingResult(now, 2, true)).contains(new LoadEffect.StartLoad(2, 0));
   }
 
+  /** Guards against a report that failed once and is taken for a restart during the staging. */
+  @Test
+  void keepsStagingWhenOneReportFails() {
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onEngineReport(now, engine(1, false, 4));
+    decider.onVersionComplete(now, 2);
+    decider.onEngineReport(now + 100, Engine.UNREACHABLE);
+    assertThat(stagesAt(now + 200, engine(1, false, 4))).isFalse();
+    assertThat(decider.onStagingResult(now + 300, 1, true))
+        .contains(new LoadEffect.StartLoad(2, 4));
+  }
+
+  /** Guards against a load that is given up because the last report before it failed. */
+  @Test
+  void startsLoadOnceEngineIsReachableAgain() {
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onEngineReport(now, engine(1, false, 4));
+    decider.onVersionComplete(now, 2);
+    decider.onEngineReport(now + 100, Engine.UNREACHABLE);
+    assertThat(decider.onStagingResult(now + 200, 1, true)).isEmpty();
+    assertThat(decider.onEngineReport(now + 300, engine(1, false, 4)))
+        .contains(new LoadEffect.StartLoad(2, 4));
+  }
+
+  /** Guards against chunks staged for an incarnation that ended while no report came. */
+  @Test
+  void stagesAgainWhenEngineRestartedWhileUnreachable() {
+    for (Engine restarted :
+        List.of(
+            new Engine(true, START_MILLIS + 1, 1, false, 4),
+            new Engine(true, START_MILLIS, 1, false, 0))) {
+      createDecider();
+      decider.onVersionAssigned(now, 2, 0);
+      decider.onEngineReport(now, engine(1, false, 4));
+      decider.onVersionComplete(now, 2);
+      decider.onEngineReport(now + 100, Engine.UNREACHABLE);
+      decider.onStagingResult(now + 200, 1, true);
+      List<LoadEffect> effects = decider.onEngineReport(now + 300, restarted);
+      assertThat(hasEffect(effects, LoadEffect.StartLoad.class)).isFalse();
+      assertThat(hasEffect(effects, LoadEffect.Stage.class)).isTrue();
+    }
+  }
+
+  /** Guards against a load in progress that a failed report is taken to have ended. */
+  @Test
+  void waitsForLoadInProgressWhenReportsFail() {
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onEngineReport(now, engine(1, false, 0));
+    decider.onVersionComplete(now, 2);
+    decider.onStagingResult(now, 1, true);
+    decider.onLoadResponse(now, true);
+    decider.onEngineReport(now + 100, engine(1, true, 1));
+    decider.onEngineReport(now + 200, Engine.UNREACHABLE);
+    assertThat(decider.engine().version()).isEqualTo(1);
+    assertThat(decider.engine().reachable()).isFalse();
+    assertThat(decider.onEngineReport(now + 700, engine(2, false, 1)))
+        .containsExactly(new LoadEffect.AnnounceLoaded(2));
+  }
+
   private boolean stagesAt(long when, Engine engine) {
     return hasEffect(decider.onEngineReport(when, engine), LoadEffect.Stage.class);
   }
