--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -495,7 +495,8 @@
         comma < 0 ? 0 : parseNumber(tokenCounts.substring(0, comma), 0),
         comma < 0 ? 0 : parseNumber(tokenCounts.substring(comma + 1), 0),
         parseNumber(headers.get(headerNames.lengthHint()), 0),
-        call.eventDecoder.lastEventId());
+        call.eventDecoder.lastEventId(),
+        SharedPartsParser.parse(headers.get(headerNames.promptParts(), "")));
   }
 
   private void removeCall(OpenCall call) {
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
@@ -10,6 +10,8 @@
  * @param workspace workspace that the call is charged to
  * @param priority priority of the call, 0 is the highest
  * @param tokenCounts prompt tokens and maximum output tokens, separated by a comma
+ * @param promptParts parts of the prompt in order, as comma-separated {@code ID:TOKENS} entries
+ *     with the id in hexadecimal
  * @param lengthHint estimated number of output tokens
  * @param lastEventId id of the last event that the caller has received
  * @param notExecuted present if the endpoint did not execute the call
@@ -25,6 +27,7 @@
     String workspace,
     String priority,
     String tokenCounts,
+    String promptParts,
     String lengthHint,
     String lastEventId,
     String notExecuted,
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -25,6 +25,7 @@
           "x-workspace",
           "x-priority",
           "x-tokens",
+          "x-parts",
           "x-hint",
           "last-event-id",
           "x-not-executed",
--- a/entry/src/test/java/org/cornelchute/entry/direct/FailureLogTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FailureLogTest.java
@@ -85,6 +85,8 @@
     assertThat(call("lost", "/order/lost")).isEqualTo(502);
     assertThat(awaitLogLine("route", "lost"))
         .contains("choice=i-1", "attempt=1", "load=", "allowed=1");
+    assertThat(awaitLogLine("broken", "lost"))
+        .contains("choice=i-1", "begun=false", "parts=a1,b2 ");
     assertThat(awaitLogLine("refuse", "lost")).contains("choice=i-1", "ANSWER_LOST: ");
   }
 
@@ -117,6 +119,7 @@
         HttpRequest.newBuilder(URI.create("http://" + address + path))
             .header("x-id", id)
             .header("Authorization", "Bearer key")
+            .header("x-parts", "a1:40,b2:800,c3:9")
             .POST(HttpRequest.BodyPublishers.ofString("{}"))
             .build();
     return httpClient.send(request, BodyHandlers.discarding()).statusCode();
--- a/policy/src/main/java/org/cornelchute/policy/forward/Call.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -43,6 +43,9 @@
   /** Version of the weights that the stream started on. */
   long streamVersion;
 
+  /** Whether the endpoint of the current attempt has begun a success response. */
+  boolean begun;
+
   /** Whether an attempt without a response may have been executed. */
   boolean mayHaveExecuted;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cornelchute.core.log.Decision;
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.forward.EndpointPool.Choice;
@@ -381,6 +382,7 @@
       call.mayHaveExecuted = true;
       handleLostResponse(now, effects, call, "success response without signature of the endpoint");
     } else if (head.status() >= STATUS_OK && head.status() < STATUS_MULTIPLE_CHOICES) {
+      call.begun = true;
       if (call.route.kind() == CallKind.STREAM) {
         call.streaming = true;
         call.streamVersion = head.version();
@@ -435,6 +437,7 @@
       return effects;
     }
     call.mayHaveExecuted = true;
+    logBrokenAttempt(effects, call, reason);
     handleLostResponse(now, effects, call, reason);
     dispatchQueued(now, effects);
     return effects;
@@ -600,6 +603,7 @@
     Endpoint endpoint = choice.endpoint().get();
     call.endpoint = endpoint;
     call.attempt++;
+    call.begun = false;
     call.sentAttempts++;
     call.dispatchedAt = now;
     call.lastProgressAt = now;
@@ -878,6 +882,13 @@
                 config.version())));
   }
 
+  /** Logs what calls that broke off at the same endpoint may have in common. */
+  private void logBrokenAttempt(List<CallEffect> effects, Call call, String reason) {
+    String parts =
+        call.spec.sharedParts().stream().map(Long::toHexString).collect(Collectors.joining(","));
+    log(effects, "broken", call, "begun=" + call.begun + " parts=" + parts + " " + reason);
+  }
+
   private static double round(double value) {
     return Math.round(value * 10) / 10.0;
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallSpec.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallSpec.java
@@ -1,5 +1,7 @@
 package org.cornelchute.policy.forward;
 
+import java.util.List;
+
 /**
  * One call as received from its caller.
  *
@@ -14,6 +16,8 @@
  * @param expectedOutputTokens the caller's estimate of the tokens to generate, 0 if not specified
  * @param lastEventId id of the last event that the caller has already received, negative to start
  *     the stream from its beginning
+ * @param sharedParts ids of the parts of the prompt that other calls may share, in prompt order;
+ *     without the last part, which belongs to the call or its session. Never null.
  */
 public record CallSpec(
     long number,
@@ -25,4 +29,5 @@
     long promptTokens,
     long maxOutputTokens,
     long expectedOutputTokens,
-    long lastEventId) {}
+    long lastEventId,
+    List<Long> sharedParts) {}
--- a/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
@@ -195,7 +195,8 @@
                     caller.promptTokens,
                     caller.outputTokens,
                     0,
-                    -1)));
+                    -1,
+                    List.of())));
   }
 
   private void apply(int entry, List<CallEffect> effects) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/EntryShareTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EntryShareTest.java
@@ -151,6 +151,7 @@
             977,
             94,
             0,
-            -1));
+            -1,
+            List.of()));
   }
 }
--- a/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -93,7 +93,17 @@
 
   CallSpec callSpec(String path, String key, long deadlineMillis) {
     return new CallSpec(
-        ++lastNumber, "id-" + lastNumber, "h", path, key, deadlineMillis, 977, 94, 0, -1);
+        ++lastNumber,
+        "id-" + lastNumber,
+        "h",
+        path,
+        key,
+        deadlineMillis,
+        977,
+        94,
+        0,
+        -1,
+        List.of());
   }
 
   long lastNumber() {
--- a/policy/src/test/java/org/cornelchute/policy/forward/OtherEntriesTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/OtherEntriesTest.java
@@ -104,7 +104,17 @@
     long number = ++lastNumber;
     CallSpec spec =
         new CallSpec(
-            number, "id-" + number, "h", "/c/", Fixture.KEY, Fixture.TIMEOUT_MILLIS, 0, 0, 0, -1);
+            number,
+            "id-" + number,
+            "h",
+            "/c/",
+            Fixture.KEY,
+            Fixture.TIMEOUT_MILLIS,
+            0,
+            0,
+            0,
+            -1,
+            List.of());
     CallEffect.Reject reject =
         find(decider.onCall(now, spec), CallEffect.Reject.class).orElseThrow();
     assertThat(reject.rejection()).isEqualTo(Rejection.NOT_READY);
--- a/policy/src/test/java/org/cornelchute/policy/forward/StaleConfigurationTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/StaleConfigurationTest.java
@@ -138,6 +138,7 @@
     long number = ++lastNumber;
     return decider.onCall(
         now,
-        new CallSpec(number, "id-" + number, "h", path, "", Fixture.TIMEOUT_MILLIS, 0, 0, 0, -1));
+        new CallSpec(
+            number, "id-" + number, "h", path, "", Fixture.TIMEOUT_MILLIS, 0, 0, 0, -1, List.of()));
   }
 }
