--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -47,9 +47,20 @@
    */
   static DirectSettings settings(
       String callers, String readiness, String peers, String operators, long keyAgeMillis) {
+    return settings(NAME, callers, readiness, peers, operators, keyAgeMillis);
+  }
+
+  /** Returns the settings of an entry with a name. */
+  static DirectSettings settings(
+      String name,
+      String callers,
+      String readiness,
+      String peers,
+      String operators,
+      long keyAgeMillis) {
     DirectSettings defaults = DirectSettings.DEFAULTS;
     return new DirectSettings(
-        NAME,
+        name,
         DOMAIN,
         Map.of(DOMAIN, REGION),
         callers,
@@ -74,11 +85,17 @@
    * never changes.
    */
   static ServingStateSource fixedState(ServingConfig config, List<EndpointSpec> endpoints) {
+    return fixedState(Map.of(NAME, ""), config, endpoints);
+  }
+
+  /** Returns a source of such a state for one of several entries, with their addresses by name. */
+  static ServingStateSource fixedState(
+      Map<String, String> addressByEntry, ServingConfig config, List<EndpointSpec> endpoints) {
     return (loop, client, clock, listener) -> {
       listener.recordFirstStart();
       listener.updateConfig(config);
       listener.updateEvacuatedDomains(Set.of());
-      listener.updateEntries(Map.of(NAME, ""));
+      listener.updateEntries(addressByEntry);
       listener.updateEndpoints(endpoints);
       listener.recordConfirmation(clock.getAsLong());
     };
--- a/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
+++ b/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
@@ -9,10 +9,12 @@
 import org.cornelchute.core.message.ControlMessage.Health;
 import org.cornelchute.core.message.ServingMessage;
 import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.model.CrashReport;
 import org.cornelchute.core.model.Generation;
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.model.Role;
+import org.cornelchute.core.model.ServedPart;
 import org.junit.jupiter.api.Test;
 
 class MessageCodecTest {
@@ -32,6 +34,11 @@
     ServingMessage.NotRun notRun =
         new ServingMessage.NotRun("r", 2, ServingMessage.NotRunReason.BUSY, load);
     assertThat(codec.decode(codec.encode(notRun)).get()).isEqualTo(notRun);
+    ControlMessage.CrashEvidenceReport evidence =
+        new ControlMessage.CrashEvidenceReport(
+            List.of(new CrashReport(-7, 20, List.of(5L, -1L))), List.of(new ServedPart(3, 9)));
+    assertThat(codec.decode(codec.encode(evidence)).get()).isEqualTo(evidence);
+    assertThat(codec.encode(evidence)).hasSizeLessThan(40);
     byte[] bytes = {1, 2, 3};
     SwarmMessage.ChunkData data =
         (SwarmMessage.ChunkData)
