--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -19,8 +19,8 @@
   private static final long HARM_FROM_MILLIS = 8_000;
   private static final long END_MILLIS = 40_000;
 
-  private static CrashSimulation simulation(int entries, long seed) {
-    CrashSimulation simulation = new CrashSimulation(entries, 2 * entries + 4, seed);
+  private static EngineSimulation simulation(int entries, long seed) {
+    EngineSimulation simulation = new EngineSimulation(entries, 2 * entries + 4, seed);
     simulation.sendCalls(
         0,
         END_MILLIS,
@@ -30,16 +30,16 @@
     return simulation;
   }
 
-  private static void assertContained(CrashSimulation simulation, long part) {
+  private static void assertContained(EngineSimulation simulation, long part) {
     long counted = simulation.lastCountedCrash(part).orElseThrow();
     assertThat(simulation.arrivalsWith(part, counted + STABILITY_MILLIS))
         .as("calls with the part that reached engines later than 3 s after the fifth crash")
         .isLessThanOrEqualTo(MAX_ARRIVALS_AFTERWARDS);
   }
 
-  private static void assertSoundCallsServed(CrashSimulation simulation, long part, long first) {
+  private static void assertSoundCallsServed(EngineSimulation simulation, long part, long first) {
     long from = simulation.lastCountedCrash(part).orElseThrow() + 2 * STABILITY_MILLIS;
-    long start = CrashSimulation.START_MILLIS;
+    long start = EngineSimulation.START_MILLIS;
     double usual = simulation.beginShare(start, start + HARM_FROM_MILLIS, first);
     assertThat(simulation.beginShare(from, start + END_MILLIS, first))
         .as("share of sound calls that began, usually " + usual)
@@ -50,7 +50,7 @@
   @ParameterizedTest
   @CsvSource({"4, 1", "6, 2", "6, 3", "13, 4", "40, 5"})
   void stopsSendingCallsWithSecondPartThatCrashesEngines(int entries, long seed) {
-    CrashSimulation simulation = simulation(entries, seed);
+    EngineSimulation simulation = simulation(entries, seed);
     simulation.harmfulParts.add(HARMFUL);
     simulation.sendCalls(
         HARM_FROM_MILLIS, END_MILLIS, 4, () -> List.of(7L, HARMFUL), simulation::anyEntry);
@@ -64,7 +64,7 @@
   @ParameterizedTest
   @CsvSource({"4, 1", "6, 2", "13, 3", "40, 4"})
   void stopsSendingCallsWithFirstPartThatCrashesEngines(int entries, long seed) {
-    CrashSimulation simulation = simulation(entries, seed);
+    EngineSimulation simulation = simulation(entries, seed);
     simulation.harmfulParts.add(HARMFUL);
     simulation.sendCalls(
         HARM_FROM_MILLIS,
@@ -81,7 +81,7 @@
   @ParameterizedTest
   @CsvSource({"6, 1", "6, 2", "13, 3"})
   void stopsSendingCallsWithTwoPartsThatCrashEngines(int entries, long seed) {
-    CrashSimulation simulation = simulation(entries, seed);
+    EngineSimulation simulation = simulation(entries, seed);
     simulation.harmfulParts.add(HARMFUL);
     simulation.harmfulParts.add(OTHER_HARMFUL);
     simulation.sendCalls(
@@ -98,7 +98,7 @@
   @ParameterizedTest
   @CsvSource({"6, 1", "13, 2", "40, 3"})
   void stopsSendingCallsThatEachEntrySeesOnlyOnce(int entries, long seed) {
-    CrashSimulation simulation = simulation(entries, seed);
+    EngineSimulation simulation = simulation(entries, seed);
     simulation.harmfulParts.add(HARMFUL);
     int[] next = {0};
     simulation.sendCalls(
@@ -110,7 +110,7 @@
   // Failure: an entry that starts after the crashes knows nothing of them.
   @Test
   void stopsSendingCallsAtEntryThatStartsLater() {
-    CrashSimulation simulation = simulation(6, 9);
+    EngineSimulation simulation = simulation(6, 9);
     simulation.harmfulParts.add(HARMFUL);
     simulation.sendCalls(
         HARM_FROM_MILLIS, 20_000, 4, () -> List.of(7L, HARMFUL), simulation::anyEntry);
@@ -126,12 +126,12 @@
   @ParameterizedTest
   @CsvSource({"4, 1", "6, 2", "6, 3", "13, 4"})
   void servesSoundCallsAfterEnginesWereKilled(int entries, long seed) {
-    CrashSimulation simulation = simulation(entries, seed);
+    EngineSimulation simulation = simulation(entries, seed);
     for (long at = HARM_FROM_MILLIS; at < 24_000; at += 1_500) {
       simulation.killEngines(at, 0.3);
     }
     simulation.run(END_MILLIS);
-    long start = CrashSimulation.START_MILLIS;
+    long start = EngineSimulation.START_MILLIS;
     double usual = simulation.beginShare(start, start + HARM_FROM_MILLIS, -1);
     long from = start + 29_000;
     assertThat(simulation.beginShare(from, start + END_MILLIS, -1)).isGreaterThan(0.9 * usual);
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -17,10 +17,11 @@
 import org.cornelchute.policy.util.RendezvousHash;
 
 /**
- * Callers, entries and engines in virtual time; an engine that begins to write an answer to a call
- * with a harmful part of the prompt crashes and starts again some seconds later.
+ * Callers, entries that report to each other, and engines that end and start again, in virtual
+ * time. An engine that begins to write an answer to a call with a harmful part of the prompt
+ * crashes.
  */
-final class CrashSimulation {
+final class EngineSimulation {
 
   static final long START_MILLIS = 1_000_000;
   private static final long NETWORK_DELAY_MILLIS = 2;
@@ -73,7 +74,7 @@
   private long lastNumber;
   private long nextSequence;
 
-  CrashSimulation(int entryCount, int engineCount, long seed) {
+  EngineSimulation(int entryCount, int engineCount, long seed) {
     random = new Random(seed);
     for (int i = 0; i < engineCount; i++) {
       engines.add(new Engine(i));
