--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -38,6 +38,7 @@
 import org.cornelchute.policy.forward.CallEffect;
 import org.cornelchute.policy.forward.CallSpec;
 import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.NamedLimit;
 import org.cornelchute.policy.forward.Rejection;
 import org.cornelchute.policy.forward.ResponseHead;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -569,7 +570,8 @@
               !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head),
               parseNumber(headers.get(headerNames.weightsVersion()), 0),
               hasLoad ? (int) parseNumber(loadParts[0], 0) : -1,
-              hasLoad ? (int) parseNumber(loadParts[1], 0) : 0);
+              hasLoad ? (int) parseNumber(loadParts[1], 0) : 0,
+              NamedLimit.parse(headers.get(headerNames.endpointLimit())));
       apply(decider.onResponseHead(clockMillis.getAsLong(), call.number, attempt, responseHead));
     }
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
@@ -18,6 +18,7 @@
  * @param responseSignature signature of the endpoint on its response
  * @param weightsVersion version of the weights that produced the response
  * @param endpointLoad running calls, queued calls and slots, separated by commas
+ * @param endpointLimit calls per second that the endpoint takes from all entries together
  */
 public record CallHeaderNames(
     String requestId,
@@ -33,4 +34,5 @@
     String notExecuted,
     String responseSignature,
     String weightsVersion,
-    String endpointLoad) {}
+    String endpointLoad,
+    String endpointLimit) {}
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -31,7 +31,8 @@
           "x-not-executed",
           "x-signature",
           "x-version",
-          "x-load");
+          "x-load",
+          "x-limit");
 
   private static final String HOST = "127.0.0.1";
   private static final String NAME = "e1";
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -381,6 +381,7 @@
     if (head.version() > 0) {
       endpoint.version = head.version();
     }
+    recordNamedLimit(effects, endpoint, head.limit());
     if (head.notExecuted() || head.instanceMismatch()) {
       handleEndpointRefusal(now, effects, call, head);
     } else if (head.status() >= STATUS_INTERNAL_SERVER_ERROR
@@ -930,6 +931,24 @@
     return call.spec.sharedParts().stream().map(Long::toHexString).collect(Collectors.joining(","));
   }
 
+  /** Records the limit that an endpoint names in a response and logs that it changed. */
+  private void recordNamedLimit(List<CallEffect> effects, Endpoint endpoint, NamedLimit limit) {
+    if (limit.equals(endpoint.namedLimit)) {
+      return;
+    }
+    endpoint.namedLimit = limit;
+    effects.add(
+        new CallEffect.Log(
+            new Decision(
+                "limit",
+                endpoint.spec.id(),
+                "",
+                List.of(),
+                "",
+                limit.kind() + " perSecond=" + limit.perSecond(),
+                config.version())));
+  }
+
   /** Logs parts of prompts that became blocked or were cleared. */
   private void logPartChanges(long now, List<CallEffect> effects) {
     for (PartChange change : crashEvidence.takeChanges(now)) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -41,6 +41,9 @@
 
   long lastReceivedAt;
 
+  /** Limit that the endpoint named in its last response to this entry. */
+  NamedLimit namedLimit = NamedLimit.NONE;
+
   /** Consecutive failures, up to a maximum. */
   int failureCount;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param version version of the weights that produce the response, 0 if not reported
  * @param running number of calls that the endpoint runs, negative if not reported
  * @param queued number of calls that are queued at the endpoint
+ * @param limit limit of calls that the endpoint names, never null
  */
 public record ResponseHead(
     int status,
@@ -22,4 +23,5 @@
     boolean endsOnClose,
     long version,
     int running,
-    int queued) {}
+    int queued,
+    NamedLimit limit) {}
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -213,7 +213,8 @@
     void treatsUnsignedSuccessAsLostResponse() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
       CallEffect.Dispatch order = dispatch(fixture.call("/o/"));
-      ResponseHead unsigned = new ResponseHead(200, false, false, false, false, 0, -1, 0);
+      ResponseHead unsigned =
+          new ResponseHead(200, false, false, false, false, 0, -1, 0, NamedLimit.NONE);
       assertThat(rejection(fixture.decider.onResponseHead(fixture.now, order.call(), 1, unsigned)))
           .isEqualTo(Rejection.ANSWER_LOST);
       CallEffect.Dispatch check = dispatch(fixture.call("/c/"));
@@ -247,7 +248,7 @@
           fixture.now,
           first.call(),
           1,
-          new ResponseHead(200, false, false, true, false, version, -1, 0));
+          new ResponseHead(200, false, false, true, false, version, -1, 0, NamedLimit.NONE));
       fixture.decider.onResponseProgress(fixture.now, first.call(), 1, 4);
       List<CallEffect> failed =
           fixture.decider.onAttemptFailure(fixture.now, first.call(), 1, true, "reset");
@@ -571,7 +572,8 @@
     void retriesOnAnotherEndpointAfterInstanceMismatch() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
       CallEffect.Dispatch first = dispatch(fixture.call("/o/"));
-      ResponseHead mismatch = new ResponseHead(421, false, true, false, false, 0, -1, 0);
+      ResponseHead mismatch =
+          new ResponseHead(421, false, true, false, false, 0, -1, 0, NamedLimit.NONE);
       CallEffect.Dispatch second =
           dispatch(
               fixture.decider.onResponseHead(fixture.now, first.call(), first.attempt(), mismatch));
@@ -623,7 +625,10 @@
       fixture.decider.updateEntries(List.of("e1", "e2", "e3", "e4", "e5", "e6"));
       CallEffect.Dispatch first = dispatch(fixture.call("/s/"));
       fixture.decider.onResponseHead(
-          fixture.now, first.call(), 1, new ResponseHead(200, false, false, true, false, 1, 1, 0));
+          fixture.now,
+          first.call(),
+          1,
+          new ResponseHead(200, false, false, true, false, 1, 1, 0, NamedLimit.NONE));
       int sent = 1;
       for (int i = 0; i < 16; i++) {
         sent += find(fixture.call("/s/"), CallEffect.Dispatch.class).isPresent() ? 1 : 0;
--- a/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
@@ -342,7 +342,16 @@
                   now,
                   work.call,
                   work.attempt,
-                  new ResponseHead(200, false, false, true, false, 1, runningCount, queuedCount)));
+                  new ResponseHead(
+                      200,
+                      false,
+                      false,
+                      true,
+                      false,
+                      1,
+                      runningCount,
+                      queuedCount,
+                      NamedLimit.NONE)));
     }
   }
 
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -54,7 +54,7 @@
   }
 
   /** An attempt that reached an engine. */
-  record Arrival(long sentAt, int entry, List<Long> parts) {}
+  record Arrival(long sentAt, long at, int slot, int entry, List<Long> parts) {}
 
   /** The end of an engine, with the parts of the call that crashed it, none if it was killed. */
   record Crash(long at, List<Long> parts) {}
@@ -69,8 +69,10 @@
 
   private final List<String> names = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
+  private final Set<Integer> silentEntries = new HashSet<>();
   private final Map<Long, Sent> callByNumber = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Map<Told, Long> toldAt = new HashMap<>();
   private long lastNumber;
   private long nextSequence;
 
@@ -149,6 +151,20 @@
         });
   }
 
+  /** Makes an engine name a limit in its responses from a time on; null for none. */
+  void nameLimit(long atMillis, int slot, String limit) {
+    at(atMillis, () -> engines.get(slot).limit = limit);
+  }
+
+  /** Sets whether an entry and the others can reach each other. */
+  void setReporting(int entry, boolean reporting) {
+    if (reporting) {
+      silentEntries.remove(entry);
+    } else {
+      silentEntries.add(entry);
+    }
+  }
+
   void at(long millis, Runnable action) {
     schedule(START_MILLIS + millis, action);
   }
@@ -185,6 +201,38 @@
     return arrivals.stream().filter(a -> a.parts.contains(part) && a.sentAt >= from).count();
   }
 
+  /**
+   * Returns the largest number of calls that an engine got in some 4 s that end after a time, from
+   * entries that it had told its limit half a second before.
+   */
+  int mostArrivalsIn4Seconds(int slot, long fromMillis) {
+    List<Long> times =
+        arrivals.stream()
+            .filter(a -> a.slot == slot)
+            .filter(
+                a ->
+                    a.at
+                        >= toldAt.getOrDefault(new Told(slot, a.entry), Long.MAX_VALUE - 500) + 500)
+            .map(Arrival::at)
+            .toList();
+    int most = 0;
+    for (long end : times) {
+      if (end >= START_MILLIS + fromMillis) {
+        most =
+            Math.max(most, (int) times.stream().filter(t -> t > end - 4_000 && t <= end).count());
+      }
+    }
+    return most;
+  }
+
+  /** Returns the number of calls that an engine got in a time. */
+  long arrivalsAt(int slot, long fromMillis, long toMillis) {
+    return arrivals.stream()
+        .filter(a -> a.slot == slot)
+        .filter(a -> a.at >= START_MILLIS + fromMillis && a.at < START_MILLIS + toMillis)
+        .count();
+  }
+
   /** Returns the share of the calls without harmful parts that began at their first attempt. */
   double beginShare(long from, long to, long firstPart) {
     List<Sent> sound =
@@ -208,6 +256,9 @@
 
   private void exchangeReports() {
     for (int from = 0; from < entries.size(); from++) {
+      if (silentEntries.contains(from)) {
+        continue;
+      }
       String name = names.get(from);
       CrashEvidence evidence = entries.get(from).crashEvidence();
       List<OpenCalls> open = entries.get(from).openCalls();
@@ -215,6 +266,9 @@
       CrashEvidenceReport summary = evidence.summary(now);
       List<Integer> recipients = recipients(name);
       for (int to : recipients) {
+        if (silentEntries.contains(to)) {
+          continue;
+        }
         CallDecider other = entries.get(to);
         deliver(() -> other.recordEntryReport(now, name, 0, open));
         deliver(() -> other.crashEvidence().recordReport(now, report));
@@ -277,7 +331,7 @@
     Work work = new Work(dispatch.call(), dispatch.attempt(), entry, call);
     for (Engine engine : engines) {
       if (engine.running && engine.id().equals(dispatch.endpoint().id())) {
-        arrivals.add(new Arrival(sentAt, entry, call.parts));
+        arrivals.add(new Arrival(sentAt, now, engine.slot, entry, call.parts));
         engine.accept(work);
         return;
       }
@@ -313,6 +367,10 @@
     final List<Work> work = new ArrayList<>();
     int life;
     boolean running = true;
+
+    /** Limit that its responses name, null if none. */
+    String limit;
+
     String listedId;
 
     Engine(int slot) {
@@ -342,6 +400,10 @@
         w.sent.beganAtFirstAttempt = true;
       }
       int active = work.size();
+      NamedLimit named = NamedLimit.parse(limit);
+      if (named.kind() == NamedLimit.Kind.NAMED) {
+        toldAt.putIfAbsent(new Told(slot, w.entry), now + NETWORK_DELAY_MILLIS);
+      }
       schedule(
           now + NETWORK_DELAY_MILLIS,
           () ->
@@ -353,7 +415,7 @@
                           now,
                           w.call,
                           w.attempt,
-                          new ResponseHead(200, false, false, true, false, 1, active, 0))));
+                          new ResponseHead(200, false, false, true, false, 1, active, 0, named))));
       int startedLife = life;
       if (w.sent.parts.stream().anyMatch(harmfulParts::contains)) {
         schedule(
@@ -415,6 +477,9 @@
   /** One attempt at an engine. */
   private record Work(long call, int attempt, int entry, Sent sent) {}
 
+  /** An entry that an engine has told its limit. */
+  private record Told(int slot, int entry) {}
+
   private record Event(long time, long sequence, Runnable action) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -111,11 +111,11 @@
   }
 
   static ResponseHead head(int status) {
-    return new ResponseHead(status, false, false, true, false, 0, -1, 0);
+    return new ResponseHead(status, false, false, true, false, 0, -1, 0, NamedLimit.NONE);
   }
 
   static ResponseHead notExecuted() {
-    return new ResponseHead(503, true, false, false, false, 0, -1, 0);
+    return new ResponseHead(503, true, false, false, false, 0, -1, 0, NamedLimit.NONE);
   }
 
   static <T extends CallEffect> Optional<T> find(List<CallEffect> effects, Class<T> type) {
