--- a/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.List;
 import org.cornelchute.core.model.CrashReport;
+import org.cornelchute.core.model.EndpointLimit;
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.model.OpenCalls;
@@ -87,6 +88,9 @@
     }
   }
 
+  /** Tells other entries which limits of calls endpoints name in their responses. */
+  record EndpointLimitsReport(List<EndpointLimit> limits) implements ControlMessage {}
+
   /** Requests the load of an agent's endpoint; sent when an entry connects. */
   record LoadRequest() implements ControlMessage {}
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCallsReporter.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCallsReporter.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.cornelchute.core.message.ControlMessage.CrashEvidenceReport;
+import org.cornelchute.core.message.ControlMessage.EndpointLimitsReport;
 import org.cornelchute.core.message.ControlMessage.OpenCallsReport;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.model.OpenCalls;
@@ -22,8 +23,8 @@
 import org.cornelchute.policy.util.RendezvousHash;
 
 /**
- * Reports the open calls of this entry, and what it knows of prompts that crash endpoints, to other
- * entries and records their reports.
+ * Reports the open calls of this entry, and what it knows of limits that endpoints name and of
+ * prompts that crash endpoints, to other entries and records their reports.
  *
  * <p>Reports are not acknowledged: a lost one is replaced by the next, and the load caused by an
  * entry that sends no reports is estimated. Each entry reports to at most {@value #MAX_RECIPIENTS}
@@ -107,6 +108,7 @@
       return;
     }
     sendCrashEvidence(clockMillis.getAsLong());
+    sendEndpointLimits(clockMillis.getAsLong());
     sendOpenCalls();
   }
 
@@ -126,6 +128,13 @@
     }
   }
 
+  private void sendEndpointLimits(long now) {
+    EndpointLimitsReport report = decider.endpointLimits().takeReport(now);
+    if (!report.limits().isEmpty()) {
+      recipientAddresses.forEach(address -> datagrams.send(address, report));
+    }
+  }
+
   private void sendOpenCalls() {
     List<OpenCalls> openCalls = decider.openCalls();
     Set<OpenCalls> currentCalls = new HashSet<>(openCalls);
@@ -152,6 +161,8 @@
                   report.openCalls()));
     } else if (message instanceof CrashEvidenceReport report) {
       loop.execute(() -> decider.crashEvidence().recordReport(clockMillis.getAsLong(), report));
+    } else if (message instanceof EndpointLimitsReport report) {
+      loop.execute(() -> decider.endpointLimits().recordReport(clockMillis.getAsLong(), report));
     }
   }
 }
--- a/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -67,7 +67,8 @@
           ControlMessage.UsageRequest.class,
           ControlMessage.UsageReport.class,
           ControlMessage.OpenCallsReport.class,
-          ControlMessage.CrashEvidenceReport.class);
+          ControlMessage.CrashEvidenceReport.class,
+          ControlMessage.EndpointLimitsReport.class);
 
   private final List<ObjectReader> readers = new ArrayList<>();
   private final Map<Class<?>, Integer> typeCodes = new HashMap<>();
--- a/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
+++ b/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
@@ -10,6 +10,7 @@
 import org.cornelchute.core.message.ServingMessage;
 import org.cornelchute.core.message.SwarmMessage;
 import org.cornelchute.core.model.CrashReport;
+import org.cornelchute.core.model.EndpointLimit;
 import org.cornelchute.core.model.Generation;
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
@@ -39,6 +40,9 @@
             List.of(new CrashReport(-7, 20, List.of(5L, -1L))), List.of(new ServedPart(3, 9)));
     assertThat(codec.decode(codec.encode(evidence)).get()).isEqualTo(evidence);
     assertThat(codec.encode(evidence)).hasSizeLessThan(40);
+    ControlMessage.EndpointLimitsReport limits =
+        new ControlMessage.EndpointLimitsReport(List.of(new EndpointLimit(-7, 1.4, 20)));
+    assertThat(codec.decode(codec.encode(limits)).get()).isEqualTo(limits);
     byte[] bytes = {1, 2, 3};
     SwarmMessage.ChunkData data =
         (SwarmMessage.ChunkData)
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -213,6 +213,11 @@
     return crashEvidence;
   }
 
+  /** Returns the limits that endpoints name, shared by all entries. */
+  public EndpointLimits endpointLimits() {
+    return endpointPool.limits();
+  }
+
   /** Returns the open calls of this entry per endpoint, to be reported to the other entries. */
   public List<OpenCalls> openCalls() {
     return endpointPool.openCalls();
@@ -381,7 +386,7 @@
     if (head.version() > 0) {
       endpoint.version = head.version();
     }
-    recordNamedLimit(effects, endpoint, head.limit());
+    recordNamedLimit(now, effects, endpoint, head.limit());
     if (head.notExecuted() || head.instanceMismatch()) {
       handleEndpointRefusal(now, effects, call, head);
     } else if (head.status() >= STATUS_INTERNAL_SERVER_ERROR
@@ -932,7 +937,9 @@
   }
 
   /** Records the limit that an endpoint names in a response and logs that it changed. */
-  private void recordNamedLimit(List<CallEffect> effects, Endpoint endpoint, NamedLimit limit) {
+  private void recordNamedLimit(
+      long now, List<CallEffect> effects, Endpoint endpoint, NamedLimit limit) {
+    endpointPool.limits().record(now, endpoint.incarnation(), limit);
     if (limit.equals(endpoint.namedLimit)) {
       return;
     }
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -6,12 +6,6 @@
 /** State of one endpoint as known to this entry; owned by the {@link EndpointPool}. */
 final class Endpoint {
 
-  /**
-   * Window in which calls to a cold endpoint are counted. Longer than the second to which the limit
-   * applies, since calls may arrive closer together than they were sent.
-   */
-  private static final long COLD_WINDOW_MILLIS = 1_150;
-
   /** Time constant with which the weight of a load sample decays exponentially. */
   private static final double SAMPLE_DECAY_MILLIS = 400;
 
@@ -27,7 +21,8 @@
   /** Age of the last report of an entry above which the entry is considered stopped. */
   private static final long ENTRY_EXPIRY_MILLIS = 5_000;
 
-  final SlidingWindowCounter recentDispatches = new SlidingWindowCounter(COLD_WINDOW_MILLIS);
+  final SlidingWindowCounter recentDispatches =
+      new SlidingWindowCounter(EndpointLimits.MAX_WINDOW_MILLIS);
   EndpointSpec spec;
   long version;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -25,6 +25,12 @@
    */
   private static final double COLD_LIMIT_SAFETY_FACTOR = 0.8;
 
+  /**
+   * Window in which calls to a cold endpoint are counted. Longer than the second to which the limit
+   * applies, since calls may arrive closer together than they were sent.
+   */
+  private static final long COLD_WINDOW_MILLIS = 1_150;
+
   /** Backoff after the first failure of an endpoint; doubles with each further failure. */
   private static final double INITIAL_BACKOFF_MILLIS = 200;
 
@@ -63,6 +69,7 @@
   private final Map<String, SwitchReport> switchReportByHost = new HashMap<>();
   private Set<String> evacuatedDomains = Set.of();
   private final EntryList entries;
+  private final EndpointLimits limits;
   private long recoveryGraceUntil;
 
   /** Time up to which running endpoints may be missing from the first list. */
@@ -71,6 +78,7 @@
   EndpointPool(CallOptions options) {
     this.options = options;
     this.entries = new EntryList(options.self());
+    this.limits = new EndpointLimits(entries);
   }
 
   Optional<Endpoint> find(String id) {
@@ -102,6 +110,11 @@
     entries.addAll(names);
   }
 
+  /** Returns the limits that endpoints name. */
+  EndpointLimits limits() {
+    return limits;
+  }
+
   /** Returns the open calls of this entry at each endpoint that has any. */
   List<OpenCalls> openCalls() {
     List<OpenCalls> open = new ArrayList<>();
@@ -287,7 +300,9 @@
     double lowestScore = Double.MAX_VALUE;
     for (Endpoint endpoint : candidates) {
       boolean tried = requirements.triedEndpoints().contains(endpoint.spec.id());
-      if (tried || endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)) {
+      if (tried
+          || endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)
+          || !limits.permits(now, endpoint)) {
         continue;
       }
       double load = endpoint.estimateLoad(now, entries.foundCount());
@@ -337,7 +352,8 @@
     double limit = requirements.service().coldCallsPerSecond();
     double allowedCalls = limit * options.coldOverrunFactor() + options.coldAllowance();
     int sharedCalls = (int) Math.floor(allowedCalls * COLD_LIMIT_SAFETY_FACTOR);
-    return endpoint.recentDispatches.count(now) < entries.shareOf(sharedCalls, endpoint.spec.id());
+    return endpoint.recentDispatches.count(now, COLD_WINDOW_MILLIS)
+        < entries.shareOf(sharedCalls, endpoint.spec.id());
   }
 
   private double domainPenalty(Endpoint endpoint) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/EntryList.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EntryList.java
@@ -1,8 +1,10 @@
 package org.cornelchute.policy.forward;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.cornelchute.policy.util.RendezvousHash;
 
@@ -18,7 +20,10 @@
   /** Number of entries that is assumed until the list is known. */
   private static final int ASSUMED_COUNT = 64;
 
+  private static final int MAX_CACHED_RANKS = 4_096;
+
   private final String self;
+  private final Map<String, Integer> ranks = new HashMap<>();
   private List<String> names = List.of();
 
   EntryList(String self) {
@@ -31,6 +36,7 @@
       Set<String> all = new HashSet<>(names);
       all.addAll(found);
       names = List.copyOf(all);
+      ranks.clear();
     }
   }
 
@@ -68,6 +74,14 @@
     if (calls >= names.size()) {
       return calls / names.size();
     }
-    return RendezvousHash.order(key, names).indexOf(self) < calls ? 1 : 0;
+    return rankOf(key) < calls ? 1 : 0;
+  }
+
+  /** Returns the position of this entry in the order of all entries for {@code key}, from 0. */
+  int rankOf(String key) {
+    if (ranks.size() >= MAX_CACHED_RANKS) {
+      ranks.clear();
+    }
+    return ranks.computeIfAbsent(key, k -> RendezvousHash.order(k, names).indexOf(self));
   }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/SlidingWindowCounter.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/SlidingWindowCounter.java
@@ -2,28 +2,43 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 
-/** Counts events within a sliding window, for limits that hold for every window of that length. */
+/** Counts events within sliding windows, for limits that hold for every window of a length. */
 final class SlidingWindowCounter {
 
-  private final long windowMillis;
-  private final Deque<Long> timestamps = new ArrayDeque<>();
+  private final long maxWindowMillis;
+  private final Deque<Long> timestamps = new ArrayDeque<>(2);
 
-  SlidingWindowCounter(long windowMillis) {
-    this.windowMillis = windowMillis;
+  /**
+   * Creates a counter without events.
+   *
+   * @param maxWindowMillis length of the longest window
+   */
+  SlidingWindowCounter(long maxWindowMillis) {
+    this.maxWindowMillis = maxWindowMillis;
   }
 
-  /** Returns the number of events in the window that ends now. */
-  int count(long now) {
-    while (!timestamps.isEmpty() && now - timestamps.peekFirst() >= windowMillis) {
-      timestamps.pollFirst();
+  /** Returns the number of events in a window that ends now. */
+  int count(long now, long windowMillis) {
+    removeOld(now);
+    int count = 0;
+    Iterator<Long> newestFirst = timestamps.descendingIterator();
+    while (newestFirst.hasNext() && now - newestFirst.next() < windowMillis) {
+      count++;
     }
-    return timestamps.size();
+    return count;
   }
 
   /** Adds one event. */
   void add(long now) {
-    count(now);
+    removeOld(now);
     timestamps.addLast(now);
   }
+
+  private void removeOld(long now) {
+    while (!timestamps.isEmpty() && now - timestamps.peekFirst() >= maxWindowMillis) {
+      timestamps.pollFirst();
+    }
+  }
 }
