--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -391,8 +391,9 @@
       handleEndpointRefusal(now, effects, call, head);
     } else if (head.status() >= STATUS_INTERNAL_SERVER_ERROR
         && !call.streaming
-        && mayRetry(now, call)) {
+        && canRetryNow(now, call)) {
       effects.add(new CallEffect.CancelAttempt(number, attempt));
+      call.mayHaveExecuted = true;
       retryOrReject(now, effects, call, "endpoint responded with status " + head.status());
     } else if (head.status() >= STATUS_OK
         && head.status() < STATUS_MULTIPLE_CHOICES
@@ -713,6 +714,13 @@
         && !crashEvidence.isSuspect(now, call.spec.sharedParts());
   }
 
+  /** Returns whether a call may be retried and another endpoint can take it at once. */
+  private boolean canRetryNow(long now, Call call) {
+    return mayRetry(now, call)
+        && retryBudget.allows(now, call.service.name(), endpointPool.sharingEntryCount())
+        && chooseEndpoint(now, call, RETRY_MAX_LOAD_PER_SLOT).endpoint().isPresent();
+  }
+
   /** Returns whether the endpoint of a call holds weights that calls may no longer start on. */
   private boolean isOutdated(long now, Call call) {
     long required =
--- a/policy/src/main/java/org/cornelchute/policy/forward/RetryBudget.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/RetryBudget.java
@@ -55,16 +55,25 @@
    * @return whether the retry is allowed
    */
   boolean trySpend(long now, String service, int entryCount) {
-    Window window = window(now, service);
-    double share = now < allowanceFrom ? 0 : allowance / Math.max(1, entryCount);
-    double limit = ratio * sum(window.calls) + share;
-    if (sum(window.retries) + 1 > limit) {
+    if (!allows(now, service, entryCount)) {
       return false;
     }
+    Window window = window(now, service);
     window.retries[window.index]++;
     return true;
   }
 
+  /**
+   * Returns whether the budget allows a retry.
+   *
+   * @param entryCount number of entries that share the allowance
+   */
+  boolean allows(long now, String service, int entryCount) {
+    Window window = window(now, service);
+    double share = now < allowanceFrom ? 0 : allowance / Math.max(1, entryCount);
+    return sum(window.retries) + 1 <= ratio * sum(window.calls) + share;
+  }
+
   private Window window(long now, String service) {
     Window window = windows.computeIfAbsent(service, s -> new Window());
     long bucket = now / bucketMillis;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -132,6 +132,35 @@
   @Nested
   class Retries {
 
+    // Failure: a call that an endpoint had executed was rejected as not executed, since the attempt
+    // was given up before it was known whether another endpoint could take the call.
+    @Test
+    void deliversErrorResponseIfNoOtherEndpointCanTakeTheCall() {
+      Fixture fixture = new Fixture().withEndpoints(plain("p1"));
+      CallEffect.Dispatch first = dispatch(fixture.call("/c/"));
+      List<CallEffect> effects =
+          fixture.decider.onResponseHead(fixture.now, first.call(), 1, head(500));
+      assertThat(find(effects, CallEffect.Reject.class)).isEmpty();
+      assertThat(find(effects, CallEffect.CancelAttempt.class)).isEmpty();
+      assertThat(
+              find(
+                  fixture.decider.onResponseEnd(fixture.now, first.call(), 1),
+                  CallEffect.Complete.class))
+          .isPresent();
+    }
+
+    @Test
+    void retriesCallWithErrorResponseAtAnotherEndpoint() {
+      Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
+      CallEffect.Dispatch first = dispatch(fixture.call("/c/"));
+      List<CallEffect> effects =
+          fixture.decider.onResponseHead(fixture.now, first.call(), 1, head(500));
+      assertThat(dispatch(effects).endpoint().id()).isNotEqualTo(first.endpoint().id());
+      List<CallEffect> refused =
+          fixture.decider.onAttemptFailure(fixture.now, first.call(), 2, false, "refused");
+      assertThat(rejection(refused)).isEqualTo(Rejection.ANSWER_LOST);
+    }
+
     @Test
     void retriesNonIdempotentCallOnlyIfNotExecuted() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
