--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -80,7 +80,7 @@
   private final CallHeaderNames headerNames;
   private final LongSupplier clockMillis;
   private final Optional<OpenCallsReporter> openCallsReporter;
-  private final Runnable stateRefresher;
+  private final ServingStateSource stateSource;
   private final Map<Long, OpenCall> openCalls = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private final ResponseBudget responseBudget =
@@ -103,7 +103,7 @@
       CallHeaderNames headerNames,
       LongSupplier clockMillis,
       Optional<OpenCallsReporter> openCallsReporter,
-      Runnable stateRefresher,
+      ServingStateSource stateSource,
       MetricRegistry metrics) {
     this.loop = loop;
     this.client = client;
@@ -111,7 +111,7 @@
     this.headerNames = headerNames;
     this.clockMillis = clockMillis;
     this.openCallsReporter = openCallsReporter;
-    this.stateRefresher = stateRefresher;
+    this.stateSource = stateSource;
     this.metrics = metrics;
     this.headerCopier = new HeaderCopier(headerNames);
     this.arrivedMeter = metrics.meter("calls.arrived");
@@ -234,7 +234,7 @@
     if (decider.detectSuspension(now, wallMillis)) {
       LOG.warn(
           "process was suspended; requesting a new confirmation of cached state from the store");
-      stateRefresher.run();
+      stateSource.refresh();
     }
   }
 
@@ -288,6 +288,11 @@
     decider.recordConfirmation(askedAt);
   }
 
+  @Override
+  public void recordBlockedPart(long part, int crashCount) {
+    decider.crashEvidence().recordStored(clockMillis.getAsLong(), part, crashCount);
+  }
+
   @Override
   public void updateEndpoints(Collection<EndpointSpec> endpoints) {
     decider.updateEndpoints(clockMillis.getAsLong(), endpoints);
@@ -330,6 +335,8 @@
         }
       } else if (effect instanceof CallEffect.AbortResponse abort) {
         abortResponse(abort);
+      } else if (effect instanceof CallEffect.StoreBlockedPart blocked) {
+        stateSource.storeBlockedPart(blocked.part(), blocked.crashCount());
       }
     }
   }
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -110,7 +110,7 @@
             headerNames,
             clockMillis,
             openCallsReporter,
-            stateSource::refresh,
+            stateSource,
             metrics);
     metrics.register("calls.open", (Gauge<Integer>) duty::openCallCount);
     ProcessGauges.register(metrics);
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -38,6 +38,13 @@
    */
   void recordConfirmation(long askedAt);
 
+  /**
+   * Records a part of prompts that was blocked before this process started.
+   *
+   * @param crashCount number of crashes that block the part, 0 if it was cleared
+   */
+  void recordBlockedPart(long part, int crashCount);
+
   /** Replaces the list of endpoints. */
   void updateEndpoints(Collection<EndpointSpec> endpoints);
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateSource.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateSource.java
@@ -13,4 +13,11 @@
 
   /** Requests an immediate confirmation that the cached state still matches the store. */
   default void refresh() {}
+
+  /**
+   * Keeps a part of prompts for entries that start later; ignored by sources that keep nothing.
+   *
+   * @param crashCount number of crashes that block the part, 0 if it was cleared
+   */
+  default void storeBlockedPart(long part, int crashCount) {}
 }
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -34,6 +34,12 @@
   /** Maximum number of shared parts of a prompt that are recorded. */
   private static final int MAX_PARTS = 32;
 
+  /** Maximum number of crashes of a stored part that are counted. */
+  private static final int MAX_STORED_CRASHES = 8;
+
+  /** Time between two crashes of a stored part; long enough that each counts. */
+  private static final long STORED_CRASH_INTERVAL_MILLIS = 200;
+
   /** Maximum number of parts of which the time of the last service is kept. */
   private static final int MAX_SERVED_PARTS = 4_096;
 
@@ -52,6 +58,10 @@
   private final TrialSchedule trials;
   private final EvidenceExchange exchange = new EvidenceExchange();
   private final List<PartChange> changes = new ArrayList<>();
+
+  /** Parts that this entry has observed itself since the last analysis. */
+  private final Set<Long> observedParts = new HashSet<>();
+
   private Map<Long, Suspect> suspects = Map.of();
   private boolean outdated;
 
@@ -115,6 +125,7 @@
    */
   public void recordCrash(long now, int endpoint, List<Long> parts) {
     Crash crash = new Crash(endpoint, now, parts.subList(0, Math.min(MAX_PARTS, parts.size())));
+    observedParts.addAll(crash.parts());
     if (add(now, crash)) {
       exchange.announceOwn(crash);
     }
@@ -124,11 +135,27 @@
   public void recordServed(long now, List<Long> parts) {
     for (long part : parts) {
       if (clear(part, now)) {
+        observedParts.add(part);
         exchange.announceServed(part, now);
       }
     }
   }
 
+  /**
+   * Records a part that was blocked before this process started. It counts as many crashes now, so
+   * that the next trial is as far away as after the last of them.
+   *
+   * @param crashCount number of crashes that were attributed to the part; 0 if it was cleared
+   */
+  public void recordStored(long now, long part, int crashCount) {
+    int count = Math.min(crashCount, MAX_STORED_CRASHES);
+    for (int i = 0; i < count; i++) {
+      // These crashes must be the same at all entries, which read the same row.
+      int endpoint = Long.hashCode(part) + i;
+      add(now, new Crash(endpoint, now - i * STORED_CRASH_INTERVAL_MILLIS, List.of(part)));
+    }
+  }
+
   // Exchange with other entries
 
   /** Records the observations of another entry. */
@@ -201,6 +228,7 @@
       outdated = false;
       Map<Long, Suspect> found = CrashAnalysis.findSuspects(crashes.values(), servedAtByPart);
       recordChanges(found);
+      observedParts.clear();
       suspects = found;
       trials.retain(found.keySet());
       pinCrashes();
@@ -213,13 +241,15 @@
     for (Suspect s : found.values()) {
       Suspect previous = suspects.get(s.part());
       if (s.isBlocked() && (previous == null || previous.crashCount() < s.crashCount())) {
-        changes.add(new PartChange(s.part(), true, s.crashCount()));
+        changes.add(
+            new PartChange(s.part(), true, s.crashCount(), observedParts.contains(s.part())));
       }
     }
     for (Suspect s : suspects.values()) {
       Suspect next = found.get(s.part());
       if (s.isBlocked() && (next == null || !next.isBlocked())) {
-        changes.add(new PartChange(s.part(), false, s.crashCount()));
+        changes.add(
+            new PartChange(s.part(), false, s.crashCount(), observedParts.contains(s.part())));
       }
     }
   }
@@ -258,6 +288,7 @@
    * @param part id of the part
    * @param blocked whether calls with the part are rejected from now on
    * @param crashCount number of crashes that are attributed to the part, or were
+   * @param own whether an observation of this entry caused the change
    */
-  public record PartChange(long part, boolean blocked, int crashCount) {}
+  public record PartChange(long part, boolean blocked, int crashCount, boolean own) {}
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -433,6 +433,7 @@
     if (call != null) {
       if (provesService(now, call)) {
         crashEvidence.recordServed(now, call.spec.sharedParts());
+        reportPartChanges(now, effects);
       }
       effects.add(new CallEffect.Complete(number, attempt));
       log(effects, "answered", call, "ms=" + (now - call.arrivedAt));
@@ -464,6 +465,7 @@
     logBrokenAttempt(effects, call, reason);
     if (call.hasBegun()) {
       crashEvidence.recordCrash(now, call.endpoint.incarnation(), call.spec.sharedParts());
+      reportPartChanges(now, effects);
     }
     handleLostResponse(now, effects, call, reason);
     dispatchQueued(now, effects);
@@ -492,7 +494,7 @@
   public List<CallEffect> sweep(long now) {
     List<CallEffect> effects = new ArrayList<>();
     endpointPool.removeExpired(now);
-    logPartChanges(now, effects);
+    reportPartChanges(now, effects);
     for (Call call : new ArrayList<>(calls.values())) {
       if (now >= call.deadline) {
         expire(now, effects, call);
@@ -964,9 +966,14 @@
                 config.version())));
   }
 
-  /** Logs parts of prompts that became blocked or were cleared. */
-  private void logPartChanges(long now, List<CallEffect> effects) {
+  /** Logs parts of prompts that became blocked or were cleared, and stores those of this entry. */
+  private void reportPartChanges(long now, List<CallEffect> effects) {
     for (PartChange change : crashEvidence.takeChanges(now)) {
+      if (change.own()) {
+        effects.add(
+            new CallEffect.StoreBlockedPart(
+                change.part(), change.blocked() ? change.crashCount() : 0));
+      }
       effects.add(
           new CallEffect.Log(
               new Decision(
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallEffect.java
@@ -47,6 +47,13 @@
   /** Cancel an attempt and close its exchange with the endpoint. */
   record CancelAttempt(long call, int attempt) implements CallEffect {}
 
+  /**
+   * Keep a part of prompts in the store for entries that start later.
+   *
+   * @param crashCount number of crashes that block the part, 0 if it was cleared
+   */
+  record StoreBlockedPart(long part, int crashCount) implements CallEffect {}
+
   /** Write a decision to the decision log. */
   record Log(Decision decision) implements CallEffect {}
 }
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -122,6 +122,22 @@
     assertSoundCallsServed(simulation, HARMFUL, 7);
   }
 
+  // Failure: after a restart of all entries the part crashes as many engines as the first time.
+  @ParameterizedTest
+  @CsvSource({"4, 1", "6, 2", "13, 3"})
+  void stopsSendingCallsAfterAllEntriesWereKilled(int entries, long seed) {
+    EngineSimulation simulation = simulation(entries, seed);
+    simulation.harmfulParts.add(HARMFUL);
+    simulation.sendCalls(
+        HARM_FROM_MILLIS, 16_000, 4, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    simulation.at(17_000, simulation::restartEntries);
+    simulation.sendCalls(20_000, END_MILLIS, 0.7, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    simulation.run(END_MILLIS);
+    assertContained(simulation, HARMFUL);
+    assertThat(simulation.lastCountedCrash(HARMFUL).orElseThrow())
+        .isLessThan(EngineSimulation.START_MILLIS + 17_000);
+  }
+
   // Failure: engines that are killed for other reasons put sound parts under suspicion.
   @ParameterizedTest
   @CsvSource({"4, 1", "6, 2", "6, 3", "13, 4"})
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -70,6 +70,10 @@
 
   private final List<String> names = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
+
+  /** What the entries have stored: crashes by part. */
+  private final Map<Long, Integer> storedParts = new HashMap<>();
+
   private final Set<Integer> silentEntries = new HashSet<>();
   private final Map<Long, Sent> callByNumber = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -91,6 +95,21 @@
   int addEntry() {
     int index = entries.size();
     names.add("e" + index);
+    entries.add(newDecider(index));
+    entries.forEach(e -> e.updateEntries(names));
+    return index;
+  }
+
+  /** Kills all entries and starts them again; calls in flight are lost. */
+  void restartEntries() {
+    callByNumber.clear();
+    for (int i = 0; i < entries.size(); i++) {
+      entries.set(i, newDecider(i));
+    }
+    entries.forEach(e -> e.updateEntries(names));
+  }
+
+  private CallDecider newDecider(int index) {
     CallOptions defaults = Fixture.OPTIONS;
     CallOptions options =
         new CallOptions(
@@ -109,11 +128,11 @@
     CallDecider decider = new CallDecider(options, random.nextLong(), now);
     decider.updateConfig(
         Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of()))));
-    entries.add(decider);
-    entries.forEach(e -> e.updateEntries(names));
     decider.updateEndpoints(now, listedEngines());
     decider.recordConfirmation(now);
-    return index;
+    storedParts.forEach(
+        (part, crashes) -> decider.crashEvidence().recordStored(now, part, crashes));
+    return decider;
   }
 
   // Schedule
@@ -315,12 +334,17 @@
       if (effect instanceof CallEffect.Dispatch d) {
         long sentAt = now;
         schedule(now + NETWORK_DELAY_MILLIS, () -> arrive(entry, d, sentAt));
+      } else if (effect instanceof CallEffect.StoreBlockedPart p) {
+        storedParts.put(p.part(), p.crashCount());
       } else if (effect instanceof CallEffect.CancelAttempt c) {
         schedule(
             now + NETWORK_DELAY_MILLIS,
             () -> engines.forEach(e -> e.cancel(c.call(), c.attempt())));
       } else if (effect instanceof CallEffect.Reject r) {
         Sent call = callByNumber.get(r.call());
+        if (call == null) {
+          continue;
+        }
         call.rejection = r.rejection();
         if (!call.returned && r.rejection().guaranteesNotExecuted()) {
           schedule(now + r.retryAfterMillis(), () -> send(anyEntry(), call.parts, true));
@@ -331,6 +355,9 @@
 
   private void arrive(int entry, CallEffect.Dispatch dispatch, long sentAt) {
     Sent call = callByNumber.get(dispatch.call());
+    if (call == null) {
+      return;
+    }
     Work work = new Work(dispatch.call(), dispatch.attempt(), entry, call);
     for (Engine engine : engines) {
       if (engine.running && engine.id().equals(dispatch.endpoint().id())) {
