--- a/entry/src/test/java/org/cornelchute/entry/EntryDaemonTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/EntryDaemonTest.java
@@ -7,18 +7,19 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cornelchute.net.control.ControlSettings;
 import org.cornelchute.net.platform.ConfigurationRecord;
+import org.cornelchute.net.util.FreePort;
 import org.cornelchute.policy.weights.Digests;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -142,16 +143,10 @@
 
   /** Returns different ports, which are all free at the same time. */
   private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
+    Set<Integer> ports = new LinkedHashSet<>();
+    while (ports.size() < count) {
+      ports.add(FreePort.find("127.0.0.1"));
     }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
+    return List.copyOf(ports);
   }
 }
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -5,11 +5,11 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import org.cornelchute.net.util.FreePort;
 import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.ServingConfig;
 
@@ -127,8 +127,6 @@
 
   /** Returns an address of this machine on which nothing listens. */
   static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return HOST + ":" + socket.getLocalPort();
-    }
+    return FreePort.findAddress(HOST);
   }
 }
--- a/net/src/test/java/org/cornelchute/net/control/ControlPlaneTest.java
+++ b/net/src/test/java/org/cornelchute/net/control/ControlPlaneTest.java
@@ -11,7 +11,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Set;
@@ -24,6 +23,7 @@
 import org.cornelchute.core.model.Role;
 import org.cornelchute.net.frame.MessageCodec;
 import org.cornelchute.net.platform.TableClient;
+import org.cornelchute.net.util.FreePort;
 import org.cornelchute.policy.rules.Rules;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -57,7 +57,7 @@
     tableService.createContext(
         "/table/config-1", exchange -> respond(exchange, "{\"value\":\"no rules\",\"version\":1}"));
     tableService.start();
-    int port = freePort();
+    int port = FreePort.find("127.0.0.1");
     Member self =
         new Member(
             "m1",
@@ -107,12 +107,6 @@
     exchange.close();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private static final class IgnoringListener implements ControlListener {
 
     @Override
