--- a/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
@@ -24,7 +24,9 @@
    */
   public static void run(String name, Daemon daemon, Runnable reload) {
     SighupHandler.install(reload);
-    daemon.start();
+    if (!start(name, daemon)) {
+      Runtime.getRuntime().halt(ExitCode.FAILED);
+    }
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
@@ -32,8 +34,7 @@
                   boolean drained = daemon.drain();
                   daemon.close();
                   LOG.info("{} stopped, all requests ended in time: {}", name, drained);
-                  // Log events are written asynchronously; stopping the context flushes them.
-                  ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+                  flushLog();
                 },
                 "shutdown"));
     LOG.info("{} started", name);
@@ -44,6 +45,27 @@
     }
   }
 
+  /**
+   * Starts a daemon. One that fails must not stay, half started, where only its end would make the
+   * platform start it again.
+   */
+  private static boolean start(String name, Daemon daemon) {
+    try {
+      daemon.start();
+      return true;
+    } catch (Exception e) {
+      // Netty rethrows checked exceptions, such as for an address that is in use.
+      LOG.error("{} could not start cause={}", name, e.toString());
+      flushLog();
+      return false;
+    }
+  }
+
+  /** Writes pending log events, which are written asynchronously. */
+  private static void flushLog() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
   /** Ends the process immediately because a duty failed with an unexpected exception. */
   public static void halt(String duty, Throwable cause) {
     Runtime.getRuntime().halt(ExitCode.FAILED);
