--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -23,7 +23,7 @@
 public final class CrashEvidence {
 
   /** Maximum number of crashes that are recorded. */
-  private static final int MAX_CRASHES = 512;
+  private static final int MAX_CRASHES = 256;
 
   /** Time after which a crash that blocks no part is removed. */
   private static final long RETENTION_MILLIS = 3_600_000;
