--- a/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
@@ -39,6 +39,8 @@
  */
 public final class ControlPlane implements Service, DatagramTransport.Listener {
 
+  private static final long ISOLATION_LOG_DELAY_MILLIS = 5_000;
+  private static final long ISOLATION_LOG_INTERVAL_MILLIS = 30_000;
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
   private static final int RING_CAPACITY = 4_096;
   private static final long TICK_INTERVAL_MILLIS = 100;
@@ -70,6 +72,9 @@
   private volatile List<Member> memberSnapshot = List.of();
   private volatile List<ControlMessage.MembershipUpdate> gossipSnapshot = List.of();
   private volatile ControlMessage.RulesText rulesText = new ControlMessage.RulesText(0, "", "");
+  private final List<String> seeds;
+  private String vmListFailure = "";
+  private long nextIsolationLogMillis;
   private long nextVmListMillis;
   private long nextViewMillis;
   private boolean viewStale = true;
@@ -100,6 +105,8 @@
     this.membership = new MembershipDecider(self, settings.seeds(), seed);
     this.configuration = new ConfigurationDecider(seed);
     this.memberId = settings.id();
+    this.seeds = settings.seeds();
+    this.nextIsolationLogMillis = clock.getAsLong() + ISOLATION_LOG_DELAY_MILLIS;
     this.table = table;
     this.listener = listener;
     this.clock = clock;
@@ -224,6 +231,20 @@
                   membership.cachedMemberCount() * VM_LIST_MILLIS_PER_MEMBER);
       table.listAddresses().subscribe(this::handleVmList);
     }
+    if (now >= nextIsolationLogMillis) {
+      nextIsolationLogMillis = now + ISOLATION_LOG_INTERVAL_MILLIS;
+      logIfIsolated();
+    }
+  }
+
+  /** Logs that this process has met no other member, which serves no calls. */
+  private void logIfIsolated() {
+    if (membership.cachedMemberCount() <= 1) {
+      LOG.warn(
+          "no other member found yet, will go on to look for one seeds={} vmListFailure=\"{}\"",
+          seeds,
+          vmListFailure);
+    }
   }
 
   private void refreshView() {
@@ -234,9 +255,13 @@
   }
 
   private void handleVmList(Either<Failure, List<String>> addresses) {
-    if (addresses.isRight()) {
-      duty.offer(() -> membership.addSeeds(addresses.get()));
-    }
+    duty.offer(
+        () -> {
+          vmListFailure = addresses.isLeft() ? addresses.getLeft().message() : "";
+          if (addresses.isRight()) {
+            membership.addSeeds(addresses.get());
+          }
+        });
   }
 
   private void executeMembershipEffects(List<MembershipEffect> effects) {
--- a/net/src/main/java/org/cornelchute/net/control/ControlSettings.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlSettings.java
@@ -27,6 +27,10 @@
     List<String> seeds)
     implements Settings {
 
+  /** Addresses of an entry and an agent with default settings, which find each other by them. */
+  private static final String DEFAULT_ENTRY = "127.0.0.1:4100";
+
+  private static final String DEFAULT_AGENT = "127.0.0.1:4200";
   private static final int MAX_PORT = 65_535;
 
   /** Validates the values. */
@@ -54,7 +58,7 @@
         "region-1",
         "domain-1",
         "http://127.0.0.1:4000",
-        List.of());
+        List.of(DEFAULT_ENTRY, DEFAULT_AGENT));
   }
 
   /** Returns the address at which other members reach this process. */
--- a/net/src/test/java/org/cornelchute/net/control/ControlPlaneTest.java
+++ b/net/src/test/java/org/cornelchute/net/control/ControlPlaneTest.java
@@ -100,6 +100,16 @@
     assertThat(controlPlane.rulesText().version()).isZero();
   }
 
+  // Failure: an entry and an agent that never met each other said nothing of it.
+  @Test
+  void logsThatNoOtherMemberWasFound() throws Exception {
+    String line = "";
+    for (int i = 0; i < 40 && line != null && !line.contains("no other member"); i++) {
+      line = logLines.poll(10, TimeUnit.SECONDS);
+    }
+    assertThat(line).startsWith("WARN no other member found yet").contains("127.0.0.1:4200");
+  }
+
   private static void respond(HttpExchange exchange, String body) throws IOException {
     byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
     exchange.sendResponseHeaders(200, bytes.length);
