--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -39,28 +39,6 @@
   /** Minimum remaining time for a retry; with less, it is unlikely to complete in time. */
   private static final long MIN_RETRY_TIME_MILLIS = 60;
 
-  private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
-
-  /**
-   * Upper bound of Retry-After as a fraction of the caller's remaining time. Callers honor a value
-   * only up to one third of that time.
-   */
-  private static final double MAX_RETRY_AFTER_SHARE = 0.32;
-
-  /**
-   * Lower bound of Retry-After as a fraction of its upper bound. The random spread keeps callers
-   * that were rejected together from retrying together.
-   */
-  private static final double MIN_RETRY_AFTER_FACTOR = 0.6;
-
-  /** Minimum Retry-After of calls that another entry is likely to accept. */
-  private static final long FAILOVER_RETRY_AFTER_MILLIS = 20;
-
-  private static final int FAILOVER_RETRY_AFTER_JITTER_MILLIS = 30;
-
-  /** Time in which a process that has just started receives the first report of another entry. */
-  private static final long DISCOVERY_MILLIS = 400;
-
   private static final long MAX_REPORTED_AGE_MILLIS = 86_400_000;
   private static final int STATUS_OK = 200;
   private static final int STATUS_MULTIPLE_CHOICES = 300;
@@ -104,6 +82,7 @@
   private final RetryBudget retryBudget;
   private final CrashEvidence crashEvidence;
   private final Random random;
+  private final RetryAfter retryAfter;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final List<Call> queue = new ArrayList<>();
   private final Map<String, Long> longestDeadlineByRoute = new HashMap<>();
@@ -124,6 +103,7 @@
             options.retryRatio(), options.retryAllowance(), options.retryWindowMillis(), startedAt);
     this.crashEvidence = new CrashEvidence(options.self());
     this.random = new Random(seed);
+    this.retryAfter = new RetryAfter(random);
   }
 
   // Accessors
@@ -820,28 +800,10 @@
             new Decision("refuse", spec.id(), "", List.of(), "", logReason, config.version())));
   }
 
-  /**
-   * Returns the Retry-After of a rejected call. If no entry is likely to accept it soon, it is as
-   * long as callers honor, since the cause of the rejection persists. If that is not known yet, it
-   * is as long as it takes to hear of other entries.
-   */
   private long retryAfterMillis(long now, Rejection rejection, long remainingMillis) {
-    long longest = MAX_RETRY_AFTER_MILLIS;
-    if (rejection == Rejection.NOT_READY) {
-      Availability others = otherAvailability(now);
-      if (others == Availability.LIKELY) {
-        return failoverRetryAfterMillis();
-      }
-      longest = others == Availability.UNKNOWN ? DISCOVERY_MILLIS : MAX_RETRY_AFTER_MILLIS;
-    }
-    double upper = Math.min(longest, MAX_RETRY_AFTER_SHARE * Math.max(0, remainingMillis));
-    double factor = MIN_RETRY_AFTER_FACTOR + (1 - MIN_RETRY_AFTER_FACTOR) * random.nextDouble();
-    return Math.round(upper * factor);
-  }
-
-  /** Returns the Retry-After of a call that another entry is likely to accept on the next try. */
-  private long failoverRetryAfterMillis() {
-    return FAILOVER_RETRY_AFTER_MILLIS + random.nextInt(FAILOVER_RETRY_AFTER_JITTER_MILLIS);
+    Availability others =
+        rejection == Rejection.NOT_READY ? otherAvailability(now) : Availability.UNLIKELY;
+    return retryAfter.millis(others, remainingMillis);
   }
 
   // Helpers
