--- a/entry/src/test/java/org/cornelchute/entry/direct/CrashingPromptTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/CrashingPromptTest.java
@@ -20,11 +20,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.cornelchute.policy.forward.CallKind;
 import org.cornelchute.policy.forward.EndpointSpec;
-import org.cornelchute.policy.forward.RouteSpec;
-import org.cornelchute.policy.forward.ServiceSpec;
-import org.cornelchute.policy.forward.ServingConfig;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -80,7 +76,8 @@
                   EntryFixture.freeAddress(),
                   60_000),
               EntryFixture.HEADER_NAMES,
-              EntryFixture.fixedState(peers, config(), specs),
+              EntryFixture.fixedState(
+                  peers, EntryFixture.streamConfig(SERVICE, TIMEOUT_MILLIS), specs),
               1);
       entries.add(entry);
       entry.start();
@@ -192,28 +189,4 @@
     socket.getOutputStream().write((head + events).getBytes(StandardCharsets.US_ASCII));
     return !harmful;
   }
-
-  private static ServingConfig config() {
-    RouteSpec route =
-        new RouteSpec(
-            "r",
-            "127.0.0.1",
-            "/s/",
-            CallKind.STREAM,
-            false,
-            TIMEOUT_MILLIS,
-            500,
-            1,
-            2,
-            true,
-            List.of(),
-            List.of(new RouteSpec.WeightedService(SERVICE, 1)));
-    return new ServingConfig(
-        1,
-        List.of(route),
-        List.of(new ServiceSpec(SERVICE, 32, 0, 0, Optional.empty())),
-        false,
-        Map.of(),
-        ServingConfig.CallerLimits.DEFAULTS);
-  }
 }
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -7,10 +7,14 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.cornelchute.net.util.FreePort;
+import org.cornelchute.policy.forward.CallKind;
 import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.RouteSpec;
+import org.cornelchute.policy.forward.ServiceSpec;
 import org.cornelchute.policy.forward.ServingConfig;
 
 /** What tests of an entry over real sockets have in common. */
@@ -102,6 +106,31 @@
     };
   }
 
+  /** Returns a configuration with one route, of streams that may not be resumed, without keys. */
+  static ServingConfig streamConfig(String service, long timeoutMillis) {
+    RouteSpec route =
+        new RouteSpec(
+            "r",
+            HOST,
+            "/s/",
+            CallKind.STREAM,
+            false,
+            timeoutMillis,
+            500,
+            1,
+            2,
+            true,
+            List.of(),
+            List.of(new RouteSpec.WeightedService(service, 1)));
+    return new ServingConfig(
+        1,
+        List.of(route),
+        List.of(new ServiceSpec(service, 32, 0, 0, Optional.empty())),
+        false,
+        Map.of(),
+        ServingConfig.CallerLimits.DEFAULTS);
+  }
+
   static EndpointSpec endpointSpec(String id, String service, HttpServer server) {
     return endpointSpec(id, service, server.getAddress().getPort());
   }
--- a/entry/src/test/java/org/cornelchute/entry/direct/SilentStreamTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/SilentStreamTest.java
@@ -11,14 +11,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.cornelchute.policy.forward.CallKind;
-import org.cornelchute.policy.forward.RouteSpec;
-import org.cornelchute.policy.forward.ServiceSpec;
-import org.cornelchute.policy.forward.ServingConfig;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -71,7 +65,7 @@
                 KEY_AGE_MILLIS),
             EntryFixture.HEADER_NAMES,
             EntryFixture.fixedState(
-                config(),
+                EntryFixture.streamConfig(SERVICE, TIMEOUT_MILLIS),
                 List.of(EntryFixture.endpointSpec("i1", SERVICE, endpoint.getLocalPort()))),
             1);
     entry.start();
@@ -176,28 +170,4 @@
   private static String chunk(String text) {
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
-
-  private static ServingConfig config() {
-    RouteSpec route =
-        new RouteSpec(
-            "r",
-            "127.0.0.1",
-            "/s/",
-            CallKind.STREAM,
-            false,
-            TIMEOUT_MILLIS,
-            500,
-            1,
-            2,
-            true,
-            List.of(),
-            List.of(new RouteSpec.WeightedService(SERVICE, 1)));
-    return new ServingConfig(
-        1,
-        List.of(route),
-        List.of(new ServiceSpec(SERVICE, 32, 0, 0, Optional.empty())),
-        false,
-        Map.of(),
-        ServingConfig.CallerLimits.DEFAULTS);
-  }
 }
--- a/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
@@ -64,21 +64,7 @@
       engines.add(new Engine("i" + i, "d" + i % 3));
     }
     for (int i = 0; i < entryCount; i++) {
-      CallOptions defaults = Fixture.OPTIONS;
-      CallOptions options =
-          new CallOptions(
-              "e" + i,
-              "d" + i % 3,
-              "d" + i % 3,
-              defaults.maxKeyAgeMillis(),
-              defaults.maxDenialAgeMillis(),
-              defaults.versionGraceMillis(),
-              defaults.versionCutoffMillis(),
-              defaults.retryRatio(),
-              defaults.retryAllowance(),
-              defaults.retryWindowMillis(),
-              defaults.coldOverrunFactor(),
-              defaults.coldAllowance());
+      CallOptions options = Fixture.optionsOf("e" + i, "d" + i % 3, "d" + i % 3);
       CallDecider decider = new CallDecider(options, seed + i, 0);
       decider.updateConfig(
           Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of()))));
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -110,21 +110,7 @@
   }
 
   private CallDecider newDecider(int index) {
-    CallOptions defaults = Fixture.OPTIONS;
-    CallOptions options =
-        new CallOptions(
-            "e" + index,
-            "d" + index % 3,
-            "r1",
-            defaults.maxKeyAgeMillis(),
-            defaults.maxDenialAgeMillis(),
-            defaults.versionGraceMillis(),
-            defaults.versionCutoffMillis(),
-            defaults.retryRatio(),
-            defaults.retryAllowance(),
-            defaults.retryWindowMillis(),
-            defaults.coldOverrunFactor(),
-            defaults.coldAllowance());
+    CallOptions options = Fixture.optionsOf("e" + index, "d" + index % 3, "r1");
     CallDecider decider = new CallDecider(options, random.nextLong(), now);
     decider.updateConfig(
         Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of()))));
--- a/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/Fixture.java
@@ -32,6 +32,23 @@
     decider = new CallDecider(options, 7, 0);
   }
 
+  /** Returns the options of an entry with another name and place. */
+  static CallOptions optionsOf(String self, String domain, String region) {
+    return new CallOptions(
+        self,
+        domain,
+        region,
+        OPTIONS.maxKeyAgeMillis(),
+        OPTIONS.maxDenialAgeMillis(),
+        OPTIONS.versionGraceMillis(),
+        OPTIONS.versionCutoffMillis(),
+        OPTIONS.retryRatio(),
+        OPTIONS.retryAllowance(),
+        OPTIONS.retryWindowMillis(),
+        OPTIONS.coldOverrunFactor(),
+        OPTIONS.coldAllowance());
+  }
+
   /** Provides the configuration, these endpoints and a current confirmation to the decider. */
   Fixture withEndpoints(EndpointSpec... listed) {
     decider.updateConfig(config(1, Map.of(KEY, new WorkspaceSpec("w1", 1, List.of()))));
