--- a/policy/src/main/java/org/cornelchute/policy/forward/NamedLimit.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/NamedLimit.java
@@ -16,8 +16,8 @@
   /** The response names a limit that cannot be read. */
   public static final NamedLimit UNREADABLE = new NamedLimit(Kind.UNREADABLE, 0);
 
-  /** Decimal number with a bounded number of digits. */
-  private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+  /** Decimal number without sign and exponent; its length is bounded so that it stays finite. */
+  private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,64}(\\.[0-9]{1,64})?");
 
   /** Whether a response names a limit. */
   public enum Kind {
--- a/policy/src/test/java/org/cornelchute/policy/forward/NamedLimitTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/NamedLimitTest.java
@@ -18,6 +18,14 @@
     assertThat(NamedLimit.parse(null)).isEqualTo(NamedLimit.NONE);
   }
 
+  // Failure: a limit with more digits than expected was ignored.
+  @Test
+  void readsNumbersWithManyDigits() {
+    assertThat(NamedLimit.parse("2.4000000000000004").perSecond()).isEqualTo(2.4000000000000004);
+    assertThat(NamedLimit.parse("0." + "3".repeat(40)).kind()).isEqualTo(NamedLimit.Kind.NAMED);
+    assertThat(NamedLimit.parse("00000000000000000001.0").perSecond()).isEqualTo(1);
+  }
+
   // Failure: a text that is no limit is taken for a limit of zero.
   @ParameterizedTest
   @ValueSource(strings = {"", "none", "-1", "NaN", "Infinity", "1,5", "1e9", "0x1p3", "1.2.3", "."})
