--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -127,7 +127,7 @@
     Crash crash = new Crash(endpoint, now, parts.subList(0, Math.min(MAX_PARTS, parts.size())));
     observedParts.addAll(crash.parts());
     if (add(now, crash)) {
-      exchange.announceOwn(crash);
+      exchange.announceOwn(crash, !servedAtByPart.keySet().containsAll(crash.parts()));
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/crash/EvidenceExchange.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/EvidenceExchange.java
@@ -19,8 +19,8 @@
  */
 final class EvidenceExchange {
 
-  /** Number of reports that hold an own crash, since datagrams may be lost. */
-  private static final int OWN_REPORTS = 3;
+  /** Number of reports that hold an own crash with an unknown part; datagrams may be lost. */
+  private static final int URGENT_REPORTS = 3;
 
   /** Entries, including this one, up to which all are reached without others passing on. */
   private static final int MAX_DIRECT_ENTRIES = 9;
@@ -42,9 +42,19 @@
     entryCount = count;
   }
 
-  /** Queues a crash that this entry saw. */
-  void announceOwn(Crash crash) {
-    enqueue(new Queued(crash, OWN_REPORTS));
+  /**
+   * Queues a crash that this entry saw.
+   *
+   * @param urgent whether a part of the call was never served; such a crash is reported before
+   *     those that are most likely of calls that happened to run at the endpoint
+   */
+  void announceOwn(Crash crash, boolean urgent) {
+    if (urgent) {
+      makeRoom();
+      crashes.addFirst(new Queued(crash, URGENT_REPORTS));
+    } else {
+      enqueue(new Queued(crash, 1));
+    }
   }
 
   /** Queues a crash that another entry reported, if not all entries have received that report. */
@@ -126,10 +136,14 @@
   }
 
   private void enqueue(Queued queued) {
+    makeRoom();
+    crashes.addLast(queued);
+  }
+
+  private void makeRoom() {
     if (crashes.size() >= MAX_QUEUED_CRASHES) {
-      crashes.pollFirst();
+      crashes.pollLast();
     }
-    crashes.addLast(queued);
   }
 
   private static CrashReport toReport(long now, Crash crash) {
--- a/policy/src/main/java/org/cornelchute/policy/crash/Suspect.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/Suspect.java
@@ -19,12 +19,12 @@
   /** Crashes from which on a call is not sent again after a response that broke off. */
   private static final int MIN_CRASHES_TO_SUSPECT = 2;
 
-  private static final int MIN_CRASHES_TO_SUSPECT_SERVED = 4;
+  private static final int MIN_CRASHES_TO_SUSPECT_SERVED = 3;
 
   /** Crashes from which on calls with the part are rejected. */
   private static final int MIN_CRASHES_TO_BLOCK = 3;
 
-  private static final int MIN_CRASHES_TO_BLOCK_SERVED = 8;
+  private static final int MIN_CRASHES_TO_BLOCK_SERVED = 5;
 
   boolean isSuspect() {
     return crashCount >= (servedBefore ? MIN_CRASHES_TO_SUSPECT_SERVED : MIN_CRASHES_TO_SUSPECT);
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -150,6 +150,18 @@
         .hasSizeLessThan(10);
   }
 
+  // Failure: a part with which calls were served for long is taken for sound for good.
+  @ParameterizedTest
+  @CsvSource({"4, 1, 4", "6, 2, 4", "6, 3, 0.6", "6, 4, 1.2", "13, 5, 2", "13, 6, 10"})
+  void stopsSendingCallsWithPartThatWasServedForLong(int entries, long seed, double perSecond) {
+    EngineSimulation simulation = simulation(entries, seed);
+    simulation.sendCalls(0, 60_000, perSecond, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    simulation.at(HARM_FROM_MILLIS, () -> simulation.harmfulParts.add(HARMFUL));
+    simulation.run(60_000);
+    assertContained(simulation, HARMFUL);
+    assertSoundCallsServed(simulation, HARMFUL, 7);
+  }
+
   // Failure: after a restart of all entries the part crashes as many engines as the first time.
   @ParameterizedTest
   @CsvSource({"4, 1", "6, 2", "13, 3"})
