--- a/policy/src/main/java/org/cornelchute/policy/crash/EvidenceExchange.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/EvidenceExchange.java
@@ -30,6 +30,9 @@
   private static final int MAX_QUEUED_CRASHES = 128;
   private static final int MAX_QUEUED_SERVED = 128;
 
+  /** Time before the first crash at which parts count as served in a summary. */
+  private static final long SERVED_MARGIN_MILLIS = 10_000;
+
   /** Crashes that are sent as the evidence against one part; enough to block it. */
   private static final int MAX_CRASHES_PER_SUSPECT = 6;
 
@@ -110,12 +113,15 @@
     Suspect suspect = blocked.get(nextSuspect++ % blocked.size());
     List<CrashReport> reports = new ArrayList<>();
     Map<Long, ServedPart> served = new LinkedHashMap<>();
+    // That a part was served before tells it from a new one. Its time must not clear the part: it
+    // would grow by the delay of each message that passes it on.
+    long before = suspect.crashes().get(0).at() - SERVED_MARGIN_MILLIS;
     for (Crash crash : newestCrashes(suspect)) {
       reports.add(toReport(now, crash));
       for (long part : crash.parts()) {
         Long at = servedAt.get(part);
         if (at != null && served.size() < MAX_SERVED_PER_REPORT) {
-          served.put(part, new ServedPart(part, Math.max(0, now - at)));
+          served.put(part, new ServedPart(part, Math.max(0, now - Math.min(at, before))));
         }
       }
     }
--- a/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
@@ -145,6 +145,24 @@
     assertThat(later.isBlocked(now, List.of(HARMFUL))).isTrue();
   }
 
+  // Failure: times of service that entries tell each other over and over grow by the delay of each
+  // message, until they are later than the crashes.
+  @Test
+  void keepsPartBlockedWhileSummariesCircleForHours() {
+    evidence.recordServed(now, List.of(FIRST, HARMFUL));
+    CrashEvidence other = evidence("e2");
+    for (int i = 0; i < 6; i++) {
+      crash(FIRST, HARMFUL);
+    }
+    for (int i = 0; i < 20_000; i++) {
+      other.recordReport(now + 20, evidence.summary(now));
+      evidence.recordReport(now + 40, other.summary(now + 20));
+      now += 200;
+    }
+    assertThat(isBlocked(HARMFUL, 9L)).isTrue();
+    assertThat(other.isBlocked(now, List.of(HARMFUL))).isTrue();
+  }
+
   // Failure: two harmful parts at once, each of them seen in some crashes of the other.
   @Test
   void blocksTwoPartsAtOnce() {
