--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -131,12 +131,17 @@
     }
   }
 
-  /** Records that a call was served completely. */
-  public void recordServed(long now, List<Long> parts) {
+  /**
+   * Records that a call was served completely. Its parts were harmless when its response began; one
+   * may have become harmful since.
+   *
+   * @param begunAt time at which the response began
+   */
+  public void recordServed(long begunAt, List<Long> parts) {
     for (long part : parts) {
-      if (clear(part, now)) {
+      if (clear(part, begunAt)) {
         observedParts.add(part);
-        exchange.announceServed(part, now);
+        exchange.announceServed(part, begunAt);
       }
     }
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -412,7 +412,7 @@
     Call call = findAttempt(number, attempt);
     if (call != null) {
       if (provesService(now, call)) {
-        crashEvidence.recordServed(now, call.spec.sharedParts());
+        crashEvidence.recordServed(call.begunAt, call.spec.sharedParts());
         reportPartChanges(now, effects);
       }
       effects.add(new CallEffect.Complete(number, attempt));
