--- /dev/null
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -0,0 +1,122 @@
+package org.cornelchute.entry.direct;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelchute.policy.forward.CallKind;
+import org.cornelchute.policy.forward.EndpointSpec;
+import org.cornelchute.policy.forward.RouteSpec;
+import org.cornelchute.policy.forward.ServiceSpec;
+import org.cornelchute.policy.forward.ServingConfig;
+
+/** An entry before scripted endpoints, with one route of streams that may be resumed. */
+final class StreamFixture implements AutoCloseable {
+
+  static final int TIMEOUT_MILLIS = 6_000;
+
+  private static final String SERVICE = "s";
+  private static final long KEY_AGE_MILLIS = 60_000;
+  private static final int MAX_ATTEMPTS = 2;
+
+  private final DirectEntryDaemon entry;
+  private final String address;
+
+  /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
+  StreamFixture(ScriptedEndpoint... endpoints) throws IOException {
+    List<EndpointSpec> specs = new ArrayList<>();
+    for (ScriptedEndpoint endpoint : endpoints) {
+      specs.add(EntryFixture.endpointSpec("i" + specs.size(), SERVICE, endpoint.port()));
+    }
+    address = EntryFixture.freeAddress();
+    entry =
+        new DirectEntryDaemon(
+            EntryFixture.settings(
+                address,
+                EntryFixture.freeAddress(),
+                "",
+                EntryFixture.freeAddress(),
+                KEY_AGE_MILLIS),
+            EntryFixture.HEADER_NAMES,
+            EntryFixture.fixedState(config(), specs),
+            1);
+    entry.start();
+  }
+
+  private static ServingConfig config() {
+    RouteSpec route =
+        new RouteSpec(
+            "r",
+            "127.0.0.1",
+            "/s/",
+            CallKind.STREAM,
+            true,
+            TIMEOUT_MILLIS,
+            500,
+            1,
+            MAX_ATTEMPTS,
+            true,
+            List.of(),
+            List.of(new RouteSpec.WeightedService(SERVICE, 1)));
+    return new ServingConfig(
+        1,
+        List.of(route),
+        List.of(new ServiceSpec(SERVICE, 32, 0, 0, Optional.empty())),
+        false,
+        Map.of(),
+        ServingConfig.CallerLimits.DEFAULTS);
+  }
+
+  /** Sends a call and returns all bytes that its caller receives until the connection ends. */
+  String call(String id) throws IOException {
+    int colon = address.indexOf(':');
+    try (Socket caller =
+        new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+      caller.setSoTimeout(2 * TIMEOUT_MILLIS);
+      String request =
+          "POST /s/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: "
+              + id
+              + "\r\nx-deadline: 20000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+      caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      return readAll(caller.getInputStream());
+    }
+  }
+
+  private static String readAll(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    byte[] buffer = new byte[4_096];
+    try {
+      for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+        text.append(new String(buffer, 0, n, StandardCharsets.US_ASCII));
+      }
+    } catch (SocketException e) {
+      text.append("(reset)");
+    }
+    return text.toString();
+  }
+
+  /** Returns whether a response ends as complete, with the last chunk of its body. */
+  static boolean isComplete(String response) {
+    return response.endsWith("\r\n" + ScriptedEndpoint.lastChunk());
+  }
+
+  /** Returns the ids of the events of a response in order. */
+  static List<Integer> eventIds(String response) {
+    List<Integer> ids = new ArrayList<>();
+    response
+        .lines()
+        .filter(line -> line.startsWith("id: "))
+        .forEach(line -> ids.add(Integer.parseInt(line.substring(4).strip())));
+    return ids;
+  }
+
+  @Override
+  public void close() {
+    entry.close();
+  }
+}
