--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -24,8 +24,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The connection of a caller; passes complete requests on and handles pipelined requests one at a
@@ -33,6 +36,7 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
+  private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
   private final Listener listener;
@@ -44,6 +48,9 @@
   private boolean closing;
   private boolean keepAlive;
 
+  /** Completed once all that was written is sent, null if nothing was written yet. */
+  private ChannelFuture lastWrite;
+
   /** Time at which the connection opened, the last request started or the last response ended. */
   private long waitingSince;
 
@@ -86,6 +93,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      LOG.error("closing a caller connection, internal failure open={}", !isIdle(), cause);
+    }
     ctx.close();
   }
 
@@ -178,6 +188,11 @@
   }
 
   void close() {
+    if (lastWrite != null && !lastWrite.isDone()) {
+      LOG.warn(
+          "closing a caller connection before its response is sent bytesToWritable={}",
+          channel.bytesBeforeWritable());
+    }
     closing = true;
     channel.close();
   }
@@ -248,6 +263,7 @@
   }
 
   private void finishResponse(ChannelFuture writeFuture) {
+    lastWrite = writeFuture;
     currentCall = null;
     waitingSince = listener.currentMillis();
     if (!keepAlive) {
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -11,7 +11,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection that carries one exchange at a time.
@@ -22,6 +25,7 @@
  */
 final class WireConnection extends ChannelInboundHandlerAdapter {
 
+  private static final Logger LOG = LoggerFactory.getLogger(WireConnection.class);
   private static final String KEEP_ALIVE = "Keep-Alive";
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
@@ -185,6 +189,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      LOG.error("closing a connection to {}, internal failure", address, cause);
+    }
     failExchange("connection failed: " + cause.getMessage());
     ctx.close();
   }
