Do not give up a stream because its endpoint is silent

What callers saw (LOST): their stream was closed in the middle, or they got 502, although its endpoint was sound, had been silent for a second and went on. All such streams at once if all endpoints are silent; beside a change of the configuration this is a request that was read whole and got neither a response nor a rejection. Without one (slots, weights of the stream, attempts, retry budget, evacuation, a refusal) the call ended. The class: a timer ends something that may be sound before something better is there. Fix: after 0.9 s the stream is sent to a second endpoint as well (backup), if one can take it that has sent this entry data since. The attempt that delivers the next event first is kept, the other one is canceled; if the second one is refused, fails or ends without an event, the first goes on. Attempts and retry budget count as before, and spend nothing when all endpoints are silent. An endpoint that goes on leaves its backoff with its first event, not with its next response. Ruled out: a longer timeout (an endpoint that is dead would cost its callers, and no bound separates 1 s from dead); a cancel only if another endpoint can take the call (the other one may refuse it, or be silent as well, and the last event may have been delivered already, so that nothing is left to deliver elsewhere).

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -247,8 +247,9 @@
 
   @Override
   public void onWritabilityChanged(OpenCall call) {
-    if (call.streaming && call.exchange != null) {
-      call.exchange.setReading(call.callerConnection.isWritable());
+    OpenAttempt current = call.current;
+    if (current != null && current.streaming && current.exchange != null) {
+      current.exchange.setReading(call.callerConnection.isWritable());
     }
   }
 
@@ -324,6 +325,8 @@
         dispatch(dispatch);
       } else if (effect instanceof CallEffect.CancelAttempt cancel) {
         cancelAttempt(cancel);
+      } else if (effect instanceof CallEffect.PromoteBackup promote) {
+        promoteBackup(promote);
       } else if (effect instanceof CallEffect.StartStream start) {
         startStream(start);
       } else if (effect instanceof CallEffect.Complete complete) {
@@ -346,7 +349,17 @@
     if (call == null) {
       return;
     }
-    call.startAttempt(dispatch.attempt());
+    OpenAttempt attempt =
+        dispatch.backup()
+            ? call.startBackup(dispatch.attempt())
+            : call.startAttempt(dispatch.attempt());
+    // A send that fails immediately is handled later on the event loop, after the remaining
+    // effects.
+    attempt.exchange =
+        client.send(toWireRequest(call, dispatch), new AttemptListener(call, attempt));
+  }
+
+  private WireRequest toWireRequest(OpenCall call, CallEffect.Dispatch dispatch) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -376,24 +389,26 @@
     if (request.content().isReadable() || HttpUtil.isContentLengthSet(call.request)) {
       HttpUtil.setContentLength(request, request.content().readableBytes());
     }
-    WireRequest wireRequest =
-        new WireRequest(
-            dispatch.endpoint().address(),
-            request,
-            headerNames.requestId(),
-            dispatch.maxConnections(),
-            CONNECT_TIMEOUT_MILLIS,
-            MAX_CONNECTION_IDLE_MILLIS);
-    // A send that fails immediately is handled later on the event loop, after the remaining
-    // effects.
-    call.exchange = client.send(wireRequest, new AttemptListener(call, dispatch.attempt()));
+    return new WireRequest(
+        dispatch.endpoint().address(),
+        request,
+        headerNames.requestId(),
+        dispatch.maxConnections(),
+        CONNECT_TIMEOUT_MILLIS,
+        MAX_CONNECTION_IDLE_MILLIS);
   }
 
   private void cancelAttempt(CallEffect.CancelAttempt effect) {
     OpenCall call = openCalls.get(effect.call());
-    if (call != null && call.attempt == effect.attempt() && call.exchange != null) {
-      call.exchange.cancel();
-      call.exchange = null;
+    if (call != null) {
+      call.cancelAttempt(effect.attempt());
+    }
+  }
+
+  private void promoteBackup(CallEffect.PromoteBackup effect) {
+    OpenCall call = openCalls.get(effect.call());
+    if (call != null) {
+      call.promoteBackup();
     }
   }
 
@@ -402,12 +417,12 @@
     if (call == null) {
       return;
     }
-    call.streaming = true;
+    call.current.streaming = true;
     if (!call.responseStarted) {
       call.responseStarted = true;
       HttpResponse response =
-          new DefaultHttpResponse(HttpVersion.HTTP_1_1, call.responseHead.status());
-      headerCopier.copyResponseHeaders(call.responseHead.headers(), response.headers());
+          new DefaultHttpResponse(HttpVersion.HTTP_1_1, call.current.head.status());
+      headerCopier.copyResponseHeaders(call.current.head.headers(), response.headers());
       call.callerConnection.startResponse(response);
       call.callerConnection.flush();
     }
@@ -421,7 +436,6 @@
     }
     answeredMeter.mark();
     latencyHistogram.update(clockMillis.getAsLong() - call.arrivedAt);
-    call.exchange = null;
     if (call.responseStarted) {
       removeCall(call);
       call.callerConnection.completeResponse();
@@ -430,10 +444,10 @@
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
-            call.responseHead.status(),
-            call.responseBody.retainedDuplicate());
-    headerCopier.copyResponseHeaders(call.responseHead.headers(), response.headers());
-    int reservedBytes = call.takeReservedBytes();
+            call.current.head.status(),
+            call.current.body().retainedDuplicate());
+    headerCopier.copyResponseHeaders(call.current.head.headers(), response.headers());
+    int reservedBytes = call.current.takeReservedBytes();
     removeCall(call);
     call.callerConnection
         .writeResponse(response)
@@ -472,9 +486,6 @@
     OpenCall call = openCalls.get(effect.call());
     if (call != null) {
       lostMeter.mark();
-      if (call.exchange != null) {
-        call.exchange.cancel();
-      }
       removeCall(call);
       call.callerConnection.abortResponse();
     }
@@ -503,7 +514,7 @@
         comma < 0 ? 0 : parseNumber(tokenCounts.substring(0, comma), 0),
         comma < 0 ? 0 : parseNumber(tokenCounts.substring(comma + 1), 0),
         parseNumber(headers.get(headerNames.lengthHint()), 0),
-        call.eventDecoder.lastEventId(),
+        call.callerLastEventId,
         SharedPartsParser.parse(headers.get(headerNames.promptParts(), "")));
   }
 
@@ -524,9 +535,10 @@
   /** Records progress for streams that wait for their callers, so that none counts as stalled. */
   private void recordPausedStreams() {
     long now = clockMillis.getAsLong();
-    for (OpenCall call : openCalls.values()) {
-      if (call.streaming && !call.callerConnection.isWritable()) {
-        decider.onResponseProgress(now, call.number, call.attempt, call.eventDecoder.lastEventId());
+    for (OpenCall call : List.copyOf(openCalls.values())) {
+      if (call.current != null && call.current.streaming && !call.callerConnection.isWritable()) {
+        apply(
+            decider.onResponseProgress(now, call.number, call.current.number, call.lastEventId()));
       }
     }
   }
@@ -554,16 +566,16 @@
   private final class AttemptListener implements WireListener {
 
     private final OpenCall call;
-    private final int attempt;
+    private final OpenAttempt attempt;
 
-    AttemptListener(OpenCall call, int attempt) {
+    AttemptListener(OpenCall call, OpenAttempt attempt) {
       this.call = call;
       this.attempt = attempt;
     }
 
     @Override
     public void onHead(HttpResponse head) {
-      call.responseHead = head;
+      attempt.head = head;
       HttpHeaders headers = head.headers();
       String load = headers.get(headerNames.endpointLoad(), "");
       String[] loadParts = load.split(",");
@@ -579,54 +591,67 @@
               hasLoad ? (int) parseNumber(loadParts[0], 0) : -1,
               hasLoad ? (int) parseNumber(loadParts[1], 0) : 0,
               NamedLimit.parse(headers.get(headerNames.endpointLimit())));
-      apply(decider.onResponseHead(clockMillis.getAsLong(), call.number, attempt, responseHead));
+      apply(
+          decider.onResponseHead(
+              clockMillis.getAsLong(), call.number, attempt.number, responseHead));
     }
 
     @Override
     public void onContent(ByteBuf bytes) {
-      if (call.attempt != attempt || !openCalls.containsKey(call.number)) {
+      if (!isOpen()) {
         return;
       }
-      if (!call.streaming) {
+      if (attempt == call.current && !attempt.streaming) {
         appendToBody(bytes);
         return;
       }
       byte[] copy = new byte[bytes.readableBytes()];
       bytes.readBytes(copy);
-      List<byte[]> events = call.eventDecoder.decode(copy);
-      for (byte[] event : events) {
-        call.callerConnection.writeBodyPart(event);
-      }
+      List<byte[]> events = attempt.eventDecoder.decode(copy);
       if (!events.isEmpty()) {
+        // This may promote the attempt, if it is the backup.
+        apply(
+            decider.onResponseProgress(
+                clockMillis.getAsLong(),
+                call.number,
+                attempt.number,
+                attempt.eventDecoder.lastEventId()));
+      }
+      if (call.forwards(attempt)) {
+        events.forEach(call.callerConnection::writeBodyPart);
         call.callerConnection.flush();
-        decider.onResponseProgress(
-            clockMillis.getAsLong(), call.number, attempt, call.eventDecoder.lastEventId());
       }
-      call.eventDecoder.fault().ifPresent(call.exchange::reject);
+      if (attempt.exchange != null) {
+        attempt.eventDecoder.fault().ifPresent(attempt.exchange::reject);
+      }
+    }
+
+    private boolean isOpen() {
+      return openCalls.containsKey(call.number) && call.isOpen(attempt);
     }
 
     private void appendToBody(ByteBuf bytes) {
-      if (bytes.readableBytes() > MAX_RESPONSE_BODY_BYTES - call.responseBody.readableBytes()) {
-        call.exchange.reject("response body exceeds " + MAX_RESPONSE_BODY_BYTES + " bytes");
-      } else if (!call.appendToBody(bytes)) {
+      if (bytes.readableBytes() > MAX_RESPONSE_BODY_BYTES - attempt.body().readableBytes()) {
+        attempt.exchange.reject("response body exceeds " + MAX_RESPONSE_BODY_BYTES + " bytes");
+      } else if (!attempt.appendToBody(bytes)) {
         metrics.meter("calls.unbuffered").mark();
-        call.exchange.cancel();
+        attempt.exchange.cancel();
         onFailure(true, "memory for response bodies is exhausted");
       }
     }
 
     @Override
     public void onEnd() {
-      if (call.attempt != attempt || !openCalls.containsKey(call.number)) {
+      if (!isOpen()) {
         return;
       }
       long now = clockMillis.getAsLong();
-      if (call.streaming && call.eventDecoder.hasPartialEvent()) {
+      if (attempt.eventDecoder.hasPartialEvent()) {
         apply(
             decider.onAttemptFailure(
-                now, call.number, attempt, true, "stream ended inside an event"));
+                now, call.number, attempt.number, true, "stream ended inside an event"));
       } else {
-        apply(decider.onResponseEnd(now, call.number, attempt));
+        apply(decider.onResponseEnd(now, call.number, attempt.number));
       }
     }
 
@@ -636,7 +661,7 @@
           () ->
               apply(
                   decider.onAttemptFailure(
-                      clockMillis.getAsLong(), call.number, attempt, sent, reason)));
+                      clockMillis.getAsLong(), call.number, attempt.number, sent, reason)));
     }
   }
 }
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
@@ -1,31 +1,25 @@
 package org.cornelchute.entry.direct;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import org.cornelchute.net.wire.WireExchange;
-import org.cornelchute.policy.forward.EventStreamDecoder;
 
-/** A call in progress: its request and the response to its current attempt. */
+/** A call in progress: its request and its attempts. */
 final class OpenCall {
 
   final long number;
   final CallerConnection callerConnection;
   final FullHttpRequest request;
-  final EventStreamDecoder eventDecoder;
   final long arrivedAt;
+
+  /** Id of the last event that the caller received before this call, negative if none. */
+  final long callerLastEventId;
+
   private final ResponseBudget responseBudget;
-  WireExchange exchange;
-  int attempt;
-  HttpResponse responseHead;
-  ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
 
-  /** Part of the budget for the body of the response to the current attempt. */
-  private int reservedBytes;
+  /** Attempt whose response the caller receives, null before the first one. */
+  OpenAttempt current;
 
-  /** Whether the response to the current attempt is forwarded while it arrives. */
-  boolean streaming;
+  /** Attempt that goes on beside the current one, null if there is none. */
+  OpenAttempt backup;
 
   /** Whether the head of the response was sent to the caller, by any attempt. */
   boolean responseStarted;
@@ -34,55 +28,77 @@
       long number,
       CallerConnection callerConnection,
       FullHttpRequest request,
-      long lastEventId,
+      long callerLastEventId,
       ResponseBudget responseBudget,
       long now) {
     this.number = number;
     this.callerConnection = callerConnection;
     this.request = request;
+    this.callerLastEventId = callerLastEventId;
     this.responseBudget = responseBudget;
     this.arrivedAt = now;
-    this.eventDecoder = new EventStreamDecoder(lastEventId);
   }
 
-  /** Starts the next attempt and discards what was received for the previous one. */
-  void startAttempt(int nextAttempt) {
-    attempt = nextAttempt;
-    responseHead = null;
-    streaming = false;
-    releaseBody();
-    eventDecoder.discardPartialEvent();
+  /** Returns the id of the last event that the caller has, negative if it has none. */
+  long lastEventId() {
+    return current == null ? callerLastEventId : current.eventDecoder.lastEventId();
   }
 
-  /** Appends to the buffered body, unless the budget is exhausted. */
-  boolean appendToBody(ByteBuf bytes) {
-    int size = bytes.readableBytes();
-    if (!responseBudget.tryReserve(size)) {
-      return false;
-    }
-    reservedBytes += size;
-    if (responseBody == Unpooled.EMPTY_BUFFER) {
-      responseBody = Unpooled.buffer(size);
+  /** Starts an attempt in place of the current one, of which everything received is discarded. */
+  OpenAttempt startAttempt(int attempt) {
+    OpenAttempt next = new OpenAttempt(attempt, lastEventId(), responseBudget);
+    releaseCurrent();
+    current = next;
+    return next;
+  }
+
+  /** Starts an attempt beside the current one. */
+  OpenAttempt startBackup(int attempt) {
+    backup = new OpenAttempt(attempt, lastEventId(), responseBudget);
+    return backup;
+  }
+
+  /** Replaces the current attempt with the one beside it. */
+  void promoteBackup() {
+    releaseCurrent();
+    current = backup;
+    backup = null;
+  }
+
+  /** Cancels an attempt, if it is still open. */
+  void cancelAttempt(int attempt) {
+    if (backup != null && backup.number == attempt) {
+      backup.release();
+      backup = null;
+    } else if (current != null && current.number == attempt && current.exchange != null) {
+      current.exchange.cancel();
+      current.exchange = null;
     }
-    responseBody.writeBytes(bytes);
-    return true;
   }
 
-  /** Returns what was reserved for the body, which the caller of this method must release. */
-  int takeReservedBytes() {
-    int taken = reservedBytes;
-    reservedBytes = 0;
-    return taken;
+  /** Returns whether the events of an attempt are forwarded to the caller. */
+  boolean forwards(OpenAttempt attempt) {
+    return attempt == current && attempt.streaming;
+  }
+
+  /** Returns whether an attempt was neither canceled nor replaced. */
+  boolean isOpen(OpenAttempt attempt) {
+    return attempt == current || attempt == backup;
   }
 
   void release() {
-    releaseBody();
+    releaseCurrent();
+    if (backup != null) {
+      backup.release();
+      backup = null;
+    }
     request.release();
   }
 
-  private void releaseBody() {
-    responseBody.release();
-    responseBody = Unpooled.EMPTY_BUFFER;
-    responseBudget.release(takeReservedBytes());
+  private void releaseCurrent() {
+    if (current != null) {
+      current.release();
+      current = null;
+    }
   }
 }
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Attempt.java
@@ -0,0 +1,34 @@
+package org.cornelchute.policy.forward;
+
+/** One attempt to have a call executed by an endpoint. */
+final class Attempt {
+
+  /** Number of the attempt within its call, from 1. */
+  final int number;
+
+  final Endpoint endpoint;
+  final long dispatchedAt;
+
+  /** Time of the dispatch or of the latest data from the endpoint for this attempt. */
+  long lastProgressAt;
+
+  /** Time at which the endpoint began a success response, 0 if not yet. */
+  long begunAt;
+
+  /** Version of the weights that this response names, 0 if none. */
+  long version;
+
+  /** Whether only the close of the connection ends that response. */
+  boolean endsOnClose;
+
+  Attempt(int number, Endpoint endpoint, long now) {
+    this.number = number;
+    this.endpoint = endpoint;
+    this.dispatchedAt = now;
+    this.lastProgressAt = now;
+  }
+
+  boolean hasBegun() {
+    return begunAt > 0;
+  }
+}
--- a/policy/src/main/java/org/cornelchute/policy/forward/Call.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -24,18 +24,19 @@
   long queuedUntil;
 
   /** Number of the latest attempt, from 1. */
-  int attempt;
+  int lastAttempt;
 
   /** Number of attempts of which bytes may have reached an endpoint. */
   int sentAttempts;
 
-  /** Endpoint of the current attempt, null if there is none. */
-  Endpoint endpoint;
+  /** Attempt whose response the caller receives, null if there is none. */
+  Attempt current;
 
-  long dispatchedAt;
-
-  /** Time of the latest dispatch or of the latest data from the endpoint for this call. */
-  long lastProgressAt;
+  /**
+   * Attempt that was started because the endpoint of the current one is silent, null if there is
+   * none. It replaces the current attempt if that fails, or if it delivers first.
+   */
+  Attempt backup;
 
   /** Id of the last event that was delivered to the caller, negative if none. */
   long lastEventId;
@@ -43,12 +44,6 @@
   /** Version of the weights that the stream started on. */
   long streamVersion;
 
-  /** Time at which the endpoint of the current attempt began a success response, 0 if not yet. */
-  long begunAt;
-
-  /** Whether only the close of the connection ends that response. */
-  boolean endsOnClose;
-
   /** Whether an attempt without a response may have been executed. */
   boolean mayHaveExecuted;
 
@@ -82,8 +77,12 @@
     return route.targetLatencyMillis() - earlierWaitMillis - (now - arrivedAt);
   }
 
-  boolean hasBegun() {
-    return begunAt > 0;
+  /** Returns the attempt with a number if it is still open, null otherwise. */
+  Attempt findAttempt(int number) {
+    if (current != null && current.number == number) {
+      return current;
+    }
+    return backup != null && backup.number == number ? backup : null;
   }
 
   int priority() {
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -30,7 +30,7 @@
  */
 public final class CallDecider {
 
-  /** Time without data from the endpoint after which a stream is retried on another endpoint. */
+  /** Time without data from the endpoint after which a stream is sent to a second one as well. */
   private static final long STREAM_IDLE_TIMEOUT_MILLIS = 900;
 
   /** Time from the start of a response from which on its end is not taken for a crash. */
@@ -40,8 +40,6 @@
   private static final long MIN_RETRY_TIME_MILLIS = 60;
 
   private static final long MAX_REPORTED_AGE_MILLIS = 86_400_000;
-  private static final int STATUS_OK = 200;
-  private static final int STATUS_MULTIPLE_CHOICES = 300;
   private static final int STATUS_INTERNAL_SERVER_ERROR = 500;
 
   /** Load per slot up to which endpoints of plain services accept calls. */
@@ -353,12 +351,13 @@
   /** Handles the head of a response from an endpoint. */
   public List<CallEffect> onResponseHead(long now, long number, int attempt, ResponseHead head) {
     List<CallEffect> effects = new ArrayList<>(3);
-    Call call = findAttempt(number, attempt);
-    if (call == null) {
+    Call call = calls.get(number);
+    Attempt received = call == null ? null : call.findAttempt(attempt);
+    if (received == null) {
       return effects;
     }
-    call.lastProgressAt = now;
-    Endpoint endpoint = call.endpoint;
+    received.lastProgressAt = now;
+    Endpoint endpoint = received.endpoint;
     endpointPool.recordActivity(now, endpoint);
     if (head.running() >= 0) {
       endpoint.recordLoad(now, head.running(), head.queued());
@@ -367,28 +366,24 @@
       endpoint.version = head.version();
     }
     recordNamedLimit(now, effects, endpoint, head.limit());
-    if (head.notExecuted() || head.instanceMismatch()) {
+    if (received == call.backup) {
+      handleBackupHead(now, effects, call, head);
+    } else if (head.notExecuted() || head.instanceMismatch()) {
       handleEndpointRefusal(now, effects, call, head);
     } else if (head.status() >= STATUS_INTERNAL_SERVER_ERROR
         && !call.streaming
-        && canRetryNow(now, call)) {
+        && (call.backup != null || canRetryNow(now, call))) {
       effects.add(new CallEffect.CancelAttempt(number, attempt));
       call.mayHaveExecuted = true;
       retryOrReject(now, effects, call, "endpoint responded with status " + head.status());
-    } else if (head.status() >= STATUS_OK
-        && head.status() < STATUS_MULTIPLE_CHOICES
-        && !head.signed()) {
+    } else if (head.isSuccess() && !head.signed()) {
       effects.add(new CallEffect.CancelAttempt(number, attempt));
       call.mayHaveExecuted = true;
       handleLostResponse(now, effects, call, "success response without signature of the endpoint");
-    } else if (head.status() >= STATUS_OK && head.status() < STATUS_MULTIPLE_CHOICES) {
-      call.begunAt = now;
-      call.endsOnClose = head.endsOnClose();
-      if (call.route.kind() == CallKind.STREAM) {
-        call.streaming = true;
-        call.streamVersion = head.version();
-        effects.add(new CallEffect.StartStream(number, attempt));
-      }
+    } else if (head.isSuccess()) {
+      recordBegin(now, received, head);
+      dropBackup(effects, call, "the endpoint of the first attempt goes on");
+      startStream(effects, call);
     } else if (call.streaming) {
       abortResponse(effects, call, "endpoint did not resume the stream, status " + head.status());
     }
@@ -396,30 +391,51 @@
     return effects;
   }
 
-  /** Records that stream events up to {@code lastEventId} were delivered to the caller. */
-  public void onResponseProgress(long now, long number, int attempt, long lastEventId) {
-    Call call = findAttempt(number, attempt);
-    if (call != null) {
-      call.lastProgressAt = now;
-      call.lastEventId = Math.max(call.lastEventId, lastEventId);
-      call.endpoint.lastReceivedAt = now;
+  /**
+   * Handles stream events up to {@code lastEventId} that were received, before they are delivered
+   * to the caller. Of two attempts, the one that delivers first is kept.
+   */
+  public List<CallEffect> onResponseProgress(long now, long number, int attempt, long lastEventId) {
+    List<CallEffect> effects = new ArrayList<>(0);
+    Call call = calls.get(number);
+    Attempt received = call == null ? null : call.findAttempt(attempt);
+    if (received == null) {
+      return effects;
+    }
+    received.lastProgressAt = now;
+    endpointPool.recordActivity(now, received.endpoint);
+    if (received == call.current) {
+      dropBackup(effects, call, "the endpoint of the first attempt goes on");
+    } else if (lastEventId > call.lastEventId) {
+      effects.add(new CallEffect.CancelAttempt(number, call.current.number));
+      call.mayHaveExecuted = true;
+      promoteBackup(effects, call, "the endpoint of the second attempt delivers first");
     }
+    call.lastEventId = Math.max(call.lastEventId, lastEventId);
+    return effects;
   }
 
   /** Handles the end of a complete response from an endpoint. */
   public List<CallEffect> onResponseEnd(long now, long number, int attempt) {
     List<CallEffect> effects = new ArrayList<>(2);
-    Call call = findAttempt(number, attempt);
-    if (call != null) {
-      if (provesService(now, call)) {
-        crashEvidence.recordServed(call.begunAt, call.spec.sharedParts());
-        reportPartChanges(now, effects);
-      }
-      effects.add(new CallEffect.Complete(number, attempt));
-      log(effects, "answered", call, "ms=" + (now - call.arrivedAt));
-      remove(call);
-      dispatchQueued(now, effects);
+    Call call = calls.get(number);
+    Attempt ended = call == null ? null : call.findAttempt(attempt);
+    if (ended == null) {
+      return effects;
     }
+    if (ended == call.backup) {
+      dropBackup(effects, call, "no event after the last one that was delivered");
+      return effects;
+    }
+    if (provesService(now, ended)) {
+      crashEvidence.recordServed(ended.begunAt, call.spec.sharedParts());
+      reportPartChanges(now, effects);
+    }
+    dropBackup(effects, call, "the response of the first attempt is complete");
+    effects.add(new CallEffect.Complete(number, attempt));
+    log(effects, "answered", call, "ms=" + (now - call.arrivedAt));
+    remove(call);
+    dispatchQueued(now, effects);
     return effects;
   }
 
@@ -431,23 +447,29 @@
   public List<CallEffect> onAttemptFailure(
       long now, long number, int attempt, boolean sent, String reason) {
     List<CallEffect> effects = new ArrayList<>(3);
-    Call call = findAttempt(number, attempt);
-    if (call == null) {
+    Call call = calls.get(number);
+    Attempt failed = call == null ? null : call.findAttempt(attempt);
+    if (failed == null) {
       return effects;
     }
-    endpointPool.recordFailure(now, call.endpoint);
+    endpointPool.recordFailure(now, failed.endpoint);
     if (!sent) {
       call.sentAttempts--;
-      retryOrReject(now, effects, call, reason);
-      return effects;
+    } else {
+      call.mayHaveExecuted = true;
+      logBrokenAttempt(effects, call, failed, reason);
+      if (failed.hasBegun()) {
+        crashEvidence.recordCrash(now, failed.endpoint.incarnation(), call.spec.sharedParts());
+        reportPartChanges(now, effects);
+      }
     }
-    call.mayHaveExecuted = true;
-    logBrokenAttempt(effects, call, reason);
-    if (call.hasBegun()) {
-      crashEvidence.recordCrash(now, call.endpoint.incarnation(), call.spec.sharedParts());
-      reportPartChanges(now, effects);
+    if (failed == call.backup) {
+      removeBackup(effects, call, reason);
+    } else if (!sent) {
+      retryOrReject(now, effects, call, reason);
+    } else {
+      handleLostResponse(now, effects, call, reason);
     }
-    handleLostResponse(now, effects, call, reason);
     dispatchQueued(now, effects);
     return effects;
   }
@@ -457,9 +479,7 @@
     List<CallEffect> effects = new ArrayList<>(2);
     Call call = calls.get(number);
     if (call != null) {
-      if (call.endpoint != null) {
-        effects.add(new CallEffect.CancelAttempt(number, call.attempt));
-      }
+      cancelAttempts(effects, call);
       log(effects, "gone", call, "caller disconnected after ms=" + (now - call.arrivedAt));
       remove(call);
       dispatchQueued(now, effects);
@@ -468,8 +488,9 @@
   }
 
   /**
-   * Ends calls that exceeded their deadline or queue time, retries calls that stalled or still wait
-   * for an endpoint with superseded weights, and dispatches queued calls.
+   * Ends calls that exceeded their deadline or queue time, sends streams of silent endpoints to a
+   * second one, retries calls that still wait for an endpoint with superseded weights, and
+   * dispatches queued calls.
    */
   public List<CallEffect> sweep(long now) {
     List<CallEffect> effects = new ArrayList<>();
@@ -487,28 +508,29 @@
               Rejection.OVERLOADED,
               "no free slot within " + (now - call.arrivedAt) + " ms");
         }
-      } else if (!call.streaming && isOutdated(now, call)) {
-        effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.attempt));
-        call.mayHaveExecuted = true;
-        handleLostResponse(
-            now, effects, call, "endpoint still holds superseded version " + call.endpoint.version);
-      } else if (call.route.isRetryable() && isStalled(now, call)) {
-        endpointPool.recordFailure(now, call.endpoint);
-        if (mayRetry(now, call)) {
-          effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.attempt));
-          call.mayHaveExecuted = true;
-          retryOrReject(
-              now,
-              effects,
-              call,
-              "no data from the endpoint for " + (now - call.endpoint.lastReceivedAt) + " ms");
-        }
+      } else {
+        sweepAttempts(now, effects, call);
       }
     }
     dispatchQueued(now, effects);
     return effects;
   }
 
+  private void sweepAttempts(long now, List<CallEffect> effects, Call call) {
+    if (!call.streaming && call.backup != null && isOutdated(now, call, call.backup)) {
+      dropBackup(effects, call, "endpoint still holds a superseded version");
+    }
+    if (!call.streaming && isOutdated(now, call, call.current)) {
+      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+      call.mayHaveExecuted = true;
+      long version = call.current.endpoint.version;
+      handleLostResponse(now, effects, call, "endpoint still holds superseded version " + version);
+    } else if (call.route.isRetryable() && isStalled(now, call)) {
+      endpointPool.recordFailure(now, call.current.endpoint);
+      sendBackup(now, effects, call);
+    }
+  }
+
   // Attempts
 
   /** Dispatches queued calls in order of priority while endpoints have capacity. */
@@ -584,11 +606,13 @@
   }
 
   private Choice chooseEndpoint(long now, Call call, double maxLoad, long minVersion) {
+    return endpointPool.choose(now, requirements(call, maxLoad, minVersion));
+  }
+
+  private static Requirements requirements(Call call, double maxLoad, long minVersion) {
     long version = call.streaming ? call.streamVersion : 0;
-    return endpointPool.choose(
-        now,
-        new Requirements(
-            call.service, call.regions, minVersion, version, maxLoad, call.triedEndpoints));
+    return new Requirements(
+        call.service, call.regions, minVersion, version, maxLoad, call.triedEndpoints, 0);
   }
 
   private long requiredVersion(long now, Call call) {
@@ -614,52 +638,147 @@
   }
 
   private void dispatch(long now, List<CallEffect> effects, Call call, Choice choice) {
+    call.current = startAttempt(now, call, choice);
+    addDispatch(now, effects, call, call.current);
+    logDispatch(now, effects, call, call.current, choice);
+  }
+
+  /**
+   * Sends a stream whose endpoint is silent to a second one, if one can take it that does not seem
+   * to be silent as well. The endpoint of the first attempt may be sound and about to go on, so
+   * that attempt is given up only once the second one delivers.
+   */
+  private void sendBackup(long now, List<CallEffect> effects, Call call) {
+    if (call.backup != null || !mayRetry(now, call)) {
+      return;
+    }
+    Choice choice =
+        endpointPool.choose(
+            now,
+            requirements(call, RETRY_MAX_LOAD_PER_SLOT, requiredVersion(now, call))
+                .respondingSince(call.current.lastProgressAt));
+    if (choice.endpoint().isEmpty()
+        || !retryBudget.trySpend(now, call.service.name(), endpointPool.sharingEntryCount())) {
+      return;
+    }
+    call.backup = startAttempt(now, call, choice);
+    log(
+        effects,
+        "backup",
+        call,
+        "no data from the endpoint for " + (now - call.current.lastProgressAt) + " ms");
+    addDispatch(now, effects, call, call.backup);
+    logDispatch(now, effects, call, call.backup, choice);
+  }
+
+  private Attempt startAttempt(long now, Call call, Choice choice) {
     Endpoint endpoint = choice.endpoint().get();
-    call.endpoint = endpoint;
-    call.attempt++;
-    call.begunAt = 0;
+    call.lastAttempt++;
     call.sentAttempts++;
-    call.dispatchedAt = now;
-    call.lastProgressAt = now;
     call.triedEndpoints.add(endpoint.spec.id());
     endpoint.ownCalls++;
     endpoint.recentDispatches.add(now);
     crashEvidence.recordDispatch(now, call.spec.sharedParts());
-    long remaining = call.deadline - now;
-    long expectedVersion = requiredVersion(now, call) > 0 || call.streaming ? endpoint.version : 0;
+    return new Attempt(call.lastAttempt, endpoint, now);
+  }
+
+  private void addDispatch(long now, List<CallEffect> effects, Call call, Attempt attempt) {
+    boolean needsVersion = requiredVersion(now, call) > 0 || call.streaming;
     // The entries share the connection limit of the endpoint, of which 10% stays in reserve.
     int maxConnections =
         Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.sharingEntryCount());
     effects.add(
         new CallEffect.Dispatch(
             call.spec.number(),
-            call.attempt,
-            endpoint.spec,
+            attempt.number,
+            attempt.endpoint.spec,
             maxConnections,
-            remaining,
+            call.deadline - now,
             call.priority(),
             call.workspace == null ? "" : call.workspace.name(),
-            expectedVersion,
-            call.lastEventId));
+            needsVersion ? attempt.endpoint.version : 0,
+            call.lastEventId,
+            attempt == call.backup));
+  }
+
+  private void logDispatch(
+      long now, List<CallEffect> effects, Call call, Attempt attempt, Choice choice) {
+    double load = attempt.endpoint.estimateLoad(now, endpointPool.entryCount());
     log(
         effects,
         "route",
         call,
-        "load="
-            + round(endpoint.estimateLoad(now, endpointPool.entryCount()))
-            + " allowed="
-            + choice.eligibleCount());
+        attempt,
+        "load=" + round(load) + " allowed=" + choice.eligibleCount());
+  }
+
+  /** Handles the head of a response to the second of two attempts. */
+  private void handleBackupHead(long now, List<CallEffect> effects, Call call, ResponseHead head) {
+    if (head.isSuccess() && head.signed()) {
+      recordBegin(now, call.backup, head);
+      return;
+    }
+    String reason = "second endpoint responded with status " + head.status();
+    if (head.notExecuted() || head.instanceMismatch()) {
+      endpointPool.recordFailure(now, call.backup.endpoint);
+      removeBackup(effects, call, reason);
+    } else {
+      dropBackup(effects, call, reason);
+    }
+  }
+
+  private static void recordBegin(long now, Attempt attempt, ResponseHead head) {
+    attempt.begunAt = now;
+    attempt.version = head.version();
+    attempt.endsOnClose = head.endsOnClose();
+  }
+
+  /** Starts to forward the events of the current attempt, whose response has begun. */
+  private static void startStream(List<CallEffect> effects, Call call) {
+    if (call.route.kind() == CallKind.STREAM) {
+      call.streaming = true;
+      call.streamVersion = call.current.version;
+      effects.add(new CallEffect.StartStream(call.spec.number(), call.current.number));
+    }
+  }
+
+  /** Cancels the second of two attempts, if there is one; its endpoint may have executed it. */
+  private void dropBackup(List<CallEffect> effects, Call call, String reason) {
+    if (call.backup != null) {
+      call.mayHaveExecuted = true;
+      removeBackup(effects, call, reason);
+    }
+  }
+
+  /** Ends the second of two attempts, which has failed or is known to be not executed. */
+  private void removeBackup(List<CallEffect> effects, Call call, String reason) {
+    effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.backup.number));
+    log(effects, "drop", call, call.backup, reason);
+    call.backup.endpoint.ownCalls--;
+    call.backup = null;
+  }
+
+  /** Replaces the current attempt, which has ended or is canceled, with the second one. */
+  private void promoteBackup(List<CallEffect> effects, Call call, String reason) {
+    releaseCurrent(call);
+    call.current = call.backup;
+    call.backup = null;
+    effects.add(new CallEffect.PromoteBackup(call.spec.number(), call.current.number));
+    log(effects, "promote", call, reason);
+    if (call.current.hasBegun()) {
+      startStream(effects, call);
+    }
   }
 
   private void handleEndpointRefusal(
       long now, List<CallEffect> effects, Call call, ResponseHead head) {
-    effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.attempt));
-    endpointPool.recordFailure(now, call.endpoint);
+    effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+    endpointPool.recordFailure(now, call.current.endpoint);
     retryOrReject(now, effects, call, "endpoint refused the call with status " + head.status());
   }
 
   private void handleLostResponse(long now, List<CallEffect> effects, Call call, String reason) {
-    if (mayRetry(now, call)) {
+    if (call.backup != null || mayRetry(now, call)) {
       retryOrReject(now, effects, call, reason);
     } else if (call.streaming) {
       abortResponse(effects, call, reason);
@@ -668,10 +787,17 @@
     }
   }
 
-  /** Retries a call if attempts, remaining time and retry budget allow; otherwise rejects it. */
+  /**
+   * Goes on with the second attempt of a call, if there is one. Otherwise retries the call if
+   * attempts, remaining time and retry budget allow, and rejects it if they do not.
+   */
   private void retryOrReject(long now, List<CallEffect> effects, Call call, String reason) {
+    if (call.backup != null) {
+      promoteBackup(effects, call, reason);
+      return;
+    }
     boolean countsAsRetry = call.sentAttempts > 0;
-    releaseEndpoint(call);
+    releaseCurrent(call);
     log(effects, "again", call, reason);
     if (call.sentAttempts >= call.route.maxAttempts()
         || call.deadline - now < MIN_RETRY_TIME_MILLIS) {
@@ -703,30 +829,29 @@
         && chooseEndpoint(now, call, RETRY_MAX_LOAD_PER_SLOT).endpoint().isPresent();
   }
 
-  /** Returns whether the endpoint of a call holds weights that calls may no longer start on. */
-  private boolean isOutdated(long now, Call call) {
+  /** Returns whether the endpoint of an attempt holds weights that calls may not start on. */
+  private boolean isOutdated(long now, Call call, Attempt attempt) {
     long required =
         call.service
             .engine()
             .map(e -> versionGate.cutoffVersion(now, e.model(), options.versionCutoffMillis()))
             .orElse(0L);
-    return call.endpoint.version < required;
+    return attempt.endpoint.version < required;
   }
 
   private static boolean isStalled(long now, Call call) {
-    long lastDataAt = Math.max(call.endpoint.lastReceivedAt, call.dispatchedAt);
+    Attempt current = call.current;
+    long lastDataAt = Math.max(current.endpoint.lastReceivedAt, current.dispatchedAt);
     return call.route.kind() == CallKind.STREAM
-        && now - call.lastProgressAt >= STREAM_IDLE_TIMEOUT_MILLIS
+        && now - current.lastProgressAt >= STREAM_IDLE_TIMEOUT_MILLIS
         && now - lastDataAt >= STREAM_IDLE_TIMEOUT_MILLIS;
   }
 
   // Final responses
 
   private void expire(long now, List<CallEffect> effects, Call call) {
-    if (call.endpoint != null) {
-      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.attempt));
-      call.mayHaveExecuted = true;
-    }
+    call.mayHaveExecuted |= call.current != null;
+    cancelAttempts(effects, call);
     if (call.streaming) {
       abortResponse(effects, call, "deadline exceeded");
     } else {
@@ -853,20 +978,22 @@
     return regions;
   }
 
-  private Call findAttempt(long number, int attempt) {
-    Call call = calls.get(number);
-    return call == null || call.endpoint == null || call.attempt != attempt ? null : call;
+  private void cancelAttempts(List<CallEffect> effects, Call call) {
+    dropBackup(effects, call, "the call ends");
+    if (call.current != null) {
+      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+    }
   }
 
-  private static void releaseEndpoint(Call call) {
-    if (call.endpoint != null) {
-      call.endpoint.ownCalls--;
-      call.endpoint = null;
+  private static void releaseCurrent(Call call) {
+    if (call.current != null) {
+      call.current.endpoint.ownCalls--;
+      call.current = null;
     }
   }
 
   private void remove(Call call) {
-    releaseEndpoint(call);
+    releaseCurrent(call);
     if (call.queuedUntil > 0) {
       call.queuedUntil = 0;
       queue.remove(call);
@@ -875,6 +1002,12 @@
   }
 
   private void log(List<CallEffect> effects, String kind, Call call, String reason) {
+    log(effects, kind, call, call.current, reason);
+  }
+
+  private void log(
+      List<CallEffect> effects, String kind, Call call, Attempt attempt, String reason) {
+    int number = attempt == null ? call.lastAttempt : attempt.number;
     effects.add(
         new CallEffect.Log(
             new Decision(
@@ -882,8 +1015,8 @@
                 call.spec.id(),
                 call.workspace == null ? "" : call.workspace.name(),
                 List.of(),
-                call.endpoint == null ? "" : call.endpoint.spec.id(),
-                call.route.name() + " attempt=" + call.attempt + " " + reason,
+                attempt == null ? "" : attempt.endpoint.spec.id(),
+                call.route.name() + " attempt=" + number + " " + reason,
                 config.version())));
   }
 
@@ -891,17 +1024,20 @@
    * Returns whether the end of a response proves that the endpoint survived it. A response that
    * ends on the close of its connection may have been ended by a crash shortly after its start.
    */
-  private static boolean provesService(long now, Call call) {
-    return call.hasBegun() && (!call.endsOnClose || now - call.begunAt >= MIN_SERVICE_MILLIS);
+  private static boolean provesService(long now, Attempt attempt) {
+    return attempt.hasBegun()
+        && (!attempt.endsOnClose || now - attempt.begunAt >= MIN_SERVICE_MILLIS);
   }
 
   /** Logs what calls that broke off at the same endpoint may have in common. */
-  private void logBrokenAttempt(List<CallEffect> effects, Call call, String reason) {
+  private void logBrokenAttempt(
+      List<CallEffect> effects, Call call, Attempt attempt, String reason) {
     log(
         effects,
         "broken",
         call,
-        "begun=" + call.hasBegun() + " parts=" + formatParts(call) + " " + reason);
+        attempt,
+        "begun=" + attempt.hasBegun() + " parts=" + formatParts(call) + " " + reason);
   }
 
   private static String formatParts(Call call) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallEffect.java
@@ -18,6 +18,7 @@
    * @param expectedVersion version of the weights that the endpoint must hold, 0 for any
    * @param resumeAfterEventId id of the last event that was delivered, negative to start the stream
    *     from its beginning
+   * @param backup whether the current attempt of the call goes on beside this one
    */
   record Dispatch(
       long call,
@@ -28,13 +29,17 @@
       int priority,
       String workspace,
       long expectedVersion,
-      long resumeAfterEventId)
+      long resumeAfterEventId,
+      boolean backup)
       implements CallEffect {}
 
   /** Send the caller a final response that the entry produces. */
   record Reject(long call, Rejection rejection, long retryAfterMillis, String reason)
       implements CallEffect {}
 
+  /** Let the backup attempt of a call replace its current one, which has failed or is canceled. */
+  record PromoteBackup(long call, int attempt) implements CallEffect {}
+
   /** Start to forward the events of an attempt as they arrive. */
   record StartStream(long call, int attempt) implements CallEffect {}
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -301,6 +301,7 @@
     for (Endpoint endpoint : candidates) {
       boolean tried = requirements.triedEndpoints().contains(endpoint.spec.id());
       if (tried
+          || requirements.excludesAsSilent(endpoint)
           || endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)
           || !limits.permits(now, endpoint)) {
         continue;
@@ -370,6 +371,8 @@
    * @param exactVersion version of the weights that a started stream needs, 0 if it has not started
    * @param maxLoadPerSlot load per slot that the endpoint must be below
    * @param triedEndpoints endpoints that the call was sent to before
+   * @param respondingSince time since which an endpoint with calls of this entry must have sent
+   *     data; 0 for any endpoint
    */
   record Requirements(
       ServiceSpec service,
@@ -377,7 +380,18 @@
       long minVersion,
       long exactVersion,
       double maxLoadPerSlot,
-      Set<String> triedEndpoints) {
+      Set<String> triedEndpoints,
+      long respondingSince) {
+
+    /** Returns these requirements without endpoints that have been silent since a time. */
+    Requirements respondingSince(long time) {
+      return new Requirements(
+          service, regions, minVersion, exactVersion, maxLoadPerSlot, triedEndpoints, time);
+    }
+
+    boolean excludesAsSilent(Endpoint endpoint) {
+      return endpoint.ownCalls > 0 && endpoint.lastReceivedAt < respondingSince;
+    }
 
     boolean matchesExactVersion(long offered) {
       return exactVersion == 0 || exactVersion == offered;
--- a/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
@@ -24,4 +24,13 @@
     long version,
     int running,
     int queued,
-    NamedLimit limit) {}
+    NamedLimit limit) {
+
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_MULTIPLE_CHOICES = 300;
+
+  /** Returns whether the status is a success (2xx). */
+  boolean isSuccess() {
+    return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+  }
+}
--- a/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
@@ -292,9 +292,11 @@
           schedule(
               now + NETWORK_DELAY_MILLIS,
               () ->
-                  entries
-                      .get(work.entry)
-                      .onResponseProgress(now, work.call, work.attempt, work.nextEventId++));
+                  apply(
+                      work.entry,
+                      entries
+                          .get(work.entry)
+                          .onResponseProgress(now, work.call, work.attempt, work.nextEventId++)));
         }
         if (work.remainingPromptTokens == 0 && work.remainingOutputTokens == 0) {
           running.remove(work);
