Do not close a caller's connection before its response is sent

What callers saw: the connection ends in the middle of a response that the endpoint had completed, beside a configuration with a shorter idle timeout, or when the entry is asked to stop (LOST around planned work). A caller on a thin link, or one that reads slowly, had not got it yet; closing the channel discards what is still queued. Fix: a connection with parts of a response that are not sent is not idle; large bodies are written in parts, so that the idle timeout counts from the last part sent; a drain lasts until all responses are sent, or its time is over. A caller that stops reading is closed after the idle timeout, now also if its connection was to be closed after the response.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -143,6 +143,17 @@
     return openCalls.size();
   }
 
+  /** Returns the number of calls whose responses have not been sent completely. */
+  int unfinishedCallCount() {
+    int sending = 0;
+    for (CallerConnection connection : connections) {
+      if (connection.isSending()) {
+        sending++;
+      }
+    }
+    return openCalls.size() + sending;
+  }
+
   /**
    * Reports the entry as not ready and closes each caller connection after its next response, so
    * that callers move to other entries.
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -39,6 +41,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Size of the parts of a response body whose delivery to the caller is observed. */
+  private static final int BODY_PART_BYTES = 65_536;
+
   private final Listener listener;
   private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private Channel channel;
@@ -51,7 +56,10 @@
   /** Completed once all that was written is sent, null if nothing was written yet. */
   private ChannelFuture lastWrite;
 
-  /** Time at which the connection opened, the last request started or the last response ended. */
+  /**
+   * Time at which the connection opened, the last request started, or the last part of a response
+   * was sent.
+   */
   private long waitingSince;
 
   CallerConnection(Listener listener) {
@@ -122,11 +130,27 @@
     }
     HttpUtil.setContentLength(response, response.content().readableBytes());
     HttpUtil.setKeepAlive(response, keepAlive);
-    ChannelFuture future = channel.writeAndFlush(response);
+    ChannelFuture future =
+        response.content().readableBytes() <= BODY_PART_BYTES
+            ? channel.writeAndFlush(response)
+            : writeInParts(response);
     finishResponse(future);
     return future;
   }
 
+  private ChannelFuture writeInParts(FullHttpResponse response) {
+    ByteBuf body = response.content();
+    channel.write(
+        new DefaultHttpResponse(
+            response.protocolVersion(), response.status(), response.headers().copy()));
+    while (body.readableBytes() > BODY_PART_BYTES) {
+      channel
+          .write(new DefaultHttpContent(body.readRetainedSlice(BODY_PART_BYTES)))
+          .addListener(future -> waitingSince = listener.currentMillis());
+    }
+    return channel.writeAndFlush(new DefaultLastHttpContent(body));
+  }
+
   /** Starts a response of unknown length, sent in chunked transfer encoding. */
   void startResponse(HttpResponse response) {
     if (!listener.allowsKeepAlive()) {
@@ -168,15 +192,20 @@
   }
 
   boolean isIdle() {
-    return currentCall == null && requestHead == null;
+    return currentCall == null && requestHead == null && !isSending();
+  }
+
+  /** Returns whether a response has ended of which parts are not sent yet. */
+  boolean isSending() {
+    return lastWrite != null && !lastWrite.isDone();
   }
 
   /**
-   * Closes the connection if it has been idle for too long, and rejects a request that has not
-   * arrived completely within the sum of both timeouts.
+   * Closes the connection if it has been idle, or its caller has read nothing, for too long, and
+   * rejects a request that has not arrived completely within the sum of both timeouts.
    */
   void closeIfTimedOut(long now, long headerTimeoutMillis, long idleTimeoutMillis) {
-    if (currentCall != null || closing) {
+    if (currentCall != null || closing && !isSending()) {
       return;
     }
     if (requestHead == null && now - waitingSince > idleTimeoutMillis) {
@@ -188,7 +217,7 @@
   }
 
   void close() {
-    if (lastWrite != null && !lastWrite.isDone()) {
+    if (isSending()) {
       LOG.warn(
           "closing a caller connection before its response is sent bytesToWritable={}",
           channel.bytesBeforeWritable());
@@ -264,6 +293,7 @@
 
   private void finishResponse(ChannelFuture writeFuture) {
     lastWrite = writeFuture;
+    writeFuture.addListener(future -> waitingSince = listener.currentMillis());
     currentCall = null;
     waitingSince = listener.currentMillis();
     if (!keepAlive) {
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -153,7 +153,7 @@
     boolean rejecting = false;
     while (true) {
       long elapsedMillis = clockMillis.getAsLong() - startedAt;
-      int openCalls = callOnEventLoop(duty::openCallCount);
+      int openCalls = callOnEventLoop(duty::unfinishedCallCount);
       if (elapsedMillis >= settings.stopMillis() - TIMING_MARGIN_MILLIS
           || elapsedMillis >= DEREGISTRATION_MILLIS && openCalls == 0) {
         LOG.info("entry drain ended open={} ms={}", openCalls, elapsedMillis);
