Send no calls late to engines with superseded weights that do not respond

Cause: calls go to superseded engines until 600 ms before the limit, wherever the way there takes longer. Fix: an engine at which an attempt went unanswered for 0.9 s, and that has sent nothing since, gets none of these calls in the last 2.5 s before that time. Ruled out: the margin for all engines (halves the capacity of each weights switch for 2 s more), an expected version on the call (no version can be expected that the engine does not hold yet).

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -33,6 +33,9 @@
   /** Time without data from the endpoint after which a stream is sent to a second one as well. */
   private static final long STREAM_IDLE_TIMEOUT_MILLIS = 900;
 
+  /** Time for which a call may be on its way to an endpoint that did not respond in time lately. */
+  private static final long MAX_DELIVERY_MILLIS = 2_500;
+
   /** Time from the start of a response from which on its end is not taken for a crash. */
   private static final long MIN_SERVICE_MILLIS = 1_000;
 
@@ -526,7 +529,7 @@
       long version = call.current.endpoint.version;
       handleLostResponse(now, effects, call, "endpoint still holds superseded version " + version);
     } else if (call.route.isRetryable() && isStalled(now, call)) {
-      endpointPool.recordFailure(now, call.current.endpoint);
+      endpointPool.recordStall(now, call.current.endpoint);
       sendBackup(now, effects, call);
     }
   }
@@ -606,19 +609,26 @@
   }
 
   private Choice chooseEndpoint(long now, Call call, double maxLoad, long minVersion) {
-    return endpointPool.choose(now, requirements(call, maxLoad, minVersion));
+    return endpointPool.choose(now, requirements(now, call, maxLoad, minVersion));
   }
 
-  private static Requirements requirements(Call call, double maxLoad, long minVersion) {
-    long version = call.streaming ? call.streamVersion : 0;
+  private Requirements requirements(long now, Call call, double maxLoad, long minVersion) {
     return new Requirements(
-        call.service, call.regions, minVersion, version, maxLoad, call.triedEndpoints, 0);
-  }
-
-  private long requiredVersion(long now, Call call) {
+        call.service,
+        call.regions,
+        minVersion,
+        requiredVersion(now + MAX_DELIVERY_MILLIS, call),
+        call.streaming ? call.streamVersion : 0,
+        maxLoad,
+        call.triedEndpoints,
+        0);
+  }
+
+  /** Returns the minimum version of the weights that a call may start on at a time. */
+  private long requiredVersion(long time, Call call) {
     return call.service
         .engine()
-        .map(e -> versionGate.requiredVersion(now, e.model(), options.versionGraceMillis()))
+        .map(e -> versionGate.requiredVersion(time, e.model(), options.versionGraceMillis()))
         .orElse(0L);
   }
 
@@ -655,7 +665,7 @@
     Choice choice =
         endpointPool.choose(
             now,
-            requirements(call, RETRY_MAX_LOAD_PER_SLOT, requiredVersion(now, call))
+            requirements(now, call, RETRY_MAX_LOAD_PER_SLOT, requiredVersion(now, call))
                 .respondingSince(call.current.lastProgressAt));
     if (choice.endpoint().isEmpty()
         || !retryBudget.trySpend(now, call.service.name(), endpointPool.sharingEntryCount())) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -36,6 +36,9 @@
 
   long lastReceivedAt;
 
+  /** Whether an attempt went unanswered for long and nothing was received since. */
+  boolean stalled;
+
   /** Limit that the endpoint named in its last response to this entry. */
   NamedLimit namedLimit = NamedLimit.NONE;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -322,9 +322,16 @@
     endpoint.avoidUntil = now + (long) (INITIAL_BACKOFF_MILLIS * (1 << endpoint.failureCount - 1));
   }
 
+  /** Records that an endpoint has sent nothing for an attempt for long. */
+  void recordStall(long now, Endpoint endpoint) {
+    endpoint.stalled = true;
+    recordFailure(now, endpoint);
+  }
+
   /** Records that data was received from an endpoint, which ends its backoff. */
   void recordActivity(long now, Endpoint endpoint) {
     endpoint.lastReceivedAt = now;
+    endpoint.stalled = false;
     endpoint.failureCount = 0;
     endpoint.avoidUntil = 0;
   }
@@ -344,7 +351,7 @@
       return true;
     }
     return endpoint.version > 0
-        && endpoint.version >= requirements.minVersion()
+        && endpoint.version >= requirements.minVersionOf(endpoint)
         && requirements.matchesExactVersion(endpoint.version);
   }
 
@@ -368,6 +375,8 @@
    * @param service service that the endpoint must belong to
    * @param regions regions that the endpoint may be in; empty for all
    * @param minVersion minimum version of the weights
+   * @param stalledMinVersion minimum version of the weights at endpoints that did not respond in
+   *     time lately, to which a call may be on its way for long
    * @param exactVersion version of the weights that a started stream needs, 0 if it has not started
    * @param maxLoadPerSlot load per slot that the endpoint must be below
    * @param triedEndpoints endpoints that the call was sent to before
@@ -378,6 +387,7 @@
       ServiceSpec service,
       Set<String> regions,
       long minVersion,
+      long stalledMinVersion,
       long exactVersion,
       double maxLoadPerSlot,
       Set<String> triedEndpoints,
@@ -386,7 +396,18 @@
     /** Returns these requirements without endpoints that have been silent since a time. */
     Requirements respondingSince(long time) {
       return new Requirements(
-          service, regions, minVersion, exactVersion, maxLoadPerSlot, triedEndpoints, time);
+          service,
+          regions,
+          minVersion,
+          stalledMinVersion,
+          exactVersion,
+          maxLoadPerSlot,
+          triedEndpoints,
+          time);
+    }
+
+    long minVersionOf(Endpoint endpoint) {
+      return endpoint.stalled ? Math.max(minVersion, stalledMinVersion) : minVersion;
     }
 
     boolean excludesAsSilent(Endpoint endpoint) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/WeightsSwitchTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/WeightsSwitchTest.java
@@ -1,6 +1,7 @@
 package org.cornelchute.policy.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.cornelchute.policy.forward.Fixture.dispatch;
 import static org.cornelchute.policy.forward.Fixture.engine;
 import static org.cornelchute.policy.forward.Fixture.find;
 import static org.cornelchute.policy.forward.Fixture.rejection;
@@ -44,6 +45,40 @@
     assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
   }
 
+  /**
+   * Failure: a call that was on its way for 2 s, to an engine whose link was full, started on
+   * superseded weights after the limit.
+   */
+  @Test
+  void sendsNoCallsLateToEnginesWithSupersededWeightsThatDoNotRespond() {
+    fixture.withEndpoints(engine("a", "d1", 1));
+    fixture.decider.recordVersion(fixture.now, fixture.now, "m", 2);
+    fixture.now += 4_000;
+    fixture.decider.recordConfirmation(fixture.now);
+    final CallEffect.Dispatch first = dispatch(fixture.call("/s/"));
+    fixture.now += 1_000;
+    fixture.decider.sweep(fixture.now);
+    // Within the grace period of 7 s, but a call may be on its way until after it.
+    assertThat(rejection(fixture.call("/s/"))).isEqualTo(Rejection.NO_ENDPOINT);
+    // The engine responds again, so that calls arrive in time.
+    fixture.decider.onResponseHead(
+        fixture.now,
+        first.call(),
+        first.attempt(),
+        new ResponseHead(200, false, false, true, false, 1, -1, 0, NamedLimit.NONE));
+    assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+  }
+
+  /** Guards against engines that are not used though no new weights were assigned. */
+  @Test
+  void usesEnginesThatDoNotRespondIfTheirWeightsAreCurrent() {
+    fixture.withEndpoints(engine("a", "d1", 1));
+    dispatch(fixture.call("/s/"));
+    fixture.now += 1_000;
+    fixture.decider.sweep(fixture.now);
+    assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class)).isPresent();
+  }
+
   /** Guards against reports on an engine that ended being used for its successor. */
   @Test
   void usesNewIncarnationOfSwitchingEngine() {
