Resume a stream once more if the next endpoint answers with an error

What callers saw (ORDER): their stream broke off and the next endpoint answered with an error, and the entry closed their connection at once, although the route allowed another attempt and a sound endpoint was there. Cause: onResponseHead aborted a stream that had begun at any head that was no success. A refusal (not executed, 421) and a success without signature already went on to the next attempt; only error heads did not. Fix: such a head loses the attempt only; attempts, retry budget and time decide as for a connection that breaks off. No byte of the error is forwarded, since the attempt is canceled at its head. Ruled out: to forward the error's body (it belongs to no event), and to retry only 5xx (a 404 of one endpoint says no more about the stream than a 500). Evidence: ResumedStreamTest, 4 of 10 cases failed before ("endpoint did not resume the stream, status 404" and so on, with AbortResponse in place of a third attempt) and pass now. The cases of refusals and of no attempt left passed before.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -385,7 +385,10 @@
       dropBackup(effects, call, "the endpoint of the first attempt goes on");
       startStream(effects, call);
     } else if (call.streaming) {
-      abortResponse(effects, call, "endpoint did not resume the stream, status " + head.status());
+      effects.add(new CallEffect.CancelAttempt(number, attempt));
+      call.mayHaveExecuted = true;
+      handleLostResponse(
+          now, effects, call, "endpoint did not resume the stream, status " + head.status());
     }
     dispatchQueued(now, effects);
     return effects;
--- /dev/null
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ResumedStreamTest.java
@@ -0,0 +1,140 @@
+package org.cornelchute.policy.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.cornelchute.policy.forward.Fixture.dispatch;
+import static org.cornelchute.policy.forward.Fixture.engine;
+import static org.cornelchute.policy.forward.Fixture.find;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Streams that break off after some events, and what the next endpoint answers. */
+class ResumedStreamTest {
+
+  private static final long LAST_EVENT_ID = 3;
+
+  /** Returns three endpoints behind a route with a maximum number of attempts. */
+  private static Fixture fixture(int maxAttempts) {
+    Fixture fixture =
+        new Fixture()
+            .withEndpoints(engine("a", "d1", 1), engine("b", "d1", 1), engine("c", "d1", 1));
+    fixture.decider.updateEntries(List.of("e1"));
+    RouteSpec route =
+        new RouteSpec(
+            "stream",
+            "h",
+            "/s/",
+            CallKind.STREAM,
+            true,
+            Fixture.TIMEOUT_MILLIS,
+            Fixture.TARGET_MILLIS,
+            1,
+            maxAttempts,
+            true,
+            List.of(),
+            List.of(new RouteSpec.WeightedService("engines", 1)));
+    fixture.decider.updateConfig(
+        new ServingConfig(
+            2,
+            List.of(route),
+            List.of(Fixture.ENGINES),
+            false,
+            Map.of(),
+            ServingConfig.CallerLimits.DEFAULTS));
+    return fixture;
+  }
+
+  private static CallEffect.Dispatch startStream(Fixture fixture) {
+    CallEffect.Dispatch first = dispatch(fixture.call("/s/"));
+    begin(fixture, first);
+    fixture.decider.onResponseProgress(fixture.now, first.call(), first.attempt(), LAST_EVENT_ID);
+    return first;
+  }
+
+  /** Starts a stream that breaks off, and returns the attempt that resumes it. */
+  private static CallEffect.Dispatch resumeStream(Fixture fixture) {
+    CallEffect.Dispatch first = startStream(fixture);
+    CallEffect.Dispatch second =
+        dispatch(
+            fixture.decider.onAttemptFailure(
+                fixture.now, first.call(), first.attempt(), true, "reset"));
+    assertThat(second.resumeAfterEventId()).isEqualTo(LAST_EVENT_ID);
+    return second;
+  }
+
+  private static List<CallEffect> begin(Fixture fixture, CallEffect.Dispatch sent) {
+    return fixture.decider.onResponseHead(
+        fixture.now,
+        sent.call(),
+        sent.attempt(),
+        new ResponseHead(200, false, false, true, false, 1, -1, 0, NamedLimit.NONE));
+  }
+
+  private static List<CallEffect> end(Fixture fixture, CallEffect.Dispatch sent) {
+    return fixture.decider.onResponseEnd(fixture.now, sent.call(), sent.attempt());
+  }
+
+  /** Checks that an attempt goes on after the last event at an endpoint that has not failed. */
+  private static void assertResumesAgain(List<CallEffect> effects) {
+    assertThat(find(effects, CallEffect.AbortResponse.class)).isEmpty();
+    assertThat(find(effects, CallEffect.Complete.class)).isEmpty();
+    assertThat(dispatch(effects).attempt()).isEqualTo(3);
+    assertThat(dispatch(effects).resumeAfterEventId()).isEqualTo(LAST_EVENT_ID);
+  }
+
+  private static void assertAborts(List<CallEffect> effects) {
+    assertThat(find(effects, CallEffect.AbortResponse.class)).isPresent();
+    assertThat(find(effects, CallEffect.Complete.class)).isEmpty();
+    assertThat(find(effects, CallEffect.Dispatch.class)).isEmpty();
+  }
+
+  /** Failure: the stream broke off at an error of the second endpoint, with an attempt left. */
+  @ParameterizedTest
+  @ValueSource(ints = {302, 404, 500, 503})
+  void resumesAgainAfterErrorIfAttemptsAreLeft(int status) {
+    Fixture fixture = fixture(3);
+    CallEffect.Dispatch second = resumeStream(fixture);
+    List<CallEffect> effects =
+        fixture.decider.onResponseHead(
+            fixture.now, second.call(), second.attempt(), Fixture.head(status));
+    assertResumesAgain(effects);
+    assertThat(find(effects, CallEffect.CancelAttempt.class).orElseThrow().attempt()).isEqualTo(2);
+  }
+
+  /** Guards against an error that is taken for the rest of the stream. */
+  @ParameterizedTest
+  @ValueSource(ints = {302, 404, 500, 503})
+  void abortsAfterErrorIfNoAttemptsAreLeft(int status) {
+    Fixture fixture = fixture(2);
+    CallEffect.Dispatch second = resumeStream(fixture);
+    assertAborts(
+        fixture.decider.onResponseHead(
+            fixture.now, second.call(), second.attempt(), Fixture.head(status)));
+    assertThat(fixture.decider.openCallCount()).isZero();
+  }
+
+  /** Guards against a refusal that ends the stream although an attempt is left. */
+  @Test
+  void resumesAgainAfterRefusal() {
+    Fixture fixture = fixture(3);
+    CallEffect.Dispatch second = resumeStream(fixture);
+    assertResumesAgain(
+        fixture.decider.onResponseHead(
+            fixture.now, second.call(), second.attempt(), Fixture.notExecuted()));
+  }
+
+  /** Guards against a refusal that is taken for the rest of the stream, or reported as not run. */
+  @Test
+  void abortsAfterRefusalIfNoAttemptsAreLeft() {
+    Fixture fixture = fixture(2);
+    CallEffect.Dispatch second = resumeStream(fixture);
+    List<CallEffect> effects =
+        fixture.decider.onResponseHead(
+            fixture.now, second.call(), second.attempt(), Fixture.notExecuted());
+    assertAborts(effects);
+    assertThat(find(effects, CallEffect.Reject.class)).isEmpty();
+  }
+}
