Do not end a stream as complete because the next endpoint sent nothing

Cause: onResponseEnd completed a call at the end of any attempt, whether that had delivered something or not. Fix: an attempt that resumes a response (the caller has the head of an earlier attempt) completes it only if it delivered an event after the last one; otherwise it is lost as one that breaks off: the next attempt, or a visible break. Weighed: the first attempt may have delivered all events and lacked only its end. Then a sound endpoint has nothing left and answers the same as a failing one; no event says that it is the last one, so the two cannot be told. A stream that ends too early and looks complete is lost for its caller without a trace; one that was whole and looks broken costs its caller one resumption, which the endpoint answers with an empty stream that is passed on as complete (test completesAnEmptyStreamThatTheCallerResumed). Hence the visible break. Ruled out: to believe two endpoints that agree (both may fail alike, and it spends the retry budget).

--- a/policy/src/main/java/org/cornelchute/policy/forward/Attempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Attempt.java
@@ -9,6 +9,12 @@
   final Endpoint endpoint;
   final long dispatchedAt;
 
+  /** Whether the caller has the head, and possibly events, of an earlier attempt. */
+  final boolean resumes;
+
+  /** Id of the last event that was delivered before this attempt, negative if none. */
+  final long resumedAfter;
+
   /** Time of the dispatch or of the latest data from the endpoint for this attempt. */
   long lastProgressAt;
 
@@ -21,9 +27,11 @@
   /** Whether only the close of the connection ends that response. */
   boolean endsOnClose;
 
-  Attempt(int number, Endpoint endpoint, long now) {
+  Attempt(int number, Endpoint endpoint, boolean resumes, long resumedAfter, long now) {
     this.number = number;
     this.endpoint = endpoint;
+    this.resumes = resumes;
+    this.resumedAfter = resumedAfter;
     this.dispatchedAt = now;
     this.lastProgressAt = now;
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -418,7 +418,13 @@
     return effects;
   }
 
-  /** Handles the end of a complete response from an endpoint. */
+  /**
+   * Handles the end of a complete response from an endpoint.
+   *
+   * <p>A resumed stream without a new event does not complete the response: it may come from an
+   * endpoint that fails, and nothing tells that the events before were all. The caller sees a
+   * stream that breaks off, and may resume it itself.
+   */
   public List<CallEffect> onResponseEnd(long now, long number, int attempt) {
     List<CallEffect> effects = new ArrayList<>(2);
     Call call = calls.get(number);
@@ -434,10 +440,15 @@
       crashEvidence.recordServed(ended.begunAt, call.spec.sharedParts());
       reportPartChanges(now, effects);
     }
-    dropBackup(effects, call, "the response of the first attempt is complete");
-    effects.add(new CallEffect.Complete(number, attempt));
-    log(effects, "answered", call, "ms=" + (now - call.arrivedAt));
-    remove(call);
+    if (ended.resumes && call.lastEventId <= ended.resumedAfter) {
+      call.mayHaveExecuted = true;
+      handleLostResponse(now, effects, call, "resumed stream ended without a new event");
+    } else {
+      dropBackup(effects, call, "the response of the first attempt is complete");
+      effects.add(new CallEffect.Complete(number, attempt));
+      log(effects, "answered", call, "ms=" + (now - call.arrivedAt));
+      remove(call);
+    }
     dispatchQueued(now, effects);
     return effects;
   }
@@ -682,7 +693,7 @@
     endpoint.ownCalls++;
     endpoint.recentDispatches.add(now);
     crashEvidence.recordDispatch(now, call.spec.sharedParts());
-    return new Attempt(call.lastAttempt, endpoint, now);
+    return new Attempt(call.lastAttempt, endpoint, call.streaming, call.lastEventId, now);
   }
 
   private void addDispatch(long now, List<CallEffect> effects, Call call, Attempt attempt) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/ResumedStreamTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ResumedStreamTest.java
@@ -137,4 +137,130 @@
     assertAborts(effects);
     assertThat(find(effects, CallEffect.Reject.class)).isEmpty();
   }
+
+  /**
+   * Failure: the second endpoint answered with success and an empty stream, or only with events
+   * that the caller had, and the stream ended as if it were complete.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void abortsIfTheNextEndpointDeliversNothingNew(boolean progress) {
+    Fixture fixture = fixture(2);
+    CallEffect.Dispatch second = resumeStream(fixture);
+    begin(fixture, second);
+    if (progress) {
+      fixture.decider.onResponseProgress(
+          fixture.now, second.call(), second.attempt(), LAST_EVENT_ID);
+    }
+    assertAborts(end(fixture, second));
+    assertThat(fixture.decider.openCallCount()).isZero();
+  }
+
+  /** Failure: as above, with an attempt left. */
+  @Test
+  void resumesAgainIfTheNextEndpointDeliversNothingNew() {
+    Fixture fixture = fixture(3);
+    CallEffect.Dispatch second = resumeStream(fixture);
+    begin(fixture, second);
+    CallEffect.Dispatch third = dispatch(end(fixture, second));
+    assertThat(third.resumeAfterEventId()).isEqualTo(LAST_EVENT_ID);
+    begin(fixture, third);
+    fixture.decider.onResponseProgress(
+        fixture.now, third.call(), third.attempt(), LAST_EVENT_ID + 1);
+    assertThat(find(end(fixture, third), CallEffect.Complete.class)).isPresent();
+  }
+
+  /** Failure: as above, in a stream of which the caller has the head and no event. */
+  @Test
+  void abortsIfNoEndpointDeliversAnyEvent() {
+    Fixture fixture = fixture(2);
+    CallEffect.Dispatch first = dispatch(fixture.call("/s/"));
+    begin(fixture, first);
+    CallEffect.Dispatch second =
+        dispatch(
+            fixture.decider.onAttemptFailure(
+                fixture.now, first.call(), first.attempt(), true, "reset"));
+    begin(fixture, second);
+    assertAborts(end(fixture, second));
+  }
+
+  /** Failure: as above, at the second of two attempts after the first one had failed. */
+  @Test
+  void abortsIfTheBackupDeliversNothingNew() {
+    Fixture fixture = fixture(2);
+    final CallEffect.Dispatch first = startStream(fixture);
+    CallEffect.Dispatch backup = dispatch(sweepThroughSilence(fixture));
+    begin(fixture, backup);
+    List<CallEffect> effects =
+        fixture.decider.onAttemptFailure(fixture.now, first.call(), first.attempt(), true, "reset");
+    assertThat(find(effects, CallEffect.PromoteBackup.class)).isPresent();
+    assertAborts(end(fixture, backup));
+  }
+
+  /** Guards against a silent attempt that is given up for one that delivers nothing new. */
+  @Test
+  void goesOnWithTheFirstAttemptIfTheBackupDeliversNothingNew() {
+    Fixture fixture = fixture(2);
+    final CallEffect.Dispatch first = startStream(fixture);
+    CallEffect.Dispatch backup = dispatch(sweepThroughSilence(fixture));
+    begin(fixture, backup);
+    List<CallEffect> effects = end(fixture, backup);
+    assertThat(find(effects, CallEffect.AbortResponse.class)).isEmpty();
+    assertThat(find(effects, CallEffect.Complete.class)).isEmpty();
+    fixture.decider.onResponseProgress(
+        fixture.now, first.call(), first.attempt(), LAST_EVENT_ID + 1);
+    assertThat(find(end(fixture, first), CallEffect.Complete.class)).isPresent();
+  }
+
+  /** Guards against a third endpoint that is not asked while the first one is silent. */
+  @ParameterizedTest
+  @ValueSource(ints = {302, 404, 500, 503})
+  void sendsAnotherBackupAfterErrorIfAttemptsAreLeft(int status) {
+    Fixture fixture = fixture(3);
+    final CallEffect.Dispatch first = startStream(fixture);
+    CallEffect.Dispatch backup = dispatch(sweepThroughSilence(fixture));
+    List<CallEffect> effects =
+        fixture.decider.onResponseHead(
+            fixture.now, backup.call(), backup.attempt(), Fixture.head(status));
+    assertThat(find(effects, CallEffect.AbortResponse.class)).isEmpty();
+    CallEffect.Dispatch third = dispatch(sweepThroughSilence(fixture));
+    begin(fixture, third);
+    List<CallEffect> promoted =
+        fixture.decider.onResponseProgress(
+            fixture.now, third.call(), third.attempt(), LAST_EVENT_ID + 1);
+    assertThat(find(promoted, CallEffect.CancelAttempt.class).orElseThrow().attempt())
+        .isEqualTo(first.attempt());
+    assertThat(find(end(fixture, third), CallEffect.Complete.class)).isPresent();
+  }
+
+  /** Guards against a resumption by the caller that never ends, since nothing is left. */
+  @Test
+  void completesAnEmptyStreamThatTheCallerResumed() {
+    Fixture fixture = fixture(2);
+    CallSpec spec = fixture.callSpec("/s/", "", Fixture.TIMEOUT_MILLIS);
+    CallEffect.Dispatch sent =
+        dispatch(
+            fixture.decider.onCall(
+                fixture.now,
+                new CallSpec(
+                    spec.number(),
+                    spec.id(),
+                    spec.host(),
+                    spec.path(),
+                    spec.key(),
+                    spec.deadlineMillis(),
+                    spec.promptTokens(),
+                    spec.maxOutputTokens(),
+                    spec.expectedOutputTokens(),
+                    LAST_EVENT_ID,
+                    spec.sharedParts())));
+    begin(fixture, sent);
+    assertThat(find(end(fixture, sent), CallEffect.Complete.class)).isPresent();
+  }
+
+  private static List<CallEffect> sweepThroughSilence(Fixture fixture) {
+    fixture.now += 1_000;
+    fixture.decider.recordConfirmation(fixture.now);
+    return fixture.decider.sweep(fixture.now);
+  }
 }
