Do not forward bytes that belong to no event as part of a stream

Cause: EventStreamDecoder took a block for one that callers ignore if any of its lines had the form of a field. "HTTP/1.1 500 Internal Server Error" has none, but "Content-Length: 4" below it has one, so the whole head was forwarded. And it forwarded data without an id from an endpoint that resumes a stream, though only ids tell where they belong. Fix: a block without a known field is a fault if any of its lines is neither a comment nor of the form of a field. A decoder of an attempt that resumes a stream, or that may take it over (backup), is stricter: no other lines at all, and data and unknown fields only with an id, as the events of streams that may be resumed have (they carry increasing ids). So a backup cannot deliver events that are counted as none any more either. Ruled out: the strict form for first attempts (their body is the endpoint's own and is passed on), and to drop bad blocks and go on (what came in their place is missing then). Evidence: EventStreamDecoderTest, returnsNoHeadOfResponse and returnsOnlyEventsWithIdsFromResumedStream failed with the conditions as they were (2 of 12) and pass now.

--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenAttempt.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenAttempt.java
@@ -12,6 +12,9 @@
   /** Number of the attempt within its call, from 1. */
   final int number;
 
+  /** Whether the response continues, or may continue, that of another attempt. */
+  final boolean resumed;
+
   final EventStreamDecoder eventDecoder;
   private final ResponseBudget responseBudget;
 
@@ -29,9 +32,16 @@
   /** Part of the budget for the body. */
   private int reservedBytes;
 
-  OpenAttempt(int number, long lastEventId, ResponseBudget responseBudget) {
+  /**
+   * Creates an attempt.
+   *
+   * @param lastEventId id of the last event that the caller has, negative if none
+   * @param resumed whether the response continues, or may continue, that of another attempt
+   */
+  OpenAttempt(int number, long lastEventId, boolean resumed, ResponseBudget responseBudget) {
     this.number = number;
-    this.eventDecoder = new EventStreamDecoder(lastEventId);
+    this.resumed = resumed;
+    this.eventDecoder = new EventStreamDecoder(lastEventId, resumed);
     this.responseBudget = responseBudget;
   }
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
@@ -46,7 +46,7 @@
 
   /** Starts an attempt in place of the current one, of which everything received is discarded. */
   OpenAttempt startAttempt(int attempt) {
-    OpenAttempt next = new OpenAttempt(attempt, lastEventId(), responseBudget);
+    OpenAttempt next = new OpenAttempt(attempt, lastEventId(), responseStarted, responseBudget);
     releaseCurrent();
     current = next;
     return next;
@@ -54,7 +54,7 @@
 
   /** Starts an attempt beside the current one. */
   OpenAttempt startBackup(int attempt) {
-    backup = new OpenAttempt(attempt, lastEventId(), responseBudget);
+    backup = new OpenAttempt(attempt, lastEventId(), true, responseBudget);
     return backup;
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
@@ -12,8 +12,12 @@
  *
  * <p>An event whose id is not greater than the last id is dropped, since the caller already
  * received it before the stream was resumed. Comments and unknown fields are returned like events,
- * but count towards the bytes without one. Other bytes between two blank lines, of which no line
- * has the form of a field, make the stream faulty.
+ * but count towards the bytes without one. Bytes between two blank lines without any known field,
+ * of which a line is neither a comment nor has the form of a field, make the stream faulty.
+ *
+ * <p>A resumed stream continues what the caller already has, so that bytes that are no part of it
+ * must not be returned. It is faulty if any line is neither a comment nor has the form of a field,
+ * and if data or unknown fields come without an id, which alone tells where they belong.
  */
 public final class EventStreamDecoder {
 
@@ -22,14 +26,17 @@
 
   private static final byte[] NO_BYTES = new byte[0];
   private static final byte[] ID_FIELD = "id".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
   private static final List<byte[]> FIELDS =
       List.of(
-          "data".getBytes(StandardCharsets.US_ASCII),
+          DATA_FIELD,
           ID_FIELD,
           "event".getBytes(StandardCharsets.US_ASCII),
           "retry".getBytes(StandardCharsets.US_ASCII));
 
+  private final boolean resumed;
+
   /** Received bytes that are not part of a complete event yet. */
   private byte[] buffer = NO_BYTES;
 
@@ -45,9 +52,24 @@
   private boolean corrupt;
   private long lastEventId;
 
-  /** Creates a decoder; {@code lastEventId} is the id of the last delivered event, or negative. */
+  /**
+   * Creates a decoder of a stream that is not resumed by this process.
+   *
+   * @param lastEventId id of the last delivered event, negative if none
+   */
   public EventStreamDecoder(long lastEventId) {
+    this(lastEventId, false);
+  }
+
+  /**
+   * Creates a decoder.
+   *
+   * @param lastEventId id of the last delivered event, negative if none
+   * @param resumed whether the stream continues that of another endpoint
+   */
+  public EventStreamDecoder(long lastEventId, boolean resumed) {
     this.lastEventId = lastEventId;
+    this.resumed = resumed;
   }
 
   /** Returns the id of the last event that was returned or already delivered, negative if none. */
@@ -116,16 +138,22 @@
 
   private void emit(List<byte[]> events, int start, int end) {
     boolean event = false;
-    boolean ignorable = false;
+    boolean malformed = false;
+    boolean needsId = false;
     long id = -1;
     for (int i = first; i < end; i = nextLine(i, end)) {
-      event = event || startsWithField(i);
-      ignorable = ignorable || startsWithName(i);
+      if (buffer[i] == '\n' || buffer[i] == '\r') {
+        continue;
+      }
+      boolean field = startsWithField(i);
+      event = event || field;
+      malformed = malformed || !field && !startsWithName(i);
+      needsId = needsId || (field ? isField(i, DATA_FIELD) : buffer[i] != ':');
       if (id < 0 && isField(i, ID_FIELD)) {
         id = parseId(i + ID_FIELD.length, end);
       }
     }
-    corrupt = !event && !ignorable;
+    corrupt = resumed ? malformed || needsId && id < 0 : malformed && !event;
     if (corrupt || id >= 0 && id <= lastEventId) {
       return;
     }
--- a/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
@@ -113,6 +113,63 @@
     }
   }
 
+  /** Failure: the head of a response in the body of a stream was returned as an event. */
+  @Test
+  void returnsNoHeadOfResponse() {
+    for (boolean resumed : List.of(false, true)) {
+      EventStreamDecoder decoder = new EventStreamDecoder(-1, resumed);
+      assertThat(decoder.decode(bytes("id: 1\ndata: a\n\n"))).hasSize(1);
+      String head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops";
+      assertThat(decoder.decode(bytes(head))).as("resumed=" + resumed).isEmpty();
+      assertThat(decoder.fault()).as("resumed=" + resumed).isPresent();
+    }
+  }
+
+  /**
+   * Failure: bytes that are no part of the stream were returned as its continuation: lines like
+   * fields, events without id, and events with other lines in them.
+   */
+  @Test
+  void returnsOnlyEventsWithIdsFromResumedStream() {
+    for (String block :
+        List.of(
+            "Server: x",
+            "Server: x\r\nContent-Length: 4",
+            ": comment\nother: 1",
+            "data: b",
+            "data",
+            "event: error\ndata: b",
+            "id: none\ndata: b",
+            "id:\ndata: b",
+            "no field\nid: 2\ndata: b",
+            "id: 2\ndata: b\n{\"error\": 1}")) {
+      EventStreamDecoder decoder = new EventStreamDecoder(1, true);
+      assertThat(decoder.decode(bytes(block + "\n\nid: 3\ndata: c\n\n"))).as(block).isEmpty();
+      assertThat(decoder.fault()).as(block).isPresent();
+      assertThat(decoder.lastEventId()).as(block).isEqualTo(1);
+    }
+  }
+
+  /** Guards against a fault in sound resumed streams. */
+  @Test
+  void returnsEventsAndCommentsFromResumedStream() {
+    EventStreamDecoder decoder = new EventStreamDecoder(1, true);
+    assertThat(decoder.decode(bytes("id: 1\ndata: a\n\n"))).isEmpty();
+    for (String block :
+        List.of(
+            ": comment",
+            "retry: 2",
+            "event: ping",
+            "id: 2\ndata: b\ndata: c",
+            "weight-versions: 2\nid: 3\ndata: b",
+            "id: 4\r\nevent: x\r\n: comment\r\ndata: b",
+            "id: 9\ndata: HTTP/1.1 500")) {
+      assertThat(decoder.decode(bytes(block + "\n\n"))).as(block).hasSize(1);
+      assertThat(decoder.fault()).as(block).isEmpty();
+    }
+    assertThat(decoder.lastEventId()).isEqualTo(9);
+  }
+
   /** Guards against blank lines after the last event that are taken for the start of another. */
   @Test
   void blankLinesAreNoPartialEvent() {
