Do not take another type of content for the rest of an event stream

What callers saw (MIXED): their event stream broke off, the next endpoint answered 200 with text/plain, and lines of that text that look like events were forwarded as the rest of the stream. Cause: the type of content of a response to a resumed stream was not looked at, although the caller has the head, and so the type, of the first one. Fix: a success response to an attempt that resumes a stream or may take one over is rejected if it names another type than text/event-stream. A response that names no type is left to the decoder, which is strict for such attempts.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -15,11 +15,14 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -575,6 +578,11 @@
 
     @Override
     public void onHead(HttpResponse head) {
+      if (attempt.resumed && isOtherContent(head)) {
+        // The caller has the head of an event stream, or may get it from another attempt.
+        attempt.exchange.reject("success response to a resumed stream that is no event stream");
+        return;
+      }
       attempt.head = head;
       HttpHeaders headers = head.headers();
       String load = headers.get(headerNames.endpointLoad(), "");
@@ -596,6 +604,15 @@
               clockMillis.getAsLong(), call.number, attempt.number, responseHead));
     }
 
+    /** Returns whether a success response names a type of content other than an event stream. */
+    private static boolean isOtherContent(HttpResponse head) {
+      CharSequence type = HttpUtil.getMimeType(head);
+      return head.status().codeClass() == HttpStatusClass.SUCCESS
+          && type != null
+          && !AsciiString.contentEqualsIgnoreCase(
+              AsciiString.trim(type), HttpHeaderValues.TEXT_EVENT_STREAM);
+    }
+
     @Override
     public void onContent(ByteBuf bytes) {
       if (!isOpen()) {
--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -29,6 +29,12 @@
 
   /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
   StreamFixture(ScriptedEndpoint... endpoints) throws IOException {
+    this(MAX_ATTEMPTS, TIMEOUT_MILLIS, endpoints);
+  }
+
+  /** Starts such an entry whose route allows a number of attempts within a time. */
+  StreamFixture(int maxAttempts, long timeoutMillis, ScriptedEndpoint... endpoints)
+      throws IOException {
     List<EndpointSpec> specs = new ArrayList<>();
     for (ScriptedEndpoint endpoint : endpoints) {
       specs.add(EntryFixture.endpointSpec("i" + specs.size(), SERVICE, endpoint.port()));
@@ -43,12 +49,12 @@
                 EntryFixture.freeAddress(),
                 KEY_AGE_MILLIS),
             EntryFixture.HEADER_NAMES,
-            EntryFixture.fixedState(config(), specs),
+            EntryFixture.fixedState(config(maxAttempts, timeoutMillis), specs),
             1);
     entry.start();
   }
 
-  private static ServingConfig config() {
+  private static ServingConfig config(int maxAttempts, long timeoutMillis) {
     RouteSpec route =
         new RouteSpec(
             "r",
@@ -56,10 +62,10 @@
             "/s/",
             CallKind.STREAM,
             true,
-            TIMEOUT_MILLIS,
+            timeoutMillis,
             500,
             1,
-            MAX_ATTEMPTS,
+            maxAttempts,
             true,
             List.of(),
             List.of(new RouteSpec.WeightedService(SERVICE, 1)));
@@ -105,6 +111,23 @@
     return response.endsWith("\r\n" + ScriptedEndpoint.lastChunk());
   }
 
+  /** Returns the content of the chunks of a response that are complete. */
+  static String body(String response) {
+    StringBuilder body = new StringBuilder();
+    int start = response.indexOf("\r\n\r\n") + 4;
+    int end = response.indexOf("\r\n", start);
+    while (end >= 0) {
+      int size = Integer.parseInt(response.substring(start, end), 16);
+      start = end + 2 + size + 2;
+      if (size == 0 || start > response.length()) {
+        break;
+      }
+      body.append(response, end + 2, start - 2);
+      end = response.indexOf("\r\n", start);
+    }
+    return body.toString();
+  }
+
   /** Returns the ids of the events of a response in order. */
   static List<Integer> eventIds(String response) {
     List<Integer> ids = new ArrayList<>();
