Never take a response that names no request for the response of one

Cause here: the first response on a connection was believed without the correlation header. A server that wrote a refusal on accept, or left the id out, or named two requests, ended a request it then ran as 'not executed'. A HEAD request made the body of another response parse as a response of its own. Requests without an id of their own shared kept connections. After a response to another request the connection was kept. A 101 waited for the deadline and logged an internal failure.

Fix: a response without the header, or with the ids of two requests, fails its exchange as possibly sent. A response to another request is skipped only where its end is known (a length or chunks, and no HEAD request on the connection); the response that follows is delivered if it names the request, and the connection is closed. Requests without an id use a connection of their own. A 101 is rejected.

What was ruled out: waiting for a response with the right id after one without any; it would hold a call until its deadline where the endpoint only left the id out.

--- a/net/src/main/java/org/cornelchute/net/wire/WireClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireClient.java
@@ -46,11 +46,17 @@
             this::evictIdle, IDLE_EVICTION_MILLIS, IDLE_EVICTION_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Sends a request; may notify the listener of a failure before returning. */
+  /**
+   * Sends a request; may notify the listener of a failure before returning.
+   *
+   * <p>A request that should name itself in a correlation header and does not is sent on a
+   * connection of its own, where no response to an earlier request can be taken for its own.
+   */
   public WireExchange send(WireRequest request, WireListener listener) {
     WireExchange exchange = new WireExchange(request, listener);
     WirePool pool = poolByAddress.computeIfAbsent(request.address(), a -> new WirePool(clock));
-    WireConnection idleConnection = pool.acquireIdle(request.maxIdleMillis());
+    WireConnection idleConnection =
+        exchange.isCorrelated() ? pool.acquireIdle(request.maxIdleMillis()) : null;
     if (idleConnection != null) {
       idleConnection.send(exchange);
     } else if (pool.openCount() >= request.maxConnections()) {
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -19,9 +20,13 @@
 /**
  * A connection that carries one exchange at a time.
  *
- * <p>A response whose correlation header differs from the request's belongs to an earlier exchange
- * and is skipped, as are informational (1xx) responses, up to a number of bytes. Bytes that arrive
- * while no exchange is in progress, or after the end of a response, close the connection.
+ * <p>A response whose correlation header differs from the request's belongs to another exchange. It
+ * is skipped, as are informational (1xx) responses, up to a number of bytes, and the connection is
+ * closed after the response that follows. A response that names no request, or several, fails the
+ * exchange even if it is the first one on the connection: nothing shows that the server had read
+ * the request, and the server may still run it. Bytes that arrive while no exchange is in progress,
+ * or after the end of a response, close the connection, as does a response that is complete before
+ * its request was written.
  */
 final class WireConnection extends ChannelInboundHandlerAdapter {
 
@@ -50,11 +55,11 @@
   private final ResponseDecoder decoder = new ResponseDecoder(this);
   private Channel channel;
   private WireExchange exchange;
-  private int completedExchanges;
   private boolean headReceived;
   private boolean skippingResponse;
+  private boolean receivedOtherResponse;
+  private boolean carriedHeadRequest;
   private boolean reusable;
-  private boolean endsOnClose;
   private boolean requestWritten;
   private boolean closing;
   private long bytesBeforeHead;
@@ -90,6 +95,8 @@
     exchange = next;
     headReceived = false;
     skippingResponse = false;
+    receivedOtherResponse = false;
+    carriedHeadRequest |= isHeadRequest();
     reusable = false;
     requestWritten = false;
     bytesBeforeHead = 0;
@@ -210,32 +217,44 @@
   }
 
   private void handleHead(HttpResponse response) {
-    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    String correlationId =
-        exchange.correlationId == null
-            ? null
-            : response.headers().get(exchange.request.correlationHeader());
-    boolean otherExchange = correlationId != null && !correlationId.equals(exchange.correlationId);
-    if (informational || otherExchange) {
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      rejectResponse("response switches to another protocol");
+      return;
+    }
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skippingResponse = true;
       return;
     }
-    if (exchange.correlationId != null && correlationId == null && completedExchanges > 0) {
-      // On a reused connection, a response without the header may belong to an earlier exchange.
-      failExchange("response without correlation header on a reused connection");
+    WireExchange.Origin origin = exchange.originOf(response);
+    if (origin == WireExchange.Origin.THIS_REQUEST) {
+      acceptHead(response);
+    } else if (origin == WireExchange.Origin.OTHER_REQUEST) {
+      skipOtherResponse(response);
+    } else {
+      rejectResponse("response without the correlation header of one request");
+    }
+  }
+
+  /**
+   * Skips a response to another request, unless its end, where the response to this one would
+   * begin, cannot be found.
+   */
+  private void skipOtherResponse(HttpResponse response) {
+    if (carriedHeadRequest || endsOnClose(response)) {
+      rejectResponse("response to another request, of unknown length");
       return;
     }
+    skippingResponse = true;
+    receivedOtherResponse = true;
+  }
+
+  private void acceptHead(HttpResponse response) {
     headReceived = true;
-    int status = response.status().code();
-    boolean withoutBody = status == NO_CONTENT || status == NOT_MODIFIED || isHeadRequest();
-    endsOnClose =
-        !withoutBody
-            && !HttpUtil.isContentLengthSet(response)
-            && !HttpUtil.isTransferEncodingChunked(response);
     reusable =
         HttpUtil.isKeepAlive(exchange.request.message())
             && HttpUtil.isKeepAlive(response)
-            && !endsOnClose;
+            && exchange.isCorrelated()
+            && !endsOnClose(response);
     String keepAlive = response.headers().get(KEEP_ALIVE);
     if (keepAlive != null) {
       serverIdleLimitMillis = parseIdleLimitMillis(keepAlive);
@@ -243,6 +262,14 @@
     exchange.listener().onHead(response);
   }
 
+  private boolean endsOnClose(HttpResponse response) {
+    int status = response.status().code();
+    boolean withoutBody = status == NO_CONTENT || status == NOT_MODIFIED || isHeadRequest();
+    return !withoutBody
+        && !HttpUtil.isContentLengthSet(response)
+        && !HttpUtil.isTransferEncodingChunked(response);
+  }
+
   private void handleContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     if (skippingResponse) {
@@ -263,8 +290,10 @@
   private void completeExchange() {
     WireExchange completed = exchange;
     exchange = null;
-    completedExchanges++;
-    if (reusable && decoder.hasUndecodedBytes()) {
+    if (receivedOtherResponse) {
+      faults.report(address, "response to another request");
+      closeChannel();
+    } else if (reusable && decoder.hasUndecodedBytes()) {
       handleUnsolicitedBytes();
     } else if (reusable && requestWritten && !completed.isEnded()) {
       setReading(true);
--- a/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireExchange.java
@@ -1,11 +1,13 @@
 package org.cornelchute.net.wire;
 
+import io.netty.handler.codec.http.HttpResponse;
+
 /** A request and its response; confined to the event loop. */
 public final class WireExchange {
 
   final WireRequest request;
 
-  /** Value of the correlation header of the request, null if it has none. */
+  /** Value of the correlation header of the request, null if it has none or an empty one. */
   final String correlationId;
 
   private final WireListener listener;
@@ -19,7 +21,7 @@
     this.correlationId =
         request.correlationHeader().isEmpty()
             ? null
-            : request.message().headers().get(request.correlationHeader());
+            : emptyToNull(request.message().headers().get(request.correlationHeader()));
   }
 
   /** Cancels the exchange without notifying the listener, and closes the connection. */
@@ -68,6 +70,37 @@
     }
   }
 
+  /**
+   * Returns whether the response to this request can be told from responses to others: endpoints
+   * echo its correlation header, or the request names none because they never echo one.
+   */
+  boolean isCorrelated() {
+    return correlationId != null || request.correlationHeader().isEmpty();
+  }
+
+  /** Returns whose response the correlation headers of a response say that it is. */
+  Origin originOf(HttpResponse response) {
+    if (request.correlationHeader().isEmpty()) {
+      return Origin.THIS_REQUEST;
+    }
+    int own = 0;
+    int others = 0;
+    for (String id : response.headers().getAll(request.correlationHeader())) {
+      if (id.equals(correlationId)) {
+        own++;
+      } else if (!id.isEmpty()) {
+        others++;
+      }
+    }
+    if (own == 0 && others == 0) {
+      return correlationId == null ? Origin.THIS_REQUEST : Origin.UNKNOWN;
+    }
+    if (own == 0) {
+      return Origin.OTHER_REQUEST;
+    }
+    return others == 0 ? Origin.THIS_REQUEST : Origin.UNKNOWN;
+  }
+
   boolean isEnded() {
     return ended;
   }
@@ -97,4 +130,17 @@
       listener.onFailure(possiblySent, reason);
     }
   }
+
+  private static String emptyToNull(String text) {
+    return text == null || text.isEmpty() ? null : text;
+  }
+
+  /** Request to which a response belongs. */
+  enum Origin {
+    THIS_REQUEST,
+    OTHER_REQUEST,
+
+    /** The response names no request, or several. */
+    UNKNOWN
+  }
 }
