Show over a whole entry that calls run once and are told the truth beside stray responses

Callers of other operators were told 'not run' for calls that an endpoint had run, or such a call ran twice.

--- a/entry/src/test/java/org/cornelchute/entry/direct/ScriptedEndpoint.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/ScriptedEndpoint.java
@@ -24,9 +24,16 @@
 
   private final List<Socket> sockets = Collections.synchronizedList(new CopyOnWriteArrayList<>());
   private final ServerSocket server;
+  private final String greeting;
   private final Script script;
 
   ScriptedEndpoint(Script script) throws IOException {
+    this("", script);
+  }
+
+  /** Starts an endpoint that sends a greeting on each connection before it reads a request. */
+  ScriptedEndpoint(String greeting, Script script) throws IOException {
+    this.greeting = greeting;
     this.script = script;
     this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     start(this::acceptAll);
@@ -89,6 +96,7 @@
 
   private void serve(Socket socket) throws IOException {
     try (socket) {
+      new Output(socket.getOutputStream()).write(greeting);
       BufferedReader reader =
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -15,7 +15,7 @@
 import org.cornelchute.policy.forward.ServiceSpec;
 import org.cornelchute.policy.forward.ServingConfig;
 
-/** An entry before scripted endpoints, with one route of streams that may be resumed. */
+/** An entry before scripted endpoints, with one route. */
 final class StreamFixture implements AutoCloseable {
 
   static final int TIMEOUT_MILLIS = 6_000;
@@ -27,8 +27,13 @@
   private final DirectEntryDaemon entry;
   private final String address;
 
-  /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
+  /** Starts an entry whose route is of streams that may be resumed. */
   StreamFixture(ScriptedEndpoint... endpoints) throws IOException {
+    this(CallKind.STREAM, endpoints);
+  }
+
+  /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
+  StreamFixture(CallKind kind, ScriptedEndpoint... endpoints) throws IOException {
     List<EndpointSpec> specs = new ArrayList<>();
     for (ScriptedEndpoint endpoint : endpoints) {
       specs.add(EntryFixture.endpointSpec("i" + specs.size(), SERVICE, endpoint.port()));
@@ -43,19 +48,19 @@
                 EntryFixture.freeAddress(),
                 KEY_AGE_MILLIS),
             EntryFixture.HEADER_NAMES,
-            EntryFixture.fixedState(config(), specs),
+            EntryFixture.fixedState(config(kind), specs),
             1);
     entry.start();
   }
 
-  private static ServingConfig config() {
+  private static ServingConfig config(CallKind kind) {
     RouteSpec route =
         new RouteSpec(
             "r",
             "127.0.0.1",
             "/s/",
-            CallKind.STREAM,
-            true,
+            kind,
+            kind == CallKind.STREAM,
             TIMEOUT_MILLIS,
             500,
             1,
