--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -15,7 +15,7 @@
 import org.cornelchute.policy.forward.ServiceSpec;
 import org.cornelchute.policy.forward.ServingConfig;
 
-/** An entry before scripted endpoints, with one route of streams that may be resumed. */
+/** An entry before scripted endpoints, with one route. */
 final class StreamFixture implements AutoCloseable {
 
   static final int TIMEOUT_MILLIS = 6_000;
@@ -27,14 +27,26 @@
   private final DirectEntryDaemon entry;
   private final String address;
 
-  /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
+  /** Starts an entry whose route is of streams that may be resumed. */
   StreamFixture(ScriptedEndpoint... endpoints) throws IOException {
-    this(MAX_ATTEMPTS, TIMEOUT_MILLIS, endpoints);
+    this(CallKind.STREAM, MAX_ATTEMPTS, TIMEOUT_MILLIS, endpoints);
+  }
+
+  /** Starts an entry whose route is of a kind, and its streams may be resumed. */
+  StreamFixture(CallKind kind, ScriptedEndpoint... endpoints) throws IOException {
+    this(kind, MAX_ATTEMPTS, TIMEOUT_MILLIS, endpoints);
   }
 
-  /** Starts such an entry whose route allows a number of attempts within a time. */
+  /** Starts an entry whose route allows a number of attempts within a time. */
   StreamFixture(int maxAttempts, long timeoutMillis, ScriptedEndpoint... endpoints)
       throws IOException {
+    this(CallKind.STREAM, maxAttempts, timeoutMillis, endpoints);
+  }
+
+  /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
+  private StreamFixture(
+      CallKind kind, int maxAttempts, long timeoutMillis, ScriptedEndpoint... endpoints)
+      throws IOException {
     List<EndpointSpec> specs = new ArrayList<>();
     for (ScriptedEndpoint endpoint : endpoints) {
       specs.add(EntryFixture.endpointSpec("i" + specs.size(), SERVICE, endpoint.port()));
@@ -49,19 +61,19 @@
                 EntryFixture.freeAddress(),
                 KEY_AGE_MILLIS),
             EntryFixture.HEADER_NAMES,
-            EntryFixture.fixedState(config(maxAttempts, timeoutMillis), specs),
+            EntryFixture.fixedState(config(kind, maxAttempts, timeoutMillis), specs),
             1);
     entry.start();
   }
 
-  private static ServingConfig config(int maxAttempts, long timeoutMillis) {
+  private static ServingConfig config(CallKind kind, int maxAttempts, long timeoutMillis) {
     RouteSpec route =
         new RouteSpec(
             "r",
             "127.0.0.1",
             "/s/",
-            CallKind.STREAM,
-            true,
+            kind,
+            kind == CallKind.STREAM,
             timeoutMillis,
             500,
             1,
