Do not resume a stream after an event that has no id

Cause: a stream was resumed after the last id, whatever had been delivered after it. Fix: the entry records whether the last event that it forwarded has an id (data without id has none; comments and blocks without data count for nothing). Without, the stream is neither retried nor sent to a second endpoint: it breaks off visibly. Looked at and left: a gap between ids.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -635,6 +635,7 @@
                 attempt.eventDecoder.lastEventId()));
       }
       if (call.forwards(attempt)) {
+        decider.recordResumable(call.number, attempt.eventDecoder.isResumable());
         events.forEach(call.callerConnection::writeBodyPart);
         call.callerConnection.flush();
       }
--- a/entry/src/test/java/org/cornelchute/entry/direct/ResumedStreamOverSocketsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/ResumedStreamOverSocketsTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.assertj.core.api.SoftAssertions;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -307,4 +308,55 @@
             });
     softly.assertAll();
   }
+
+  /** Failure: events without ids were delivered twice, as the stream was started once more. */
+  @Test
+  void doesNotResumeEventsWithoutIds() throws Exception {
+    AtomicInteger attempts = new AtomicInteger();
+    String chunk = ScriptedEndpoint.chunk("data: a\n\n");
+    ScriptedEndpoint.Script script =
+        (request, output) -> {
+          output.write(ScriptedEndpoint.streamHead(request) + chunk);
+          if (attempts.incrementAndGet() == 1) {
+            return false;
+          }
+          output.write(chunk + ScriptedEndpoint.lastChunk());
+          return true;
+        };
+    try (ScriptedEndpoint one = new ScriptedEndpoint(script);
+        ScriptedEndpoint two = new ScriptedEndpoint(script);
+        StreamFixture fixture = new StreamFixture(one, two)) {
+      String response = fixture.call("a");
+      assertThat(StreamFixture.body(response)).isEqualTo("data: a\n\n");
+      assertThat(StreamFixture.isComplete(response)).isFalse();
+      assertThat(attempts.get()).isEqualTo(1);
+    }
+  }
+
+  /**
+   * Guards against a sound stream that is broken off because its ids do not follow one another. Ids
+   * increase, and an event may stand for several steps, so that a jump does not tell a gap.
+   */
+  @Test
+  void resumesStreamWhoseIdsJump() throws Exception {
+    AtomicInteger attempts = new AtomicInteger();
+    ScriptedEndpoint.Script script =
+        (request, output) -> {
+          output.write(ScriptedEndpoint.streamHead(request));
+          if (attempts.incrementAndGet() == 1) {
+            output.write(ScriptedEndpoint.event(1) + ScriptedEndpoint.event(2));
+            return false;
+          }
+          output.write(ScriptedEndpoint.event(5) + ScriptedEndpoint.event(9));
+          output.write(ScriptedEndpoint.lastChunk());
+          return true;
+        };
+    try (ScriptedEndpoint one = new ScriptedEndpoint(script);
+        ScriptedEndpoint two = new ScriptedEndpoint(script);
+        StreamFixture fixture = new StreamFixture(one, two)) {
+      String response = fixture.call("a");
+      assertThat(StreamFixture.eventIds(response)).containsExactly(1, 2, 5, 9);
+      assertThat(StreamFixture.isComplete(response)).isTrue();
+    }
+  }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/Call.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -41,6 +41,9 @@
   /** Id of the last event that was delivered to the caller, negative if none. */
   long lastEventId;
 
+  /** Whether the last event that was delivered has an id, or none was delivered. */
+  boolean resumable = true;
+
   /** Version of the weights that the stream started on. */
   long streamVersion;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -418,6 +418,17 @@
     return effects;
   }
 
+  /**
+   * Records whether the stream of a call may be resumed after the last event that was delivered to
+   * the caller; not if that has no id. Streams may be resumed unless told otherwise.
+   */
+  public void recordResumable(long number, boolean resumable) {
+    Call call = calls.get(number);
+    if (call != null) {
+      call.resumable = resumable;
+    }
+  }
+
   /**
    * Handles the end of a complete response from an endpoint.
    *
@@ -831,6 +842,7 @@
 
   private boolean mayRetry(long now, Call call) {
     return call.route.isRetryable()
+        && call.resumable
         && call.sentAttempts < call.route.maxAttempts()
         && call.deadline - now >= MIN_RETRY_TIME_MILLIS
         && !crashEvidence.isSuspect(now, call.spec.sharedParts());
--- a/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
@@ -51,6 +51,7 @@
   private long bytesSinceEvent;
   private boolean corrupt;
   private long lastEventId;
+  private boolean resumable = true;
 
   /**
    * Creates a decoder of a stream that is not resumed by this process.
@@ -77,6 +78,14 @@
     return lastEventId;
   }
 
+  /**
+   * Returns whether the stream may be resumed after the last event that was returned: not if that
+   * has data and no id, since another endpoint cannot tell where to go on.
+   */
+  public boolean isResumable() {
+    return resumable;
+  }
+
   /** Returns whether the received bytes end within an event. */
   public boolean hasPartialEvent() {
     return first < size;
@@ -139,6 +148,7 @@
   private void emit(List<byte[]> events, int start, int end) {
     boolean event = false;
     boolean malformed = false;
+    boolean data = false;
     boolean needsId = false;
     long id = -1;
     for (int i = first; i < end; i = nextLine(i, end)) {
@@ -148,7 +158,8 @@
       boolean field = startsWithField(i);
       event = event || field;
       malformed = malformed || !field && !startsWithName(i);
-      needsId = needsId || (field ? isField(i, DATA_FIELD) : buffer[i] != ':');
+      data = data || isField(i, DATA_FIELD);
+      needsId = needsId || data || !field && buffer[i] != ':';
       if (id < 0 && isField(i, ID_FIELD)) {
         id = parseId(i + ID_FIELD.length, end);
       }
@@ -160,6 +171,7 @@
     if (id >= 0) {
       lastEventId = id;
     }
+    resumable = id >= 0 || resumable && !data;
     if (event) {
       bytesSinceEvent = size - end;
     }
--- a/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
@@ -170,6 +170,23 @@
     assertThat(decoder.lastEventId()).isEqualTo(9);
   }
 
+  /** Guards against a stream that is resumed after an event that has no id. */
+  @Test
+  void tellsWhetherTheLastEventHasAnId() {
+    EventStreamDecoder decoder = new EventStreamDecoder(-1);
+    assertThat(decoder.isResumable()).isTrue();
+    decoder.decode(bytes("id: 1\ndata: a\n\n: comment\n\nretry: 1\n\n"));
+    assertThat(decoder.isResumable()).isTrue();
+    decoder.decode(bytes("data: b\n\n: comment\n\n"));
+    assertThat(decoder.isResumable()).isFalse();
+    decoder.decode(bytes("id: 1\ndata: a\n\n"));
+    assertThat(decoder.isResumable()).isFalse();
+    decoder.decode(bytes("id: 2\ndata: c\n\n"));
+    assertThat(decoder.isResumable()).isTrue();
+    decoder.decode(bytes("id: none\ndata: d\n\n"));
+    assertThat(decoder.isResumable()).isFalse();
+  }
+
   /** Guards against blank lines after the last event that are taken for the start of another. */
   @Test
   void blankLinesAreNoPartialEvent() {
--- a/policy/src/test/java/org/cornelchute/policy/forward/ResumedStreamTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ResumedStreamTest.java
@@ -233,6 +233,36 @@
     assertThat(find(end(fixture, third), CallEffect.Complete.class)).isPresent();
   }
 
+  /**
+   * Failure: a stream was resumed after an event without id, which the caller then received twice,
+   * or with a gap in its place.
+   */
+  @Test
+  void doesNotResumeAfterEventWithoutId() {
+    Fixture fixture = fixture(3);
+    CallEffect.Dispatch first = startStream(fixture);
+    fixture.decider.recordResumable(first.call(), false);
+    assertThat(find(sweepThroughSilence(fixture), CallEffect.Dispatch.class)).isEmpty();
+    assertAborts(
+        fixture.decider.onAttemptFailure(
+            fixture.now, first.call(), first.attempt(), true, "reset"));
+  }
+
+  /** Guards against a stream that is given up although its last event has an id again. */
+  @Test
+  void resumesAfterEventWithId() {
+    Fixture fixture = fixture(3);
+    CallEffect.Dispatch first = startStream(fixture);
+    fixture.decider.recordResumable(first.call(), false);
+    fixture.decider.recordResumable(first.call(), true);
+    assertThat(
+            find(
+                fixture.decider.onAttemptFailure(
+                    fixture.now, first.call(), first.attempt(), true, "reset"),
+                CallEffect.Dispatch.class))
+        .isPresent();
+  }
+
   /** Guards against a resumption by the caller that never ends, since nothing is left. */
   @Test
   void completesAnEmptyStreamThatTheCallerResumed() {
