Remove EventStreamDecoder.discardPartialEvent

Its only caller in the main code left with: each attempt has a decoder of its own. No change of behavior. Its uses in EventStreamDecoderTest are rewritten with a new decoder of a resumed stream, made from lastEventId() as the entry makes it. They check as much, and more: that an incomplete event is not counted as the last one, which event the next decoder returns (not only that there is one), and that a fault of one attempt does not pass to the next.

--- a/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EventStreamDecoder.java
@@ -101,16 +101,6 @@
         : Optional.empty();
   }
 
-  /** Discards the bytes of an incomplete event; called when the stream is resumed. */
-  public void discardPartialEvent() {
-    buffer = NO_BYTES;
-    size = 0;
-    first = 0;
-    scanned = 0;
-    bytesSinceEvent = 0;
-    corrupt = false;
-  }
-
   /** Adds received bytes and returns the events and comments that they complete, in order. */
   public List<byte[]> decode(byte[] bytes) {
     append(bytes);
--- a/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EventStreamDecoderTest.java
@@ -45,9 +45,12 @@
     EventStreamDecoder decoder = new EventStreamDecoder(-1);
     assertThat(decoder.decode(bytes("id: 1\ndata: a\n\nid: 2\nda"))).hasSize(1);
     assertThat(decoder.hasPartialEvent()).isTrue();
-    decoder.discardPartialEvent();
-    assertThat(decoder.decode(bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))).hasSize(1);
-    assertThat(decoder.lastEventId()).isEqualTo(2);
+    assertThat(decoder.lastEventId()).isEqualTo(1);
+    EventStreamDecoder next = new EventStreamDecoder(decoder.lastEventId(), true);
+    assertThat(next.hasPartialEvent()).isFalse();
+    List<byte[]> events = next.decode(bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    assertThat(events).containsExactly(bytes("id: 2\ndata: b\n\n"));
+    assertThat(next.lastEventId()).isEqualTo(2);
   }
 
   /** Guards against an event that is buffered without bound because its end never comes. */
@@ -58,8 +61,9 @@
     assertThat(decoder.fault()).isEmpty();
     decoder.decode(bytes("a"));
     assertThat(decoder.fault()).isPresent();
-    decoder.discardPartialEvent();
-    assertThat(decoder.fault()).isEmpty();
+    EventStreamDecoder next = new EventStreamDecoder(decoder.lastEventId(), true);
+    assertThat(next.decode(bytes("id: 1\ndata: a\n\n"))).hasSize(1);
+    assertThat(next.fault()).isEmpty();
   }
 
   /** Guards against garbage, blank lines, comments or old events that keep a stream alive. */
@@ -97,9 +101,9 @@
       EventStreamDecoder decoder = new EventStreamDecoder(-1);
       assertThat(decoder.decode(bytes("data: a\n\n" + garbage + "\n\ndata: b\n\n"))).hasSize(1);
       assertThat(decoder.fault()).isPresent();
-      decoder.discardPartialEvent();
-      assertThat(decoder.decode(bytes("data: b\n\n"))).hasSize(1);
-      assertThat(decoder.fault()).isEmpty();
+      EventStreamDecoder next = new EventStreamDecoder(decoder.lastEventId(), true);
+      assertThat(next.decode(bytes("id: 1\ndata: b\n\n"))).hasSize(1);
+      assertThat(next.fault()).isEmpty();
     }
   }
 
