Tell crashes of one listed endpoint apart by when their calls were sent

Cause: crashes were told apart by the incarnation that the directory lists. An engine that starts again under its id and crashes again before entries read its new row gave the same key, so that up to some seconds of crashes counted as one and the part was blocked late.

Mend: a crash of a call that was sent after an entry had seen the crash before is another one. The time of sending is used, not that of the begin, since an entry that was frozen notes a begin late. Observations carry a number, so that a report that comes again late (to a frozen entry) is not another crash; the number of ends is the least that explains all times, so it needs no agreement between entries. At most four crashes of one listed incarnation count: an endpoint that breaks off its responses for another reason must not put sound parts off for hours.

Messages: CrashReport has two components more.

countsCrashesOfOneEndpointOnce said that any crashes of one incarnation count once, which is the fault; it now says so of calls sent before the first was seen, with twice the calls, over 10 s.

Ruled out: an ordinal in the key (entries that saw nothing of a crash count otherwise), the begin alone (frozen entries), a new protocol version (entries of two builds would not talk during a restart).

--- a/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.databind.introspect.Annotated;
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import com.fasterxml.jackson.databind.module.SimpleModule;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.message.ServingMessage;
 import org.cornelchute.core.message.SwarmMessage;
+import org.cornelchute.core.model.CrashReport;
 import org.cornelchute.core.outcome.Failure;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -29,8 +31,9 @@
  *
  * <p>Frame layout: one byte protocol version, one byte message type, then the record's components
  * as a MessagePack array in declaration order. The message type is an index into {@code
- * MESSAGE_TYPES}. New types are appended to this list; any other change requires a new {@link
- * Version#PROTOCOL}.
+ * MESSAGE_TYPES}. New types are appended to this list. A component may be appended to a record that
+ * has a deserializer of its own, which reads both forms: builds before it skip the component. Any
+ * other change requires a new {@link Version#PROTOCOL}.
  */
 public final class MessageCodec {
 
@@ -78,6 +81,8 @@
   public MessageCodec() {
     ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
     mapper.setAnnotationIntrospector(new RecordsAsArrays());
+    mapper.registerModule(
+        new SimpleModule().addDeserializer(CrashReport.class, new CrashReportDeserializer()));
     mapper.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
     mapper.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
     mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
--- a/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
+++ b/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -17,6 +19,8 @@
 import org.cornelchute.core.model.Role;
 import org.cornelchute.core.model.ServedPart;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class MessageCodecTest {
 
@@ -37,7 +41,8 @@
     assertThat(codec.decode(codec.encode(notRun)).get()).isEqualTo(notRun);
     ControlMessage.CrashEvidenceReport evidence =
         new ControlMessage.CrashEvidenceReport(
-            List.of(new CrashReport(-7, 20, List.of(5L, -1L))), List.of(new ServedPart(3, 9)));
+            List.of(new CrashReport(-7, 20, List.of(5L, -1L), 300, 1 << 30)),
+            List.of(new ServedPart(3, 9)));
     assertThat(codec.decode(codec.encode(evidence)).get()).isEqualTo(evidence);
     assertThat(codec.encode(evidence)).hasSizeLessThan(40);
     ControlMessage.EndpointLimitsReport limits =
@@ -51,6 +56,51 @@
     assertThat(data.chunk()).isEqualTo(5);
   }
 
+  // Failure: during a rolling restart, entries of two builds do not read each other's reports.
+  @Test
+  void readsReportsOfCrashesWithFewerAndMoreComponents() throws IOException {
+    byte[] code = codec.encode(new ControlMessage.CrashEvidenceReport(List.of(), List.of()));
+    CrashReport numbered = new CrashReport(-7, 20, List.of(5L), 300, 9);
+    assertThat(codec.decode(crashFrame(code, 3)).get())
+        .isEqualTo(
+            new ControlMessage.CrashEvidenceReport(
+                List.of(new CrashReport(-7, 20, List.of(5L))), List.of()));
+    for (int components = 5; components < 8; components++) {
+      assertThat(codec.decode(crashFrame(code, components)).get())
+          .isEqualTo(new ControlMessage.CrashEvidenceReport(List.of(numbered), List.of()));
+    }
+    assertThat(codec.decode(crashFrame(code, 2)).isLeft()).isTrue();
+    assertThat(codec.decode(crashFrame(code, 4)).isLeft()).isTrue();
+    // A build before the number skips what it does not know; so does Jackson for other records.
+    byte[] ping = codec.encode(new ControlMessage.Hello("x"));
+    ping[2] = (byte) 0x92;
+    byte[] longer = Arrays.copyOf(ping, ping.length + 1);
+    assertThat(codec.decode(longer).get()).isEqualTo(new ControlMessage.Hello("x"));
+  }
+
+  /** Encodes a report of one crash of which only the first components are written. */
+  private static byte[] crashFrame(byte[] code, int components) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.addPayload(new byte[] {code[0], code[1]});
+      packer.packArrayHeader(2).packArrayHeader(1).packArrayHeader(components);
+      packer.packInt(-7).packLong(20);
+      if (components > 2) {
+        packer.packArrayHeader(1).packLong(5);
+      }
+      if (components > 3) {
+        packer.packLong(300);
+      }
+      if (components > 4) {
+        packer.packInt(9);
+      }
+      for (int i = 5; i < components; i++) {
+        packer.packArrayHeader(1).packString("of a later build");
+      }
+      packer.packArrayHeader(0);
+      return packer.toByteArray();
+    }
+  }
+
   @Test
   void rejectsFrameWithAnotherProtocolVersion() {
     byte[] frame = codec.encode(new ControlMessage.Hello("x"));
--- a/policy/src/main/java/org/cornelchute/policy/crash/Crash.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/Crash.java
@@ -5,17 +5,42 @@
 /**
  * A response that broke off after its endpoint had begun it, seen by this or another entry.
  *
- * @param endpoint hash code of the endpoint's incarnation
+ * <p>Several responses of one crash are told from those of several crashes by their times: all
+ * responses that a crash breaks off were sent before any entry saw it, and a call that was sent
+ * later was broken off by another crash. The incarnation alone cannot tell crashes apart, since the
+ * directory lists an endpoint that started again some time later.
+ *
+ * @param endpoint hash code of the endpoint's incarnation, as listed
+ * @param id number of the observation, the same at all entries
+ * @param sentAt time at which the call was sent to the endpoint, {@link Long#MIN_VALUE} if unknown
  * @param at time at which the response broke off
  * @param parts ids of the shared parts of the call's prompt, in prompt order
  */
-record Crash(int endpoint, long at, List<Long> parts) {
+record Crash(int endpoint, int id, long sentAt, long at, List<Long> parts) {
+
+  /** Delay of reports up to which crashes that other entries saw are told apart correctly. */
+  private static final long MAX_REPORT_DELAY_MILLIS = 100;
 
-  /** Returns what identifies the crash at all entries, which may see it at different times. */
-  Key key() {
-    return new Key(endpoint, parts);
+  /** Returns whether the call was sent after an entry had seen the other crash of the endpoint. */
+  boolean isAfter(Crash other) {
+    return sentAt > other.at + MAX_REPORT_DELAY_MILLIS;
   }
 
-  /** Identity of a crash. */
-  record Key(int endpoint, List<Long> parts) {}
+  /** Returns whether both are observations of one crash in calls with the same parts. */
+  boolean isSame(Crash other) {
+    return endpoint == other.endpoint
+        && !isAfter(other)
+        && !other.isAfter(this)
+        && parts.equals(other.parts);
+  }
+
+  /** Returns this observation, corrected by a repeated report of it or by another observation. */
+  Crash narrow(Crash other) {
+    if (id == other.id) {
+      // Each report adds its delay to the times, so the earliest are the best.
+      return other.at < at ? other : this;
+    }
+    long knownSentAt = sentAt == Long.MIN_VALUE ? other.sentAt : sentAt;
+    return new Crash(endpoint, id, knownSentAt, Math.min(at, other.at), parts);
+  }
 }
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashAnalysis.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashAnalysis.java
@@ -25,15 +25,26 @@
   /** Time in which crashes of several endpoints count as one, since they may have one cause. */
   private static final long SAME_CAUSE_MILLIS = 100;
 
+  /**
+   * Crashes of one listed incarnation that count. Fewer than those from which on trials are hours
+   * apart, since an endpoint that breaks off its responses for another reason does so repeatedly.
+   */
+  private static final int MAX_CAUSES_PER_ENDPOINT = TrialSchedule.CERTAIN_CRASHES - 1;
+
   private final Map<Long, Long> servedAtByPart;
   private final Map<Long, List<Crash>> crashesByPart = new HashMap<>();
   private final Map<Long, Integer> positionByPart = new HashMap<>();
-  private final Set<Integer> explainedEndpoints = new HashSet<>();
+
+  /** End of the incarnation of an endpoint that each crash, by its id, belongs to. */
+  private final Map<Integer, End> endByCrash = new HashMap<>();
+
+  private final Set<End> explainedEnds = new HashSet<>();
 
   private CrashAnalysis(Collection<Crash> crashes, Map<Long, Long> servedAtByPart) {
     this.servedAtByPart = servedAtByPart;
     List<Crash> ordered = new ArrayList<>(crashes);
     ordered.sort(Comparator.comparingLong(Crash::at));
+    assignEnds(ordered);
     for (Crash crash : ordered) {
       for (int i = 0; i < crash.parts().size(); i++) {
         long part = crash.parts().get(i);
@@ -45,6 +56,21 @@
     }
   }
 
+  /** Finds the least number of ends of endpoints that explains all crashes. */
+  private void assignEnds(List<Crash> ordered) {
+    Map<Integer, Crash> firstByEndpoint = new HashMap<>();
+    Map<Integer, Integer> countByEndpoint = new HashMap<>();
+    for (Crash crash : ordered) {
+      Crash first = firstByEndpoint.get(crash.endpoint());
+      if (first == null || crash.isAfter(first)) {
+        firstByEndpoint.put(crash.endpoint(), crash);
+        countByEndpoint.merge(crash.endpoint(), 1, Integer::sum);
+      }
+      int number = countByEndpoint.get(crash.endpoint());
+      endByCrash.put(crash.id(), new End(crash.endpoint(), number));
+    }
+  }
+
   /**
    * Returns the suspects by part.
    *
@@ -65,7 +91,7 @@
         return suspects;
       }
       suspects.put(best.part(), best);
-      best.crashes().forEach(c -> explainedEndpoints.add(c.endpoint()));
+      best.crashes().forEach(c -> explainedEnds.add(endByCrash.get(c.id())));
       candidates.remove(best);
       candidates = findCandidates(candidates.stream().map(Suspect::part).toList());
     }
@@ -87,7 +113,7 @@
     for (long part : parts) {
       List<Crash> unexplained =
           crashesByPart.get(part).stream()
-              .filter(c -> !explainedEndpoints.contains(c.endpoint()))
+              .filter(c -> !explainedEnds.contains(endByCrash.get(c.id())))
               .toList();
       if (unexplained.isEmpty()) {
         continue;
@@ -106,17 +132,23 @@
     return candidates;
   }
 
-  private static int countCauses(List<Crash> crashes) {
-    Set<Integer> endpoints = new HashSet<>();
+  private int countCauses(List<Crash> crashes) {
+    Set<End> ends = new HashSet<>();
+    Map<Integer, Integer> countByEndpoint = new HashMap<>();
     int count = 0;
     long lastCauseAt = 0;
     for (Crash crash : crashes) {
       boolean sameCause = count > 0 && crash.at() - lastCauseAt < SAME_CAUSE_MILLIS;
-      if (endpoints.add(crash.endpoint()) && !sameCause) {
+      if (ends.add(endByCrash.get(crash.id()))
+          && !sameCause
+          && countByEndpoint.merge(crash.endpoint(), 1, Integer::sum) <= MAX_CAUSES_PER_ENDPOINT) {
         count++;
         lastCauseAt = crash.at();
       }
     }
     return count;
   }
+
+  /** One of the ends of an endpoint that are listed as one incarnation, numbered from 1. */
+  private record End(int endpoint, int number) {}
 }
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.cornelchute.core.message.ControlMessage.CrashEvidenceReport;
 import org.cornelchute.core.model.CrashReport;
@@ -43,7 +44,25 @@
   /** Maximum number of parts of which the time of the last service is kept. */
   private static final int MAX_SERVED_PARTS = 4_096;
 
-  private final Map<Crash.Key, Crash> crashes = new LinkedHashMap<>();
+  /** Maximum number of observations of crashes whose record is another observation. */
+  private static final int MAX_MERGED_CRASHES = 1_024;
+
+  private final String self;
+
+  /** Crashes by id, each with the first of the observations of it that have the same parts. */
+  private final Map<Integer, Crash> crashes = new LinkedHashMap<>();
+
+  /** Id of the recorded crash by the id of another observation of it, which may be repeated. */
+  private final Map<Integer, Integer> mergedCrashes =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Integer, Integer> eldest) {
+          return size() > MAX_MERGED_CRASHES;
+        }
+      };
+
   private final Map<Long, Long> servedAtByPart =
       new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -54,7 +73,9 @@
         }
       };
 
-  private final Set<Crash> pinnedCrashes = new HashSet<>();
+  /** Ids of the crashes that block parts. */
+  private final Set<Integer> pinnedCrashes = new HashSet<>();
+
   private final TrialSchedule trials;
   private final EvidenceExchange exchange = new EvidenceExchange();
   private final List<PartChange> changes = new ArrayList<>();
@@ -64,6 +85,7 @@
 
   private Map<Long, Suspect> suspects = Map.of();
   private boolean outdated;
+  private int lastObservation;
 
   /**
    * Creates a record without observations.
@@ -71,6 +93,7 @@
    * @param self name of this entry
    */
   public CrashEvidence(String self) {
+    this.self = self;
     this.trials = new TrialSchedule(self);
   }
 
@@ -122,11 +145,14 @@
    * Records a response that broke off after it had begun.
    *
    * @param endpoint hash code of the endpoint's incarnation
+   * @param sentAt time at which the call was sent to the endpoint
    */
-  public void recordCrash(long now, int endpoint, List<Long> parts) {
-    Crash crash = new Crash(endpoint, now, parts.subList(0, Math.min(MAX_PARTS, parts.size())));
+  public void recordCrash(long now, int endpoint, long sentAt, List<Long> parts) {
+    List<Long> recordedParts = parts.subList(0, Math.min(MAX_PARTS, parts.size()));
+    int id = crashId(Objects.hash(self, now, ++lastObservation));
+    Crash crash = new Crash(endpoint, id, sentAt, now, recordedParts);
     observedParts.addAll(crash.parts());
-    if (add(now, crash)) {
+    if (add(crash)) {
       exchange.announceOwn(crash, !servedAtByPart.keySet().containsAll(crash.parts()));
     }
   }
@@ -157,7 +183,8 @@
     for (int i = 0; i < count; i++) {
       // These crashes must be the same at all entries, which read the same row.
       int endpoint = Long.hashCode(part) + i;
-      add(now, new Crash(endpoint, now - i * STORED_CRASH_INTERVAL_MILLIS, List.of(part)));
+      long at = now - i * STORED_CRASH_INTERVAL_MILLIS;
+      add(new Crash(endpoint, crashId(Objects.hash(part, i)), at, at, List.of(part)));
     }
   }
 
@@ -166,9 +193,9 @@
   /** Records the observations of another entry. */
   public void recordReport(long now, CrashEvidenceReport report) {
     for (CrashReport r : report.crashes()) {
-      if (r.ageMillis() >= 0 && r.ageMillis() <= MAX_AGE_MILLIS && r.parts().size() <= MAX_PARTS) {
-        Crash crash = new Crash(r.endpoint(), now - r.ageMillis(), List.copyOf(r.parts()));
-        if (add(now, crash)) {
+      if (isPlausible(r)) {
+        Crash crash = toCrash(now, r);
+        if (add(crash)) {
           exchange.relay(crash);
         }
       }
@@ -198,18 +225,64 @@
 
   // Record
 
-  private boolean add(long now, Crash crash) {
+  private static boolean isPlausible(CrashReport report) {
+    return report.ageMillis() >= 0
+        && report.ageMillis() <= MAX_AGE_MILLIS
+        && report.openMillis() >= 0
+        && report.openMillis() <= MAX_AGE_MILLIS
+        && report.parts().size() <= MAX_PARTS;
+  }
+
+  private static Crash toCrash(long now, CrashReport report) {
+    long at = now - report.ageMillis();
+    List<Long> parts = List.copyOf(report.parts());
+    if (report.isNumbered()) {
+      return new Crash(report.endpoint(), report.id(), at - report.openMillis(), at, parts);
+    }
+    int id = crashId(Objects.hash(report.endpoint(), parts));
+    return new Crash(report.endpoint(), id, Long.MIN_VALUE, at, parts);
+  }
+
+  /** Returns a hash code as id of a crash, which must not be the one of an unnumbered report. */
+  private static int crashId(int hash) {
+    return hash == CrashReport.UNNUMBERED ? 1 : hash;
+  }
+
+  /** Adds an observation; returns whether it is the first of its crash with these parts. */
+  private boolean add(Crash crash) {
     if (crash.parts().isEmpty()) {
       return false;
     }
-    Crash known = crashes.get(crash.key());
-    if (known != null && known.at() <= crash.at()) {
-      return false;
+    Crash known = findKnown(crash);
+    if (known == null) {
+      crashes.put(crash.id(), crash);
+      outdated = true;
+      removeOldest();
+      return true;
+    }
+    if (known.id() != crash.id()) {
+      mergedCrashes.put(crash.id(), known.id());
+    }
+    Crash narrowed = known.narrow(crash);
+    if (!narrowed.equals(known)) {
+      crashes.put(known.id(), narrowed);
+      outdated = true;
+    }
+    return false;
+  }
+
+  /** Returns the recorded observation of a crash with the same parts, null if there is none. */
+  private Crash findKnown(Crash crash) {
+    Crash known = crashes.get(mergedCrashes.getOrDefault(crash.id(), crash.id()));
+    if (known != null) {
+      return known;
+    }
+    for (Crash c : crashes.values()) {
+      if (c.isSame(crash)) {
+        return c;
+      }
     }
-    crashes.put(crash.key(), crash);
-    outdated = true;
-    removeOldest();
-    return known == null;
+    return null;
   }
 
   /** Records that a call with a part was served; returns whether that refutes a crash. */
@@ -263,13 +336,13 @@
     pinnedCrashes.clear();
     for (Suspect suspect : suspects.values()) {
       if (suspect.isBlocked()) {
-        pinnedCrashes.addAll(EvidenceExchange.newestCrashes(suspect));
+        EvidenceExchange.newestCrashes(suspect).forEach(c -> pinnedCrashes.add(c.id()));
       }
     }
   }
 
   private boolean isOld(long now, Crash crash) {
-    return now - crash.at() > RETENTION_MILLIS && !pinnedCrashes.contains(crash);
+    return now - crash.at() > RETENTION_MILLIS && !pinnedCrashes.contains(crash.id());
   }
 
   /** Removes the oldest crashes if there are too many; those that block parts last. */
@@ -278,8 +351,8 @@
     removeOldest(Set.of());
   }
 
-  private void removeOldest(Set<Crash> spared) {
-    Iterator<Crash> iterator = crashes.values().iterator();
+  private void removeOldest(Set<Integer> spared) {
+    Iterator<Integer> iterator = crashes.keySet().iterator();
     while (crashes.size() > MAX_CRASHES && iterator.hasNext()) {
       if (!spared.contains(iterator.next())) {
         iterator.remove();
--- a/policy/src/main/java/org/cornelchute/policy/crash/EvidenceExchange.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/EvidenceExchange.java
@@ -129,16 +129,19 @@
   }
 
   /**
-   * Returns the newest crashes that a part explains, of different endpoints and at most {@value
-   * #MAX_CRASHES_PER_SUSPECT}.
+   * Returns the newest crashes that a part explains, of different endpoints or different ends of
+   * one, and at most {@value #MAX_CRASHES_PER_SUSPECT}.
    */
   static Collection<Crash> newestCrashes(Suspect suspect) {
-    Map<Integer, Crash> newest = new LinkedHashMap<>();
+    List<Crash> newest = new ArrayList<>();
     List<Crash> all = suspect.crashes();
     for (int i = all.size() - 1; i >= 0 && newest.size() < MAX_CRASHES_PER_SUSPECT; i--) {
-      newest.putIfAbsent(all.get(i).endpoint(), all.get(i));
+      Crash crash = all.get(i);
+      if (newest.stream().noneMatch(c -> c.endpoint() == crash.endpoint() && !c.isAfter(crash))) {
+        newest.add(crash);
+      }
     }
-    return newest.values();
+    return newest;
   }
 
   private void enqueue(Queued queued) {
@@ -153,7 +156,12 @@
   }
 
   private static CrashReport toReport(long now, Crash crash) {
-    return new CrashReport(crash.endpoint(), Math.max(0, now - crash.at()), crash.parts());
+    long ageMillis = Math.max(0, now - crash.at());
+    if (crash.sentAt() == Long.MIN_VALUE) {
+      return new CrashReport(crash.endpoint(), ageMillis, crash.parts());
+    }
+    long openMillis = Math.max(0, crash.at() - crash.sentAt());
+    return new CrashReport(crash.endpoint(), ageMillis, crash.parts(), openMillis, crash.id());
   }
 
   /** A crash and the number of reports that it is still to be sent in. */
--- a/policy/src/main/java/org/cornelchute/policy/crash/TrialSchedule.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/TrialSchedule.java
@@ -17,7 +17,7 @@
 final class TrialSchedule {
 
   /** Crashes from which on a part is almost certainly harmful. */
-  private static final int CERTAIN_CRASHES = 5;
+  static final int CERTAIN_CRASHES = 5;
 
   private static final long FIRST_DELAY_MILLIS = 5_000;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -459,7 +459,8 @@
       call.mayHaveExecuted = true;
       logBrokenAttempt(effects, call, failed, reason);
       if (failed.hasBegun()) {
-        crashEvidence.recordCrash(now, failed.endpoint.incarnation(), call.spec.sharedParts());
+        crashEvidence.recordCrash(
+            now, failed.endpoint.incarnation(), failed.dispatchedAt, call.spec.sharedParts());
         reportPartChanges(now, effects);
       }
     }
--- a/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
@@ -9,6 +9,8 @@
 import org.cornelchute.core.model.CrashReport;
 import org.cornelchute.core.model.ServedPart;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Which parts of prompts are blocked by which observations. */
 class CrashEvidenceTest {
@@ -16,6 +18,7 @@
   private static final long FIRST = 1;
   private static final long HARMFUL = 2;
   private static final long HOUR_MILLIS = 3_600_000;
+  private static final long OPEN_MILLIS = 300;
   private static final int MAX_LATE_TRIALS = 3;
 
   private final CrashEvidence evidence = evidence("e1");
@@ -31,7 +34,12 @@
   /** Records a crash of another endpoint in which a call with these parts broke off. */
   private void crash(Long... parts) {
     now += 500;
-    evidence.recordCrash(now, ++lastEndpoint, List.of(parts));
+    recordCrash(++lastEndpoint, List.of(parts));
+  }
+
+  /** Records a crash in which a call that was sent shortly before broke off. */
+  private void recordCrash(int endpoint, List<Long> parts) {
+    evidence.recordCrash(now, endpoint, now - OPEN_MILLIS, parts);
   }
 
   private boolean isBlocked(Long... parts) {
@@ -77,26 +85,115 @@
   void countsCrashesAtTheSameTimeOnce() {
     for (int i = 0; i < 20; i++) {
       now += 4;
-      evidence.recordCrash(now, ++lastEndpoint, List.of(FIRST));
+      recordCrash(++lastEndpoint, List.of(FIRST));
     }
     assertThat(evidence.isSuspect(now, List.of(FIRST))).isFalse();
   }
 
+  // Failure: calls that one crash breaks off, and that entries notice over seconds, add up.
   @Test
   void countsCrashesOfOneEndpointOnce() {
+    long sentAt = now;
     for (int i = 0; i < 20; i++) {
       now += 500;
-      evidence.recordCrash(now, 1, List.of(FIRST, (long) i + 100));
+      evidence.recordCrash(now, 1, sentAt + 20 * i, List.of(FIRST, (long) i + 100));
+      evidence.recordCrash(now, 1, sentAt + 20 * i, List.of(FIRST));
     }
     assertThat(evidence.isSuspect(now, List.of(FIRST))).isFalse();
   }
 
+  // Failure: an endpoint that starts again before its new incarnation is listed counts once.
+  @Test
+  void countsCrashesOfCallsThatWereSentAfterThePreviousCrash() {
+    now += 500;
+    recordCrash(1, List.of(FIRST, HARMFUL));
+    now += 500;
+    recordCrash(1, List.of(3L, HARMFUL));
+    assertThat(isBlocked(HARMFUL)).isFalse();
+    assertThat(evidence.isSuspect(now, List.of(HARMFUL))).isTrue();
+    now += 500;
+    recordCrash(1, List.of(FIRST, HARMFUL));
+    assertThat(isBlocked(HARMFUL)).isTrue();
+    assertThat(isBlocked(FIRST, 9L)).isFalse();
+  }
+
+  // Failure: entries that see one crash at different times, or hear of it late, take it for many.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void countsOneCrashThatBreaksOffTenCallsAtSeveralEntriesOnce(long seed) {
+    Random random = new Random(seed);
+    List<CrashEvidence> entries = new ArrayList<>();
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < 13; i++) {
+      names.add("e" + i);
+      entries.add(new CrashEvidence("e" + i));
+    }
+    entries.forEach(e -> e.updateEntries(names));
+    long crashAt = now;
+    for (int call = 0; call < 10; call++) {
+      // The last entry saw nothing of it.
+      CrashEvidence entry = entries.get(random.nextInt(12));
+      long seenAt = crashAt + random.nextInt(60);
+      entry.recordCrash(seenAt, 1, crashAt - 1 - random.nextInt(900), List.of(FIRST, HARMFUL));
+    }
+    // Each report also comes once more, up to 5 s late, as to an entry that was frozen.
+    for (long at = crashAt + 60; at < crashAt + 30_000; at += 100) {
+      for (CrashEvidence entry : entries) {
+        CrashEvidenceReport report = entry.takeReport(at);
+        for (CrashEvidence other : entries) {
+          if (other != entry && random.nextInt(3) > 0) {
+            other.recordReport(at + random.nextInt(90), report);
+            other.recordReport(at + random.nextInt(5_000), report);
+          }
+        }
+      }
+    }
+    for (CrashEvidence entry : entries) {
+      assertThat(entry.isSuspect(crashAt + 30_000, List.of(FIRST, HARMFUL))).isFalse();
+    }
+  }
+
+  // Failure: an endpoint that breaks off its responses for another reason than their prompts puts
+  // their parts off for hours.
+  @Test
+  void triesPartSoonThatOnlyOneEndpointBrokeOff() {
+    for (int i = 0; i < 40; i++) {
+      now += 500;
+      recordCrash(1, List.of(FIRST));
+    }
+    assertThat(isBlocked(FIRST)).isTrue();
+    long blockedAt = now;
+    while (isBlocked(FIRST)) {
+      now += 100;
+    }
+    assertThat(now - blockedAt).isLessThan(20_000L);
+  }
+
+  // Failure: entries of the build before, whose reports tell no time of sending, count each report.
+  @Test
+  void countsCrashesThatAreReportedWithoutNumberOnce() {
+    for (int i = 0; i < 20; i++) {
+      now += 500;
+      evidence.recordReport(
+          now, new CrashEvidenceReport(List.of(new CrashReport(1, 10, List.of(FIRST))), List.of()));
+    }
+    assertThat(evidence.isSuspect(now, List.of(FIRST))).isFalse();
+    for (int endpoint = 2; endpoint < 4; endpoint++) {
+      now += 500;
+      evidence.recordReport(
+          now,
+          new CrashEvidenceReport(
+              List.of(new CrashReport(endpoint, 10, List.of(FIRST))), List.of()));
+    }
+    assertThat(isBlocked(FIRST)).isTrue();
+  }
+
   // Failure: parts that are seen in crashes of another part add up to a suspicion.
   @Test
   void doesNotSuspectPartsInCrashesThatAnotherPartExplains() {
     for (int i = 0; i < 4; i++) {
       crash(HARMFUL);
-      evidence.recordCrash(now, lastEndpoint, List.of(FIRST));
+      recordCrash(lastEndpoint, List.of(FIRST));
     }
     crash(HARMFUL);
     assertThat(isBlocked(HARMFUL)).isTrue();
@@ -216,7 +313,7 @@
           entry.recordDispatch(at, List.of(FIRST, HARMFUL));
           crashTimes.add(at);
           for (CrashEvidence other : entries) {
-            other.recordCrash(at + 200, crashTimes.size(), List.of(FIRST, HARMFUL));
+            other.recordCrash(at + 200, crashTimes.size(), at, List.of(FIRST, HARMFUL));
           }
         }
       }
@@ -230,7 +327,7 @@
   void tellsAnEntryThatStartsLater() {
     for (int i = 0; i < 10; i++) {
       crash(FIRST, HARMFUL);
-      evidence.recordCrash(now, lastEndpoint, List.of(FIRST));
+      recordCrash(lastEndpoint, List.of(FIRST));
     }
     now += 2 * HOUR_MILLIS;
     assertThat(isBlocked(HARMFUL)).isTrue();
@@ -252,7 +349,7 @@
       for (int part = 0; part < 40; part++) {
         parts.add(random.nextLong());
       }
-      evidence.recordCrash(now + i / 10, 1_000 + i, parts);
+      evidence.recordCrash(now + i / 10, 1_000 + i, now + i / 10 - OPEN_MILLIS, parts);
       if (i % 4 == 0) {
         evidence.recordServed(now + i / 10, parts);
       }
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -150,6 +150,37 @@
         .hasSizeLessThan(10);
   }
 
+  // Failure: an engine that starts again under its id, and crashes again before entries read its
+  // new
+  // row, counted as one crash, so that the part was blocked seconds late (found by the soak, seed
+  // 1).
+  @ParameterizedTest
+  @CsvSource({"4, 2, 1", "6, 2, 2", "6, 3, 3", "6, 1, 4", "13, 3, 5", "13, 2, 6"})
+  void stopsSendingCallsWhileEnginesStartAgainUnderTheSameRow(int entries, int engines, long seed) {
+    EngineSimulation simulation = new EngineSimulation(entries, engines, seed, true);
+    simulation.restartMillis = 300;
+    simulation.listingMillis = 6_000;
+    simulation.sendCalls(
+        0,
+        END_MILLIS,
+        20,
+        () -> List.of((long) simulation.random.nextInt(4)),
+        simulation::anyEntry);
+    simulation.harmfulParts.add(HARMFUL);
+    simulation.sendCalls(
+        HARM_FROM_MILLIS,
+        END_MILLIS,
+        8,
+        () -> List.of((long) simulation.random.nextInt(4), HARMFUL),
+        simulation::anyEntry);
+    simulation.run(END_MILLIS);
+    assertContained(simulation, HARMFUL);
+    assertThat(
+            simulation.calls.stream()
+                .filter(c -> !c.parts.contains(HARMFUL) && c.rejection == Rejection.BLOCKED_PROMPT))
+        .hasSizeLessThan(10);
+  }
+
   // Failure: a part with which calls were served for long is taken for sound for good.
   @ParameterizedTest
   @CsvSource({"4, 1, 4", "6, 2, 4", "6, 3, 0.6", "6, 4, 1.2", "13, 5, 2", "13, 6, 10"})
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -70,6 +70,10 @@
   /** Time from the end of an engine to its next start. */
   long restartMillis = 3_000;
 
+  /** Time from the start of an engine until the entries read its row in the directory. */
+  long listingMillis = DIRECTORY_DELAY_MILLIS;
+
+  private final boolean keepsIds;
   private final List<String> names = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
 
@@ -84,6 +88,16 @@
   private long nextSequence;
 
   EngineSimulation(int entryCount, int engineCount, long seed) {
+    this(entryCount, engineCount, seed, false);
+  }
+
+  /**
+   * Creates entries and engines.
+   *
+   * @param keepsIds whether engines start again under the same id
+   */
+  EngineSimulation(int entryCount, int engineCount, long seed, boolean keepsIds) {
+    this.keepsIds = keepsIds;
     random = new Random(seed);
     for (int i = 0; i < engineCount; i++) {
       engines.add(new Engine(i));
@@ -364,10 +378,7 @@
   }
 
   private List<EndpointSpec> listedEngines() {
-    return engines.stream()
-        .filter(e -> e.listedId != null)
-        .map(e -> Fixture.engine(e.listedId, "d" + e.slot % 3, 1))
-        .toList();
+    return engines.stream().filter(e -> e.listedId != null).map(Engine::listed).toList();
   }
 
   private void publishEngines() {
@@ -391,13 +402,32 @@
 
     String listedId;
 
+    /** Incarnation that the directory lists. */
+    int listedLife;
+
     Engine(int slot) {
       this.slot = slot;
       this.listedId = id();
     }
 
     String id() {
-      return "i" + slot + "-" + life;
+      return keepsIds ? "i" + slot : "i" + slot + "-" + life;
+    }
+
+    EndpointSpec listed() {
+      String domain = "d" + slot % 3;
+      return new EndpointSpec(
+          listedId,
+          "engines",
+          "10.0.0.1:80",
+          domain,
+          domain,
+          16,
+          false,
+          0,
+          START_MILLIS + listedLife,
+          "m",
+          1);
     }
 
     void accept(Work w) {
@@ -467,22 +497,26 @@
         schedule(now + NETWORK_DELAY_MILLIS, () -> fail(w, true));
       }
       work.clear();
-      schedule(
-          now + REMOVAL_DELAY_MILLIS,
-          () -> {
-            listedId = null;
-            publishEngines();
-          });
+      if (!keepsIds) {
+        schedule(
+            now + REMOVAL_DELAY_MILLIS,
+            () -> {
+              listedId = null;
+              publishEngines();
+            });
+      }
+      int nextLife = life + 1;
       schedule(
           now + restartMillis,
           () -> {
-            life++;
+            life = nextLife;
             running = true;
           });
       schedule(
-          now + restartMillis + DIRECTORY_DELAY_MILLIS,
+          now + restartMillis + listingMillis,
           () -> {
             listedId = id();
+            listedLife = nextLife;
             publishEngines();
           });
     }
