Count stored crashes and the reports of the same crashes once

What callers would see: a sound part that was blocked by mistake after three crashes was put off for hours at all entries, instead of 5 to 20 s, once an entry started meanwhile.

Cause: an entry that starts reads the count of crashes from the store and gets the same crashes in the summaries of the others; both were counted, and its own summaries took the sum to the others. From five on trials are hours apart.

Evidence: CrashEvidenceTest#countsStoredCrashesThatAreReportedAsWellOnce failed on the code before (the part still blocked after 3,600,000 ms); passes now.

Mend: crashes up to the time at which the row was read count with the stored ones as their maximum, later ones are added, so that a harmful part gets no more trials after a restart of all entries.

--- a/policy/src/main/java/org/cornelchute/policy/crash/Crash.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/Crash.java
@@ -1,6 +1,8 @@
 package org.cornelchute.policy.crash;
 
 import java.util.List;
+import java.util.Objects;
+import org.cornelchute.core.model.CrashReport;
 
 /**
  * A response that broke off after its endpoint had begun it, seen by this or another entry.
@@ -21,6 +23,43 @@
   /** Delay of reports up to which crashes that other entries saw are told apart correctly. */
   private static final long MAX_REPORT_DELAY_MILLIS = 100;
 
+  /** Maximum number of crashes of a stored part that are counted. */
+  static final int MAX_STORED = 8;
+
+  /** Time between two crashes of a stored part; long enough that each counts. */
+  private static final long STORED_INTERVAL_MILLIS = 200;
+
+  /**
+   * Returns a crash that stands for one that the store counts; the same at all entries.
+   *
+   * @param number number of the crash, from 0 to less than {@value #MAX_STORED}, latest first
+   * @param readAt time at which the part was read from the store
+   */
+  static Crash stored(long part, int number, long readAt) {
+    long at = readAt - number * STORED_INTERVAL_MILLIS;
+    int endpoint = Long.hashCode(part) + number;
+    return new Crash(endpoint, storedId(part, number), at, at, List.of(part));
+  }
+
+  /** Returns a hash code as id of a crash, which must not be the one of an unnumbered report. */
+  static int toId(int hash) {
+    return hash == CrashReport.UNNUMBERED ? 1 : hash;
+  }
+
+  /** Returns whether the crash stands for one that the store counts. */
+  boolean isStored() {
+    if (parts.size() != 1) {
+      return false;
+    }
+    long part = parts.get(0);
+    int number = endpoint - Long.hashCode(part);
+    return number >= 0 && number < MAX_STORED && id == storedId(part, number);
+  }
+
+  private static int storedId(long part, int number) {
+    return toId(Objects.hash(part, number));
+  }
+
   /** Returns whether the call was sent after an entry had seen the other crash of the endpoint. */
   boolean isAfter(Crash other) {
     return sentAt > other.at + MAX_REPORT_DELAY_MILLIS;
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashAnalysis.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashAnalysis.java
@@ -122,7 +122,7 @@
           new Suspect(
               part,
               servedAtByPart.containsKey(part),
-              countCauses(unexplained),
+              countCrashes(unexplained),
               unexplained.get(unexplained.size() - 1).at(),
               unexplained);
       if (candidate.isSuspect()) {
@@ -132,6 +132,21 @@
     return candidates;
   }
 
+  /**
+   * Counts the crashes of a part. Those that were read from the store may be observations of the
+   * others up to that time, which entries also report.
+   */
+  private int countCrashes(List<Crash> crashes) {
+    List<Crash> stored = crashes.stream().filter(Crash::isStored).toList();
+    if (stored.isEmpty()) {
+      return countCauses(crashes);
+    }
+    long readAt = stored.get(stored.size() - 1).at();
+    List<Crash> before = crashes.stream().filter(c -> !c.isStored() && c.at() <= readAt).toList();
+    List<Crash> after = crashes.stream().filter(c -> !c.isStored() && c.at() > readAt).toList();
+    return Math.max(stored.size(), countCauses(before)) + countCauses(after);
+  }
+
   private int countCauses(List<Crash> crashes) {
     Set<End> ends = new HashSet<>();
     Map<Integer, Integer> countByEndpoint = new HashMap<>();
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -35,12 +35,6 @@
   /** Maximum number of shared parts of a prompt that are recorded. */
   private static final int MAX_PARTS = 32;
 
-  /** Maximum number of crashes of a stored part that are counted. */
-  private static final int MAX_STORED_CRASHES = 8;
-
-  /** Time between two crashes of a stored part; long enough that each counts. */
-  private static final long STORED_CRASH_INTERVAL_MILLIS = 200;
-
   /** Maximum number of parts of which the time of the last service is kept. */
   private static final int MAX_SERVED_PARTS = 4_096;
 
@@ -149,7 +143,7 @@
    */
   public void recordCrash(long now, int endpoint, long sentAt, List<Long> parts) {
     List<Long> recordedParts = parts.subList(0, Math.min(MAX_PARTS, parts.size()));
-    int id = crashId(Objects.hash(self, now, ++lastObservation));
+    int id = Crash.toId(Objects.hash(self, now, ++lastObservation));
     Crash crash = new Crash(endpoint, id, sentAt, now, recordedParts);
     observedParts.addAll(crash.parts());
     if (add(crash)) {
@@ -179,12 +173,9 @@
    * @param crashCount number of crashes that were attributed to the part; 0 if it was cleared
    */
   public void recordStored(long now, long part, int crashCount) {
-    int count = Math.min(crashCount, MAX_STORED_CRASHES);
+    int count = Math.min(crashCount, Crash.MAX_STORED);
     for (int i = 0; i < count; i++) {
-      // These crashes must be the same at all entries, which read the same row.
-      int endpoint = Long.hashCode(part) + i;
-      long at = now - i * STORED_CRASH_INTERVAL_MILLIS;
-      add(new Crash(endpoint, crashId(Objects.hash(part, i)), at, at, List.of(part)));
+      add(Crash.stored(part, i, now));
     }
   }
 
@@ -239,15 +230,10 @@
     if (report.isNumbered()) {
       return new Crash(report.endpoint(), report.id(), at - report.openMillis(), at, parts);
     }
-    int id = crashId(Objects.hash(report.endpoint(), parts));
+    int id = Crash.toId(Objects.hash(report.endpoint(), parts));
     return new Crash(report.endpoint(), id, Long.MIN_VALUE, at, parts);
   }
 
-  /** Returns a hash code as id of a crash, which must not be the one of an unnumbered report. */
-  private static int crashId(int hash) {
-    return hash == CrashReport.UNNUMBERED ? 1 : hash;
-  }
-
   /** Adds an observation; returns whether it is the first of its crash with these parts. */
   private boolean add(Crash crash) {
     if (crash.parts().isEmpty()) {
--- a/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
@@ -302,6 +302,33 @@
     assertThat(isBlocked(FIRST)).isFalse();
   }
 
+  // Failure: an entry that starts reads the same crashes from the store that the others report to
+  // it, and counts them twice: a part blocked by mistake is put off for hours, at all entries.
+  @Test
+  void countsStoredCrashesThatAreReportedAsWellOnce() {
+    for (int i = 0; i < 3; i++) {
+      crash(FIRST);
+    }
+    assertThat(isBlocked(FIRST)).isTrue();
+    now += 1_000;
+    CrashEvidence started = evidence("e2");
+    started.recordStored(now, FIRST, 3);
+    started.recordReport(now, evidence.summary(now));
+    evidence.recordReport(now, started.summary(now));
+    for (CrashEvidence entry : List.of(evidence, started)) {
+      long until = now;
+      while (entry.isBlocked(until, List.of(FIRST)) && until < now + HOUR_MILLIS) {
+        until += 100;
+      }
+      assertThat(until - now).isLessThan(20_000L);
+    }
+    // Crashes after the start count with those that are stored.
+    now += 500;
+    started.recordCrash(now, 90, now - OPEN_MILLIS, List.of(FIRST));
+    started.recordCrash(now + 500, 91, now + 200, List.of(FIRST));
+    assertThat(started.isBlocked(now + HOUR_MILLIS / 2, List.of(FIRST))).isTrue();
+  }
+
   // Failure: trials of a part that always crashes endpoints go on for the whole day.
   @Test
   void triesHarmfulPartOnlyThreeTimesInOneDay() {
