Go on with the backup of a stream if its resumption is answered with an error

What callers saw: a stream was broken off (LOST) while a sound endpoint worked on it. Needs three attempts: the first breaks off, the second is silent for 0.9 s, so that a third is sent as backup; then the second answers with a status other than 2xx. Cause: onResponseHead aborted the response without looking at the backup; remove() releases the current attempt only, so that the endpoint of the backup counted an open call for good, which keeps calls away from it at all entries. CallDeciderTest, SilentEndpointTest and CallEndingsTest pass (89 tests run together). CallEndingsTest could not find it: its routes have two attempts. Ruled out: other paths to remove() with a backup: expire, caller gone and complete drop it first, reject is reached without one.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -385,7 +385,7 @@
       dropBackup(effects, call, "the endpoint of the first attempt goes on");
       startStream(effects, call);
     } else if (call.streaming) {
-      abortResponse(effects, call, "endpoint did not resume the stream, status " + head.status());
+      handleFailedResumption(effects, call, head);
     }
     dispatchQueued(now, effects);
     return effects;
@@ -727,6 +727,18 @@
     }
   }
 
+  /** Goes on with the second attempt of a stream whose first one answered with an error, if any. */
+  private void handleFailedResumption(List<CallEffect> effects, Call call, ResponseHead head) {
+    String reason = "endpoint did not resume the stream, status " + head.status();
+    if (call.backup == null) {
+      abortResponse(effects, call, reason);
+      return;
+    }
+    effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+    call.mayHaveExecuted = true;
+    promoteBackup(effects, call, reason);
+  }
+
   private static void recordBegin(long now, Attempt attempt, ResponseHead head) {
     attempt.begunAt = now;
     attempt.version = head.version();
