Do not give up a buffered response that has begun when its weights are superseded

What callers saw: 502 beside a new version of the weights, while a sound engine was sending the body of a response that had begun on the older version in time (LOST; for a call that may be repeated, a second execution). A response that is buffered has streaming=false until its end, so that the cutoff of the next version canceled it in the middle; the call was rejected if it may not be repeated or nothing else could take it. Fix: an attempt with the head of a success response is not outdated, for the current attempt and for the backup. Ruled out: the limit on versions is on the begin of a call, so that a begun one may end on the older version, as streams do.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -517,10 +517,10 @@
   }
 
   private void sweepAttempts(long now, List<CallEffect> effects, Call call) {
-    if (!call.streaming && call.backup != null && isOutdated(now, call, call.backup)) {
+    if (call.backup != null && isOutdated(now, call, call.backup)) {
       dropBackup(effects, call, "endpoint still holds a superseded version");
     }
-    if (!call.streaming && isOutdated(now, call, call.current)) {
+    if (isOutdated(now, call, call.current)) {
       effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
       call.mayHaveExecuted = true;
       long version = call.current.endpoint.version;
@@ -841,8 +841,14 @@
         && chooseEndpoint(now, call, RETRY_MAX_LOAD_PER_SLOT).endpoint().isPresent();
   }
 
-  /** Returns whether the endpoint of an attempt holds weights that calls may not start on. */
+  /**
+   * Returns whether an attempt has not begun and its endpoint holds weights that calls may not
+   * start on. A stream goes on with the weights that it began with.
+   */
   private boolean isOutdated(long now, Call call, Attempt attempt) {
+    if (call.streaming || attempt.hasBegun()) {
+      return false;
+    }
     long required =
         call.service
             .engine()
