Keep the state of an endpoint whose row goes and comes back

What callers saw: beside a row that is missing for a moment, a call that waited at a sound engine was canceled as superseded (502, or a second execution), though the engine had loaded the next version; and an endpoint got as many calls again as it already had. Cause: a missing row removed the endpoint at once, and the same incarnation came back as a new object: without open calls, backoff, and calls in the window of its cold limit, while open attempts kept the old object, which no later row reached. Fix: a removed endpoint is kept for 5 s, or as long as it has open calls, and restored if the same incarnation is listed again. No call is sent to it meanwhile, as before. Ruled out: other incarnations under the id or another address start without state, as before.

--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -42,7 +42,7 @@
   /** Consecutive failures, up to a maximum. */
   int failureCount;
 
-  /** Time at which an endpoint that is no longer listed is removed, 0 while it is listed. */
+  /** Time at which an endpoint that is no longer listed is or was removed, 0 while it is listed. */
   long removeAt;
 
   /** Version that the engine is about to load; ignored from {@link #switchExpiresAt} on. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -59,12 +59,19 @@
   /** Maximum time by which the directory lags behind the version that the agent reports. */
   private static final long DIRECTORY_LAG_MILLIS = 2_500;
 
+  /** Time for which the state of an endpoint is kept after its removal, for it to come back. */
+  private static final long RETENTION_MILLIS = 5_000;
+
   /** Maximum failure count, which caps the backoff at eight times its initial value. */
   private static final int MAX_COUNTED_FAILURES = 4;
 
   private final CallOptions options;
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
+
+  /** Endpoints that were removed, by id, while they have open calls or may come back. */
+  private final Map<String, Endpoint> removedById = new HashMap<>();
+
   private final Set<String> listedServices = new HashSet<>();
   private final Map<String, SwitchReport> switchReportByHost = new HashMap<>();
   private Set<String> evacuatedDomains = Set.of();
@@ -194,7 +201,7 @@
     for (EndpointSpec spec : specs) {
       listedIds.add(spec.id());
       listedServices.add(spec.service());
-      Endpoint endpoint = byId.get(spec.id());
+      Endpoint endpoint = findOrRestore(spec.id());
       boolean newIncarnation =
           endpoint == null
               || endpoint.spec.startedAtMillis() != spec.startedAtMillis()
@@ -220,9 +227,20 @@
       endpoint.spec = spec;
     }
     handleMissing(now, listedIds);
+    removedById.values().removeIf(e -> e.ownCalls == 0 && now >= e.removeAt + RETENTION_MILLIS);
     rebuildServiceIndex();
   }
 
+  /** Returns an endpoint, with its state from before its removal if it was removed; may be null. */
+  private Endpoint findOrRestore(String id) {
+    Endpoint removed = removedById.remove(id);
+    if (removed != null) {
+      byId.putIfAbsent(id, removed);
+      applySwitchReport(removed);
+    }
+    return byId.get(id);
+  }
+
   /**
    * Records that the directory is available again after an outage, during which the registrations
    * of running endpoints may have expired.
@@ -233,11 +251,19 @@
 
   /** Removes endpoints that did not register again within the grace period. */
   void removeExpired(long now) {
-    if (byId.values().removeIf(e -> isExpired(now, e))) {
+    List<Endpoint> expired = byId.values().stream().filter(e -> isExpired(now, e)).toList();
+    expired.forEach(e -> remove(now, e));
+    if (!expired.isEmpty()) {
       rebuildServiceIndex();
     }
   }
 
+  private void remove(long now, Endpoint endpoint) {
+    byId.remove(endpoint.spec.id());
+    endpoint.removeAt = now;
+    removedById.put(endpoint.spec.id(), endpoint);
+  }
+
   /** Returns whether an endpoint did not register again within the grace period. */
   private static boolean isExpired(long now, Endpoint endpoint) {
     return endpoint.removeAt > 0 && now >= endpoint.removeAt;
@@ -264,7 +290,7 @@
         continue;
       }
       if (!probablyExpired && endpoint.removeAt == 0) {
-        byId.remove(endpoint.spec.id());
+        remove(now, endpoint);
       } else if (endpoint.removeAt == 0) {
         endpoint.removeAt = now + RELISTING_GRACE_MILLIS;
       }
