Run the cases of three socket tests side by side, on ports that no other test of the process gets

Classes still run one after the other. FreePort numbers its ports, as two entries that start at once could find the same random one.

--- a/entry/src/test/java/org/cornelchute/entry/direct/ResumedStreamOverSocketsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/ResumedStreamOverSocketsTest.java
@@ -12,6 +12,8 @@
 import org.assertj.core.api.SoftAssertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -278,6 +280,7 @@
    * Failure: the caller found bytes that belong to no event in its stream, or the stream ended as
    * complete before its last event, or broke off though another attempt was left.
    */
+  @Execution(ExecutionMode.CONCURRENT)
   @ParameterizedTest
   @MethodSource("breaksAndAnswers")
   void deliversOnlyTheStream(Break broken, Answer answer, int maxAttempts) throws Exception {
--- a/entry/src/test/java/org/cornelchute/entry/direct/SilentEndpointStreamTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/SilentEndpointStreamTest.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -58,6 +60,7 @@
   }
 
   /** Failure: the stream was broken off or rejected, as no other endpoint could take it. */
+  @Execution(ExecutionMode.CONCURRENT)
   @ParameterizedTest
   @EnumSource(Place.class)
   void deliversTheStreamOfTheOnlyEndpoint(Place place) throws Exception {
@@ -75,6 +78,7 @@
    * Failure: all endpoints were silent at the same time; the stream was moved from one to the other
    * and lost when the other one was given up as well.
    */
+  @Execution(ExecutionMode.CONCURRENT)
   @ParameterizedTest
   @CsvSource({
     "BEFORE_HEAD,1400", "AFTER_HEAD,1400", "INSIDE_EVENT,1400", "BETWEEN_EVENTS,1400",
@@ -94,6 +98,7 @@
    * Failure: the other endpoint refused the stream, and the attempt that was only silent had been
    * given up for it.
    */
+  @Execution(ExecutionMode.CONCURRENT)
   @ParameterizedTest
   @EnumSource(Place.class)
   void deliversTheStreamIfTheOtherEndpointRefuses(Place place) throws Exception {
--- a/entry/src/test/java/org/cornelchute/entry/direct/StrayResponseCallTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StrayResponseCallTest.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelchute.policy.forward.CallKind;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -85,6 +87,7 @@
    * Failure: callers were told 'not run' for calls that an endpoint had run, or such a call ran at
    * a second endpoint.
    */
+  @Execution(ExecutionMode.CONCURRENT)
   @ParameterizedTest
   @MethodSource("strays")
   void runsCallsOnceAndTellsTheTruthAboutThem(Id id, Status status, Moment moment)
--- a/net/src/main/java/org/cornelchute/net/util/FreePort.java
+++ b/net/src/main/java/org/cornelchute/net/util/FreePort.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Finds ports for processes that are configured before they start.
@@ -17,6 +18,10 @@
   private static final int MAX_PORT = 32_000;
   private static final int MAX_TRIES = 100;
 
+  /** Number of the next port to try; each is tried once, for callers that find several at once. */
+  private static final AtomicInteger NEXT =
+      new AtomicInteger(ThreadLocalRandom.current().nextInt(MAX_PORT - MIN_PORT));
+
   private FreePort() {}
 
   /**
@@ -28,7 +33,7 @@
     InetAddress address = InetAddress.getByName(host);
     IOException lastFailure = null;
     for (int i = 0; i < MAX_TRIES; i++) {
-      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      int port = MIN_PORT + Math.floorMod(NEXT.getAndIncrement(), MAX_PORT - MIN_PORT);
       try (ServerSocket socket = new ServerSocket(port, 1, address)) {
         return socket.getLocalPort();
       } catch (IOException e) {
