--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpRequest.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpRequest.java
@@ -11,7 +11,10 @@
  * @param body request body, empty if there is none
  * @param timeoutMillis maximum time until the response is complete
  * @param maxBodyBytes maximum size of the response body; a larger one fails the request
- * @param keepAlive whether the connection stays open after the response for later requests
+ * @param keepAlive whether the request may share a connection with earlier and later requests.
+ *     Responses bear no id here: on a shared connection, one that a faulty server sends twice can
+ *     be taken for the response to the next request. Requests whose responses are not checked by
+ *     anything else must not share one.
  */
 public record SimpleHttpRequest(
     String address,
@@ -22,7 +25,7 @@
     int maxBodyBytes,
     boolean keepAlive) {
 
-  /** Creates a request whose connection stays open after the response. */
+  /** Creates a request that may share a connection. */
   public SimpleHttpRequest(
       String address,
       HttpMethod method,
--- a/net/src/main/java/org/cornelchute/net/wire/WireClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireClient.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -49,17 +50,18 @@
   /**
    * Sends a request; may notify the listener of a failure before returning.
    *
-   * <p>A request that should name itself in a correlation header and does not is sent on a
-   * connection of its own, where no response to an earlier request can be taken for its own.
+   * <p>A request that closes its connection, and one that should name itself in a correlation
+   * header and does not, is sent on a connection of its own, where no response to an earlier
+   * request can be taken for its own.
    */
   public WireExchange send(WireRequest request, WireListener listener) {
     WireExchange exchange = new WireExchange(request, listener);
     WirePool pool = poolByAddress.computeIfAbsent(request.address(), a -> new WirePool(clock));
-    WireConnection idleConnection =
-        exchange.isCorrelated() ? pool.acquireIdle(request.maxIdleMillis()) : null;
+    boolean shared = exchange.isCorrelated() && HttpUtil.isKeepAlive(request.message());
+    WireConnection idleConnection = shared ? pool.acquireIdle(request.maxIdleMillis()) : null;
     if (idleConnection != null) {
       idleConnection.send(exchange);
-    } else if (pool.openCount() >= request.maxConnections()) {
+    } else if (pool.openCount() >= request.maxConnections() && !pool.closeOldestIdle()) {
       exchange.fail("connection limit for the address reached");
     } else {
       connect(pool, exchange);
--- a/net/src/main/java/org/cornelchute/net/wire/WirePool.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WirePool.java
@@ -40,6 +40,15 @@
     }
   }
 
+  /** Closes the connection that has been idle for longest; returns whether there was one. */
+  boolean closeOldestIdle() {
+    WireConnection oldest = idleConnections.pollFirst();
+    if (oldest != null) {
+      oldest.close();
+    }
+    return oldest != null;
+  }
+
   /** Closes all idle connections. */
   void closeIdle() {
     while (!idleConnections.isEmpty()) {
--- a/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,10 @@
   private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final int MAX_BODY_BYTES = 1_048_576;
   private static final long TIMEOUT_MILLIS = 2_000;
+
+  /** Maximum number of connections of the client to one address. */
+  private static final int MAX_CONNECTIONS = 16;
+
   private static final long SHORT_TIMEOUT_MILLIS = 200;
 
   /** Bytes that a server may send until it notices the close, mostly in socket buffers. */
@@ -99,6 +104,50 @@
     }
   }
 
+  /**
+   * Guards against a response that is sent once more and taken for that of a request whose response
+   * nothing else checks.
+   */
+  @Test
+  void sendsRequestsThatShareNoConnectionOnTheirOwn() throws Exception {
+    String first = HEAD + "Content-Length: 5\r\n\r\nfirst";
+    String own = "HTTP/1.1 412 Failed\r\nContent-Length: 3\r\n\r\nown";
+    ScriptedServer.Script script = (connection, id) -> List.of(connection == 1 ? first : own);
+    try (ScriptedServer server = new ScriptedServer(script)) {
+      sendWithin(TIMEOUT_MILLIS, server.address());
+      assertThat(results.poll(5, TimeUnit.SECONDS).get().body()).asString().isEqualTo("first");
+      for (int i = 0; i < 2; i++) {
+        sendAlone(server.address());
+        assertThat(results.poll(5, TimeUnit.SECONDS).get().status()).isEqualTo(412);
+      }
+      assertThat(server.received)
+          .extracting(ScriptedServer.Received::connection)
+          .containsExactly(1, 2, 3);
+    }
+  }
+
+  /** Guards against a request that fails since idle connections take up the limit. */
+  @Test
+  void closesIdleConnectionsForRequestsThatShareNone() throws Exception {
+    try (SilentServer server = new SilentServer(MAX_CONNECTIONS)) {
+      for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        sendWithin(SHORT_TIMEOUT_MILLIS * 10, server.address());
+      }
+      for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        assertThat(results.poll(5, TimeUnit.SECONDS).isRight()).isTrue();
+      }
+      sendAlone(server.address());
+      assertThat(results.poll(5, TimeUnit.SECONDS).get().status()).isEqualTo(200);
+    }
+  }
+
+  private void sendAlone(String address) {
+    SimpleHttpRequest request =
+        new SimpleHttpRequest(
+            address, HttpMethod.POST, "/", new byte[] {1}, TIMEOUT_MILLIS, MAX_BODY_BYTES, false);
+    group.execute(() -> client.send(request, results::add));
+  }
+
   private void assertRejected(String head, String pattern) throws Exception {
     try (FloodServer server = new FloodServer(HEAD + head, pattern)) {
       Either<Failure, SimpleHttpClient.Response> result = send(server);
