Forward each request to an endpoint on a connection of its own

What callers would see: 'not run' (BUSY) for a request that the engine had run or was running, and the request then sent to a second engine: an agent takes a 503 or 429 of its engine as 'not run'.

Cause: the answer names no request, and a refusal that a faulty engine writes once more on a kept connection was read as the answer to the next request (or as the result of a load).

Fix: loads and forwarded requests use a connection once, and an answer that does name a request must name this one alone, or else the request fails as possibly run. Status requests go on to share.

Ruled out: matching by X-Request-Id alone; engines need not echo it. Closing on bytes while idle is done by the pool already and does not help against bytes that come after the next request was sent.

Evidence: the three tests of EngineClientTest failed before ('503 end' for a request answered 200; a load that was fenced off taken for done).

--- a/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
+++ b/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -25,8 +27,10 @@
  * HTTP client of an agent's endpoint: a model engine or a plain service.
  *
  * <p>A failure to connect proves that the request did not run, because the pool never retries a
- * request itself. Connections idle for {@code MAX_IDLE} are not reused, because the endpoint may
- * have closed them.
+ * request itself. Loads and forwarded requests have a connection of their own each: endpoints need
+ * not name the request in an answer, so that one which a faulty endpoint sends twice on a kept
+ * connection could be taken for the answer to the next request. Connections for status requests are
+ * not reused after they were idle for {@code MAX_IDLE}, because the endpoint may have closed them.
  */
 public final class EngineClient {
 
@@ -48,23 +52,32 @@
   private static final int MAX_CONNECTIONS = 256;
   private static final Duration MAX_IDLE = Duration.ofSeconds(10);
 
-  private final HttpClient http;
+  private final HttpClient statusClient;
+  private final HttpClient requestClient;
   private final ObjectMapper mapper = new ObjectMapper();
 
   /** Creates a client of the endpoint at {@code http://host:port}. */
   public EngineClient(String baseUrl) {
-    ConnectionProvider pool =
-        ConnectionProvider.builder("endpoint")
-            .maxConnections(MAX_CONNECTIONS)
-            .pendingAcquireMaxCount(MAX_CONNECTIONS)
-            .maxIdleTime(MAX_IDLE)
-            .build();
-    this.http = HttpClient.create(pool).baseUrl(baseUrl).disableRetry(true);
+    this.statusClient = createClient(baseUrl, poolBuilder().maxIdleTime(MAX_IDLE));
+    this.requestClient =
+        createClient(baseUrl, poolBuilder().evictionPredicate((connection, use) -> true))
+            .keepAlive(false);
+  }
+
+  private static ConnectionProvider.Builder poolBuilder() {
+    return ConnectionProvider.builder("endpoint")
+        .maxConnections(MAX_CONNECTIONS)
+        .pendingAcquireMaxCount(MAX_CONNECTIONS);
+  }
+
+  private static HttpClient createClient(String baseUrl, ConnectionProvider.Builder pool) {
+    return HttpClient.create(pool.build()).baseUrl(baseUrl).disableRetry(true);
   }
 
   /** Fetches the state of the engine. */
   public Mono<Either<Failure, EngineState>> fetchStatus() {
-    return http.get()
+    return statusClient
+        .get()
         .uri("/engine/status")
         .responseSingle((response, body) -> body.asString(StandardCharsets.UTF_8))
         .map(this::parseState)
@@ -86,7 +99,8 @@
         String.format(
             "/engine/load?model=%s&version=%s&chunkBytes=%d&fence=%d",
             manifest.model(), manifest.version(), manifest.chunkBytes(), fence);
-    return http.headers(headers -> headers.set("Content-Length", manifest.bytes()))
+    return requestClient
+        .headers(headers -> headers.set("Content-Length", manifest.bytes()))
         .post()
         .uri(uri)
         .send(Flux.fromIterable(chunks).map(Unpooled::wrappedBuffer))
@@ -107,7 +121,8 @@
    * @return a handle that cancels the request when disposed
    */
   public Disposable forward(Dispatch request, AnswerListener listener) {
-    return http.headers(
+    return requestClient
+        .headers(
             headers -> {
               if (!request.contentType().isEmpty()) {
                 headers.set("Content-Type", request.contentType());
@@ -125,6 +140,9 @@
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(request.body())))
         .response(
             (response, body) -> {
+              if (namesOtherRequest(response.responseHeaders(), request.request())) {
+                return Mono.error(new IOException("answer of the endpoint to another request"));
+              }
               String manifest = response.responseHeaders().get(MANIFEST_HEADER, "");
               String type = response.responseHeaders().get("Content-Type", "");
               listener.onHead(response.status().code(), type, manifest);
@@ -136,6 +154,11 @@
             listener::onEnd);
   }
 
+  /** Returns whether an answer names a request, though it need not, and not this one alone. */
+  private static boolean namesOtherRequest(HttpHeaders headers, String request) {
+    return headers.getAll(REQUEST_ID_HEADER).stream().anyMatch(id -> !id.equals(request));
+  }
+
   private Either<Failure, EngineState> parseState(String text) {
     try {
       JsonNode state = mapper.readTree(text);
--- /dev/null
+++ b/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
@@ -0,0 +1,124 @@
+package org.cornelchute.net.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cornelchute.core.message.ServingMessage.Dispatch;
+import org.cornelchute.core.model.Generation;
+import org.cornelchute.net.wire.ScriptedServer;
+import org.cornelchute.policy.weights.Manifest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Over real sockets, an engine that sends a response once more on a connection that stays open. */
+@Timeout(30)
+class EngineClientTest {
+
+  private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  private static final String LOADED = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  private static final String FENCED = "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}";
+  private static final Manifest MANIFEST = Manifest.of("m", "2", new byte[8], 4);
+
+  private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
+
+  /**
+   * Failure: an earlier refusal was read as that of a request that the engine ran, and the request
+   * was reported as not run.
+   */
+  @Test
+  void takesNoRepeatedRefusalForOtherRequests() throws Exception {
+    try (ScriptedServer server = new ScriptedServer(EngineClientTest::refusesThenRepeats)) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      assertThat(forward(client, "a")).isEqualTo("503 end");
+      assertThat(forward(client, "b")).isEqualTo("200 end");
+      assertThat(forward(client, "c")).isEqualTo("200 end");
+    }
+  }
+
+  /** Guards against a refusal that names another request being believed for this one. */
+  @Test
+  void failsOnAnswersToOtherRequests() throws Exception {
+    String other = "HTTP/1.1 503 Busy\r\nX-Request-Id: z\r\nContent-Length: 0\r\n\r\n";
+    try (ScriptedServer server = new ScriptedServer((connection, id) -> List.of(other))) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      assertThat(forward(client, "a")).isEqualTo("failed notRun=false");
+    }
+  }
+
+  /** Guards against the answer to another request that is read as that to a load. */
+  @Test
+  void takesNoRepeatedAnswerForThatToLoads() throws Exception {
+    ScriptedServer.Script script = (connection, id) -> List.of(connection == 1 ? LOADED : FENCED);
+    try (ScriptedServer server = new ScriptedServer(script)) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      client.fetchStatus().block();
+      for (int i = 0; i < 2; i++) {
+        assertThat(client.load(MANIFEST, 1, List.of(new byte[8])).block().getLeft().message())
+            .contains("fencing number");
+      }
+      assertThat(server.received)
+          .extracting(ScriptedServer.Received::connection)
+          .containsExactly(1, 2, 3);
+    }
+  }
+
+  /** Refuses the first request; before all others on its connection, repeats the refusal. */
+  private static List<String> refusesThenRepeats(int connection, String id) {
+    if (id.equals("a")) {
+      return List.of(REFUSAL);
+    }
+    String own = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    return connection == 1 ? List.of(REFUSAL, own) : List.of(own);
+  }
+
+  private String forward(EngineClient client, String id) throws InterruptedException {
+    client.forward(dispatch(id), new Recorder());
+    return results.poll(10, TimeUnit.SECONDS);
+  }
+
+  private static Dispatch dispatch(String id) {
+    return new Dispatch(
+        id,
+        1,
+        1,
+        Generation.NONE,
+        "a",
+        10,
+        0,
+        10,
+        false,
+        false,
+        0,
+        60_000,
+        "POST",
+        "/",
+        "",
+        new byte[] {1, 2});
+  }
+
+  private final class Recorder implements EngineClient.AnswerListener {
+
+    private String head = "";
+
+    @Override
+    public void onHead(int status, String contentType, String manifest) {
+      head = status + " ";
+    }
+
+    @Override
+    public void onPart(byte[] bytes) {}
+
+    @Override
+    public void onEnd() {
+      results.add(head + "end");
+    }
+
+    @Override
+    public void onFailure(boolean notRun) {
+      results.add(head + "failed notRun=" + notRun);
+    }
+  }
+}
--- a/net/src/test/java/org/cornelchute/net/wire/ScriptedServer.java
+++ b/net/src/test/java/org/cornelchute/net/wire/ScriptedServer.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Server that writes the packets of a script on connections that stay open. */
-final class ScriptedServer implements AutoCloseable {
+public final class ScriptedServer implements AutoCloseable {
 
   /** Time between two packets, so that the client reads them one by one. */
   private static final long PACKET_INTERVAL_MILLIS = 40;
@@ -23,7 +23,7 @@
   private static final String LENGTH_HEADER = "content-length:";
 
   /** Requests that arrived with their whole body, in order. */
-  final List<Received> received = new CopyOnWriteArrayList<>();
+  public final List<Received> received = new CopyOnWriteArrayList<>();
 
   /** Number of bytes of each body that was not whole when the client closed its connection. */
   final BlockingQueue<Long> brokenBodies = new LinkedBlockingQueue<>();
@@ -32,13 +32,14 @@
   private final Script script;
   private int connections;
 
-  ScriptedServer(Script script) throws IOException {
+  /** Starts a server. */
+  public ScriptedServer(Script script) throws IOException {
     this.script = script;
     startThread(this::accept);
   }
 
   /** Returns the address as {@code ip:port}. */
-  String address() {
+  public String address() {
     return "127.0.0.1:" + server.getLocalPort();
   }
 
@@ -102,8 +103,8 @@
     String line = readLine(in);
     while (!line.isEmpty()) {
       String lowerCase = line.toLowerCase(Locale.ROOT);
-      if (lowerCase.startsWith("x-id:")) {
-        id = line.substring("x-id:".length()).strip();
+      if (lowerCase.startsWith("x-id:") || lowerCase.startsWith("x-request-id:")) {
+        id = line.substring(line.indexOf(':') + 1).strip();
       } else if (lowerCase.startsWith(LENGTH_HEADER)) {
         length = Long.parseLong(line.substring(LENGTH_HEADER.length()).strip());
       }
@@ -149,7 +150,7 @@
   }
 
   /** Packets that the server sends; connections are counted from 1. */
-  interface Script {
+  public interface Script {
 
     /** Returns what is sent before a request is read. */
     default List<String> onAccept(int connection) {
@@ -166,7 +167,7 @@
   }
 
   /** A request that arrived whole on a connection. */
-  record Received(int connection, String id) {}
+  public record Received(int connection, String id) {}
 
   private record Head(String id, long length) {}
 }
