Write to the table service on connections of their own and check what a write returns

What would be seen: an earlier answer, sent once more, is read as the confirmation or the conflict of the next write; a 200 without versions threw inside the client, so that the claim that waited for the write was never decided.

Fix: writes use a connection once, are never repeated by the HTTP client itself (a repeat of a write that was performed reads as a conflict), and an answer must hold one version for each write, or else the outcome is unknown.

Evidence: takesNoRepeatedAnswerForThatToWrites and the six bodies of reportsAnswersWithoutOneVersionForEachWriteAsUnknown failed before (IndexOutOfBoundsException, or the answer to another write accepted).

--- a/net/src/main/java/org/cornelchute/net/platform/TableClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -20,6 +20,7 @@
 import org.cornelchute.core.outcome.Failure;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
 
 /**
  * Client of the platform's table service and VM list.
@@ -28,21 +29,37 @@
  * certainly had no effect: no connection could be opened, or the service answered with an error
  * status. If the answer is lost, the failure is {@code UNKNOWN}, and reading the row shows the
  * outcome.
+ *
+ * <p>Each write has a connection of its own, so that no answer that is sent twice is taken for the
+ * confirmation of a write, and is sent once.
  */
 public final class TableClient {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
+  private static final int MAX_WRITE_CONNECTIONS = 256;
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_CONFLICT = 409;
 
   private final HttpClient http;
+  private final HttpClient writeClient;
   private final ObjectMapper mapper = new ObjectMapper();
 
   /** Creates a client of the service at {@code http://host:port}. */
   public TableClient(String baseUrl) {
     this.http = HttpClient.create().baseUrl(baseUrl).responseTimeout(TIMEOUT);
+    ConnectionProvider singleUse =
+        ConnectionProvider.builder("table-writes")
+            .maxConnections(MAX_WRITE_CONNECTIONS)
+            .evictionPredicate((connection, use) -> true)
+            .build();
+    this.writeClient =
+        HttpClient.create(singleUse)
+            .baseUrl(baseUrl)
+            .responseTimeout(TIMEOUT)
+            .keepAlive(false)
+            .disableRetry(true);
   }
 
   /** Reads a row; the result is empty if it does not exist. */
@@ -74,7 +91,8 @@
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("writes cannot be encoded", e);
     }
-    return http.headers(h -> h.set("Content-Type", "application/json"))
+    return writeClient
+        .headers(h -> h.set("Content-Type", "application/json"))
         .post()
         .uri("/table")
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
@@ -83,7 +101,7 @@
                 content
                     .asString(StandardCharsets.UTF_8)
                     .defaultIfEmpty("")
-                    .map(text -> parseCommit(response.status().code(), text)))
+                    .map(text -> parseCommit(response.status().code(), text, writes.size())))
         .timeout(TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))));
   }
@@ -119,7 +137,7 @@
     }
   }
 
-  private Either<Failure, List<Long>> parseCommit(int status, String text) {
+  private Either<Failure, List<Long>> parseCommit(int status, String text, int writeCount) {
     if (status == STATUS_CONFLICT) {
       return Either.left(
           new Failure(Failure.Code.CONFLICT, "compare-and-set failed: another writer was first"));
@@ -130,7 +148,9 @@
     try {
       List<Long> versions = new ArrayList<>();
       mapper.readTree(text).path("versions").forEach(v -> versions.add(v.asLong()));
-      return Either.right(versions);
+      return versions.size() == writeCount
+          ? Either.right(versions)
+          : Either.left(Failure.unknown("answer of the table service is not one to the writes"));
     } catch (JsonProcessingException e) {
       return Either.left(Failure.unknown("answer of the table service is not JSON"));
     }
