Product's own path: skip only events with data when a stream is resumed

What callers would see: a stream with comments (": ping") or extra blank lines that broke off was resumed with as many events missing as there had been comments. Cause: ResponseAssembler counted every blank line after the previous block as an event, and the count tells the next engine how many events to skip. Comments depend on time and are not repeated by the next engine. Streams without comments are counted as before.

--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestState.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestState.java
@@ -72,6 +72,8 @@
 
   boolean headReceived;
   boolean headDelivered;
+
+  /** Events with data that the caller has, comments and the like not counted. */
   int eventsDelivered;
 
   /** Bytes received after the last complete event of a stream. */
--- a/policy/src/main/java/org/cornelchute/policy/routing/ResponseAssembler.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/ResponseAssembler.java
@@ -1,5 +1,6 @@
 package org.cornelchute.policy.routing;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import org.cornelchute.core.message.ServingMessage;
@@ -15,6 +16,7 @@
 final class ResponseAssembler {
 
   private static final int OK = 200;
+  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
   private final int maxBufferedBytes;
 
@@ -93,7 +95,7 @@
     int events = 0;
     for (int i = 0; i + 1 < buffer.length; i++) {
       if (buffer[i] == '\n' && buffer[i + 1] == '\n') {
-        events++;
+        events += hasData(buffer, completeLength, i) ? 1 : 0;
         completeLength = i + 2;
         i++;
       }
@@ -109,6 +111,32 @@
     effects.add(new RoutingEffect.AppendResponse(request.spec.id(), completeEvents));
   }
 
+  /** Returns whether a line between two indexes has data, so that it belongs to an event. */
+  private static boolean hasData(byte[] buffer, int from, int to) {
+    for (int i = from; i < to; i = nextLine(buffer, i, to)) {
+      if (isField(buffer, i, to, DATA_FIELD)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static int nextLine(byte[] buffer, int from, int to) {
+    int i = from;
+    while (i < to && buffer[i] != '\n') {
+      i++;
+    }
+    return i + 1;
+  }
+
+  /** Returns whether the line at an index has a field, with a value or without. */
+  private static boolean isField(byte[] buffer, int index, int to, byte[] name) {
+    int end = index + name.length;
+    return end <= to
+        && Arrays.equals(buffer, index, end, name, 0, name.length)
+        && (end == to || buffer[end] == ':' || buffer[end] == '\n' || buffer[end] == '\r');
+  }
+
   private static void flushBuffer(List<RoutingEffect> effects, RequestState request) {
     deliverHead(effects, request);
     for (byte[] part : request.bufferedParts) {
