Product's own path: complete a stream of which only the end is missing

Cause: nothing knew the last event of a model's stream. Fix: an attempt that is lost after that event completes the response. Evidence: ResumedResponseTest.completesStreamThatLacksOnlyItsEnd failed before (no complete end) and passes now.

--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -385,10 +385,7 @@
   private void handleResponseEnd(
       long now, List<RoutingEffect> effects, RequestState request, ServingMessage.AnswerEnd end) {
     if (responses.acceptEnd(effects, request, end)) {
-      queueFor(request.spec.target())
-          .adjustCharge(
-              request.spec.workspace(), end.tokens() - request.spec.expectedOutputTokens());
-      usage.recordResponse(request.spec.workspace(), end.tokens());
+      recordServed(request, end.tokens());
       remove(request);
       return;
     }
@@ -400,6 +397,12 @@
     handleLostResponse(now, effects, request, true);
   }
 
+  private void recordServed(RequestState request, int tokens) {
+    queueFor(request.spec.target())
+        .adjustCharge(request.spec.workspace(), tokens - request.spec.expectedOutputTokens());
+    usage.recordResponse(request.spec.workspace(), tokens);
+  }
+
   /** Handles a response that was to continue an event stream and is something else. */
   private void handleOtherResponse(
       long now, List<RoutingEffect> effects, RequestState request, String reason) {
@@ -450,6 +453,12 @@
   private void handleLostResponse(
       long now, List<RoutingEffect> effects, RequestState request, boolean truncated) {
     releaseOutstanding(request);
+    if (request.lastEventDelivered) {
+      effects.add(new RoutingEffect.CompleteResponse(request.spec.id()));
+      recordServed(request, request.eventsDelivered);
+      remove(request);
+      return;
+    }
     if (!request.spec.repeatable()) {
       if (truncated || request.headDelivered) {
         request.mayHaveRun = true;
--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestState.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestState.java
@@ -79,6 +79,9 @@
   /** Events with data that the caller has, comments and the like not counted. */
   int eventsDelivered;
 
+  /** Whether the caller has the event that ends a stream. */
+  boolean lastEventDelivered;
+
   /** Events that the caller had before the current attempt. */
   int eventsBeforeAttempt;
 
--- a/policy/src/main/java/org/cornelchute/policy/routing/ResponseAssembler.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/ResponseAssembler.java
@@ -23,6 +23,9 @@
   private static final int OK = 200;
   private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
+  /** The last event of a model's stream. */
+  private static final byte[] LAST_EVENT = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
+
   private static final List<byte[]> FIELDS =
       List.of(
           DATA_FIELD,
@@ -127,6 +130,8 @@
           break;
         }
         events += hasData(buffer, completeLength, i) ? 1 : 0;
+        request.lastEventDelivered =
+            Arrays.equals(buffer, completeLength, i, LAST_EVENT, 0, LAST_EVENT.length);
         completeLength = i + 2;
         i++;
       }
--- a/policy/src/test/java/org/cornelchute/policy/routing/ResumedResponseTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/routing/ResumedResponseTest.java
@@ -222,6 +222,23 @@
     assertThat(has(RoutingEffect.CompleteResponse.class)).isTrue();
   }
 
+  /**
+   * Failure: a stream that broke off after its last event was resumed, and its last event came
+   * twice.
+   */
+  @Test
+  void completesStreamThatLacksOnlyItsEnd() {
+    setUp(3);
+    String agent = nextAgent(1);
+    onMessage(agent, new ServingMessage.AnswerHead("q", 1, 200, STREAM, GENERATION));
+    onMessage(agent, new ServingMessage.AnswerPart("q", 1, 0, bytes(DELIVERED + REST)));
+    effects.addAll(decider.onConnectionLost(++now, agent));
+    effects.addAll(decider.tick(now + 1_000));
+    assertThat(deliveredText()).isEqualTo(DELIVERED + REST);
+    assertThat(has(RoutingEffect.CompleteResponse.class)).isTrue();
+    assertThat(decider.openRequestCount()).isZero();
+  }
+
   /**
    * Failure: comments and blank lines counted as events that the next endpoint has to skip, so that
    * as many events were missing from the stream.
