--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -183,12 +183,14 @@
     } else if (message instanceof ServingMessage.AnswerHead head) {
       for (RequestState request : requestsAwaitingMessage(head, agent)) {
         if (!responses.acceptHead(now, request, head)) {
-          abort(effects, request, "the endpoint did not resume the event stream");
+          handleOtherResponse(now, effects, request, "status " + head.status());
         }
       }
     } else if (message instanceof ServingMessage.AnswerPart part) {
       for (RequestState request : requestsAwaitingMessage(part, agent)) {
-        responses.acceptPart(now, effects, request, part);
+        if (!responses.acceptPart(now, effects, request, part)) {
+          handleOtherResponse(now, effects, request, "bytes that are no event");
+        }
       }
     } else if (message instanceof ServingMessage.AnswerEnd end) {
       applyLoadReport(agent, end.load());
@@ -383,10 +385,7 @@
   private void handleResponseEnd(
       long now, List<RoutingEffect> effects, RequestState request, ServingMessage.AnswerEnd end) {
     if (responses.acceptEnd(effects, request, end)) {
-      queueFor(request.spec.target())
-          .adjustCharge(
-              request.spec.workspace(), end.tokens() - request.spec.expectedOutputTokens());
-      usage.recordResponse(request.spec.workspace(), end.tokens());
+      recordServed(request, end.tokens());
       remove(request);
       return;
     }
@@ -398,6 +397,26 @@
     handleLostResponse(now, effects, request, true);
   }
 
+  private void recordServed(RequestState request, int tokens) {
+    queueFor(request.spec.target())
+        .adjustCharge(request.spec.workspace(), tokens - request.spec.expectedOutputTokens());
+    usage.recordResponse(request.spec.workspace(), tokens);
+  }
+
+  /** Handles a response that was to continue an event stream and is something else. */
+  private void handleOtherResponse(
+      long now, List<RoutingEffect> effects, RequestState request, String reason) {
+    send(effects, request, new ServingMessage.Cancel(request.wireId, request.attempt));
+    logDecision(
+        effects,
+        "again",
+        request,
+        List.of(),
+        request.agent,
+        "the endpoint did not resume the event stream: " + reason);
+    handleLostResponse(now, effects, request, true);
+  }
+
   // Attempts
 
   private void handleNotRun(
@@ -434,6 +453,12 @@
   private void handleLostResponse(
       long now, List<RoutingEffect> effects, RequestState request, boolean truncated) {
     releaseOutstanding(request);
+    if (request.lastEventDelivered) {
+      effects.add(new RoutingEffect.CompleteResponse(request.spec.id()));
+      recordServed(request, request.eventsDelivered);
+      remove(request);
+      return;
+    }
     if (!request.spec.repeatable()) {
       if (truncated || request.headDelivered) {
         request.mayHaveRun = true;
