--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -74,19 +74,25 @@
 
   /** Sends a call and returns all bytes that its caller receives until the connection ends. */
   String call(String id) throws IOException {
-    int colon = address.indexOf(':');
-    try (Socket caller =
-        new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
-      caller.setSoTimeout(2 * TIMEOUT_MILLIS);
-      String request =
-          "POST /s/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: "
-              + id
-              + "\r\nx-deadline: 20000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
-      caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    try (Socket caller = open(id)) {
       return readAll(caller.getInputStream());
     }
   }
 
+  /** Sends a call and returns the connection of its caller, from which nothing is read yet. */
+  Socket open(String id) throws IOException {
+    int colon = address.indexOf(':');
+    Socket caller =
+        new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    caller.setSoTimeout(2 * TIMEOUT_MILLIS);
+    String request =
+        "POST /s/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: "
+            + id
+            + "\r\nx-deadline: 20000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+    caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    return caller;
+  }
+
   private static String readAll(InputStream in) throws IOException {
     StringBuilder text = new StringBuilder();
     byte[] buffer = new byte[4_096];
