Do not take a stream that waits for its caller for a sign of life of its endpoint

What callers saw: a stream whose endpoint is dead was neither resumed nor ended before its deadline, if another caller of this entry did not read its stream from the same endpoint; and the backoff of that endpoint ended every 50 ms, so that new calls went there. Fix: a pause is recorded for the stream only. Evidence: PausedCallerTest failed before (cut at 6 s after event 1) and passes in 2 s; SilentEndpointStreamTest, SilentStreamTest, SlowCallerTest, EndpointFloodTest, SilentEndpointTest and BackupAttemptTest pass (46 tests). Ruled out: dropping the backup of a stream when its caller stops reading: nothing is written between the two, so that this can't happen. Not changed: an endpoint at which all streams of this entry are paused is not chosen as backup, since it sent nothing either.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -543,13 +543,12 @@
     }
   }
 
-  /** Records progress for streams that wait for their callers, so that none counts as stalled. */
+  /** Records which streams wait for their callers, so that none of them counts as stalled. */
   private void recordPausedStreams() {
     long now = clockMillis.getAsLong();
-    for (OpenCall call : List.copyOf(openCalls.values())) {
+    for (OpenCall call : openCalls.values()) {
       if (call.current != null && call.current.streaming && !call.callerConnection.isWritable()) {
-        apply(
-            decider.onResponseProgress(now, call.number, call.current.number, call.lastEventId()));
+        decider.recordPause(now, call.number);
       }
     }
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -415,6 +415,17 @@
     return effects;
   }
 
+  /**
+   * Records that a stream waits for its caller, which reads too slowly. Nothing is received for it
+   * meanwhile, so that it neither counts as stalled nor tells anything about its endpoint.
+   */
+  public void recordPause(long now, long number) {
+    Call call = calls.get(number);
+    if (call != null && call.current != null) {
+      call.current.lastProgressAt = now;
+    }
+  }
+
   /** Handles the end of a complete response from an endpoint. */
   public List<CallEffect> onResponseEnd(long now, long number, int attempt) {
     List<CallEffect> effects = new ArrayList<>(2);
