Answer requests that were read whole before a drain closes their connection

What callers saw: beside a drain, the connection ended without a response to a request that the entry had read whole, as much later as the call before it took (LOST around planned work). Cause: the first response of a drain closed the connection; requests that waited behind it were released in channelInactive. Fix: the connection is closed by the response to the last request that waits.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -125,9 +125,7 @@
 
   /** Answers the current request with a complete response; the future ends once it is sent. */
   ChannelFuture writeResponse(FullHttpResponse response) {
-    if (!listener.allowsKeepAlive()) {
-      keepAlive = false;
-    }
+    closeAfterLastResponse();
     HttpUtil.setContentLength(response, response.content().readableBytes());
     HttpUtil.setKeepAlive(response, keepAlive);
     ChannelFuture future =
@@ -153,9 +151,7 @@
 
   /** Starts a response of unknown length, sent in chunked transfer encoding. */
   void startResponse(HttpResponse response) {
-    if (!listener.allowsKeepAlive()) {
-      keepAlive = false;
-    }
+    closeAfterLastResponse();
     HttpUtil.setTransferEncodingChunked(response, true);
     HttpUtil.setKeepAlive(response, keepAlive);
     channel.write(response);
@@ -286,6 +282,13 @@
     }
   }
 
+  /** Lets the connection close if it may not stay open and no request waits that was read whole. */
+  private void closeAfterLastResponse() {
+    if (!listener.allowsKeepAlive() && pipelinedRequests.isEmpty()) {
+      keepAlive = false;
+    }
+  }
+
   private void startRequest(FullHttpRequest request) {
     keepAlive = HttpUtil.isKeepAlive(request);
     listener.onRequest(this, request);
