--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -432,6 +432,17 @@
     }
   }
 
+  /**
+   * Records that a stream waits for its caller, which reads too slowly. Nothing is received for it
+   * meanwhile, so that it neither counts as stalled nor tells anything about its endpoint.
+   */
+  public void recordPause(long now, long number) {
+    Call call = calls.get(number);
+    if (call != null && call.current != null) {
+      call.current.lastProgressAt = now;
+    }
+  }
+
   /**
    * Handles the end of a complete response from an endpoint.
    *
