Answer a call before the malformed request behind it is rejected

What callers saw: the connection ended without a response to a call that a sound endpoint worked on (LOST), because the next request on the connection was malformed or too large, or because too many were sent at once. Cause: rejectRequest and the limit of waiting requests closed the connection if a call was in progress. Fix: nothing more is read, the calls before are answered, then the request is rejected (503 if it is one too many) and the connection closed. Evidence: PipelinedRequestTest 4 of 5 failed before this commit and 5 of 5 pass; CallerConnectionTest passes. Ruled out: handling further requests after a malformed one (what follows can't be told apart from its body).

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -53,6 +53,9 @@
   private boolean closing;
   private boolean keepAlive;
 
+  /** Status for a request that cannot be handled, sent after all earlier responses; may be null. */
+  private HttpResponseStatus pendingRejection;
+
   /** Completed once all that was written is sent, null if nothing was written yet. */
   private ChannelFuture lastWrite;
 
@@ -277,7 +280,7 @@
         pipelinedRequests.add(request);
       } else {
         request.release();
-        closeWithoutResponse();
+        rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
       }
     }
   }
@@ -307,16 +310,19 @@
     FullHttpRequest next = pipelinedRequests.poll();
     if (next != null) {
       startRequest(next);
+    } else if (pendingRejection != null) {
+      rejectRequest(pendingRejection);
     }
   }
 
+  /** Rejects the request after the responses to earlier ones, and reads no further requests. */
   private void rejectRequest(HttpResponseStatus status) {
     discardPartialRequest();
+    closing = true;
     if (currentCall != null) {
-      closeWithoutResponse();
+      pendingRejection = status;
       return;
     }
-    closing = true;
     listener.onMalformedRequest(status.code());
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     HttpUtil.setContentLength(response, 0);
@@ -324,11 +330,6 @@
     channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
-  private void closeWithoutResponse() {
-    closing = true;
-    channel.close();
-  }
-
   private void discardPartialRequest() {
     if (requestHead != null) {
       requestHead = null;
