--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -29,6 +29,11 @@
 
   /** Starts an entry that lists the endpoints under the names i0, i1 and so on. */
   StreamFixture(ScriptedEndpoint... endpoints) throws IOException {
+    this(TIMEOUT_MILLIS, endpoints);
+  }
+
+  /** Starts such an entry with another timeout of its route. */
+  StreamFixture(long timeoutMillis, ScriptedEndpoint... endpoints) throws IOException {
     List<EndpointSpec> specs = new ArrayList<>();
     for (ScriptedEndpoint endpoint : endpoints) {
       specs.add(EntryFixture.endpointSpec("i" + specs.size(), SERVICE, endpoint.port()));
@@ -43,12 +48,12 @@
                 EntryFixture.freeAddress(),
                 KEY_AGE_MILLIS),
             EntryFixture.HEADER_NAMES,
-            EntryFixture.fixedState(config(), specs),
+            EntryFixture.fixedState(config(timeoutMillis), specs),
             1);
     entry.start();
   }
 
-  private static ServingConfig config() {
+  private static ServingConfig config(long timeoutMillis) {
     RouteSpec route =
         new RouteSpec(
             "r",
@@ -56,7 +61,7 @@
             "/s/",
             CallKind.STREAM,
             true,
-            TIMEOUT_MILLIS,
+            timeoutMillis,
             500,
             1,
             MAX_ATTEMPTS,
@@ -121,6 +126,11 @@
     return ids;
   }
 
+  /** Drains the entry; returns whether all calls ended in time. */
+  boolean drain() {
+    return entry.drain();
+  }
+
   @Override
   public void close() {
     entry.close();
