--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -32,6 +32,11 @@
     this(CallKind.STREAM, MAX_ATTEMPTS, TIMEOUT_MILLIS, endpoints);
   }
 
+  /** Starts such an entry with another timeout of its route. */
+  StreamFixture(long timeoutMillis, ScriptedEndpoint... endpoints) throws IOException {
+    this(CallKind.STREAM, MAX_ATTEMPTS, timeoutMillis, endpoints);
+  }
+
   /** Starts an entry whose route is of a kind, and its streams may be resumed. */
   StreamFixture(CallKind kind, ScriptedEndpoint... endpoints) throws IOException {
     this(kind, MAX_ATTEMPTS, TIMEOUT_MILLIS, endpoints);
@@ -156,6 +161,11 @@
     return ids;
   }
 
+  /** Drains the entry; returns whether all calls ended in time. */
+  boolean drain() {
+    return entry.drain();
+  }
+
   @Override
   public void close() {
     entry.close();
