Move the checks of a new call and the lines of the decision log out of CallDecider

CallAdmission decides by the cached configuration whether a call may be served and for which route, workspace and service; CallLog builds the lines.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -1,24 +1,21 @@
 package org.cornelchute.policy.forward;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.Collectors;
-import org.cornelchute.core.log.Decision;
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.crash.CrashEvidence;
 import org.cornelchute.policy.crash.CrashEvidence.PartChange;
+import org.cornelchute.policy.forward.CallAdmission.Refusal;
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.forward.OtherEntries.Availability;
-import org.cornelchute.policy.forward.RouteSpec.WeightedService;
 
 /**
  * Decides on the calls of one entry and gives each call exactly one final response.
@@ -69,12 +66,6 @@
   /** Time left to the target latency below which a new call is expected to miss it. */
   private static final long MIN_REMAINING_TARGET_MILLIS = 60;
 
-  /**
-   * Difference to the longest deadline of the route up to which a call counts as the first try of
-   * its caller.
-   */
-  private static final long DEADLINE_TOLERANCE_MILLIS = 100;
-
   private final CallOptions options;
   private final EndpointPool endpointPool;
   private final Freshness freshness = new Freshness();
@@ -82,11 +73,11 @@
   private final VersionGate versionGate;
   private final RetryBudget retryBudget;
   private final CrashEvidence crashEvidence;
-  private final Random random;
+  private final CallAdmission admission;
   private final RetryAfter retryAfter;
+  private final CallLog callLog = new CallLog();
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final List<Call> queue = new ArrayList<>();
-  private final Map<String, Long> longestDeadlineByRoute = new HashMap<>();
   private ServingConfig config = ServingConfig.EMPTY;
 
   /**
@@ -103,7 +94,8 @@
         new RetryBudget(
             options.retryRatio(), options.retryAllowance(), options.retryWindowMillis(), startedAt);
     this.crashEvidence = new CrashEvidence(options.self());
-    this.random = new Random(seed);
+    Random random = new Random(seed);
+    this.admission = new CallAdmission(options, freshness, otherEntries, endpointPool, random);
     this.retryAfter = new RetryAfter(random);
   }
 
@@ -116,7 +108,7 @@
 
   /** Returns whether a configuration has been received and the endpoints are known. */
   public boolean isReady(long now) {
-    return config.version() > 0 && endpointPool.isKnown(now);
+    return admission.isReady(now, config);
   }
 
   /** Returns the current configuration, never null. */
@@ -138,6 +130,7 @@
   public void updateConfig(ServingConfig offered) {
     if (offered.version() > config.version()) {
       config = offered;
+      callLog.updateConfigVersion(offered.version());
     }
   }
 
@@ -230,34 +223,7 @@
    * this entry are too old to accept calls and another entry can probably accept them.
    */
   public boolean shouldDivertCalls(long now) {
-    return config.requiresKeys()
-        ? freshness.ageMillis(now) > options.maxKeyAgeMillis()
-            && otherAvailability(now) == Availability.LIKELY
-        : isSuperseded(now);
-  }
-
-  private Availability otherAvailability(long now) {
-    return otherEntries.availability(
-        now,
-        options.maxKeyAgeMillis(),
-        endpointPool.isEntryListKnown(),
-        endpointPool.entryCount() - 1);
-  }
-
-  /** Returns whether a route is bound to regions that were not confirmed recently enough. */
-  private boolean hasOldRegions(RouteSpec route, long ageMillis) {
-    return !route.regions().isEmpty() && ageMillis > options.maxKeyAgeMillis();
-  }
-
-  /**
-   * Returns whether routes and regions of the configuration may have changed, while another entry
-   * may be able to serve calls by the current ones. In an outage of the store for all entries, the
-   * configuration cannot change.
-   */
-  private boolean isSuperseded(long now) {
-    return freshness.ageMillis(now) > options.maxKeyAgeMillis()
-        && endpointPool.sharingEntryCount() > 1
-        && otherAvailability(now) != Availability.UNLIKELY;
+    return admission.shouldDivertCalls(now, config);
   }
 
   /**
@@ -288,57 +254,12 @@
   /** Handles a new call. */
   public List<CallEffect> onCall(long now, CallSpec spec) {
     List<CallEffect> effects = new ArrayList<>(3);
-    long ageMillis = freshness.ageMillis(now);
-    if (!isReady(now)) {
-      String missing = config.version() > 0 ? "endpoints are not known" : "no configuration";
-      rejectOnArrival(now, effects, spec, Rejection.NOT_READY, missing + " yet", ageMillis);
-      return effects;
-    }
-    Optional<RouteSpec> route = config.findRoute(spec.host(), spec.path());
-    if (route.isEmpty()) {
-      rejectAsUnknown(
-          now, effects, spec, Rejection.UNKNOWN_ROUTE, "no route matches host and path", ageMillis);
-      return effects;
-    }
-    WorkspaceSpec workspace = null;
-    if (config.requiresKeys() && !route.get().anonymous()) {
-      Optional<WorkspaceSpec> found = config.findWorkspace(spec.key());
-      if (found.isEmpty()) {
-        rejectAsUnknown(
-            now, effects, spec, Rejection.UNKNOWN_KEY, "key belongs to no workspace", ageMillis);
-        return effects;
-      }
-      if (ageMillis > options.maxKeyAgeMillis()) {
-        rejectOnArrival(
-            now, effects, spec, Rejection.NOT_READY, "keys are not confirmed", ageMillis);
-        return effects;
-      }
-      workspace = found.get();
-    } else if (isSuperseded(now) || hasOldRegions(route.get(), ageMillis)) {
-      rejectOnArrival(
-          now, effects, spec, Rejection.NOT_READY, "configuration is not confirmed", ageMillis);
-      return effects;
-    }
-    Optional<ServiceSpec> service = pickService(route.get());
-    if (service.isEmpty()) {
-      rejectOnArrival(
-          now,
-          effects,
-          spec,
-          Rejection.NO_ENDPOINT,
-          "route refers to an unknown service",
-          ageMillis);
+    Either<Refusal, Call> admitted = admission.admit(now, config, spec);
+    if (admitted.isLeft()) {
+      rejectOnArrival(now, effects, spec, admitted.getLeft());
       return effects;
     }
-    Call call =
-        new Call(
-            spec,
-            route.get(),
-            service.get(),
-            workspace,
-            allowedRegions(route.get(), workspace),
-            estimateEarlierWait(route.get(), spec),
-            now);
+    Call call = admitted.get();
     calls.put(spec.number(), call);
     retryBudget.recordCall(now, call.service.name());
     dispatchOrQueue(
@@ -471,7 +392,7 @@
     } else {
       dropBackup(effects, call, "the response of the first attempt is complete");
       effects.add(new CallEffect.Complete(number, attempt));
-      log(effects, "answered", call, "ms=" + (now - call.arrivedAt));
+      effects.add(callLog.call("answered", call, "ms=" + (now - call.arrivedAt)));
       remove(call);
     }
     dispatchQueued(now, effects);
@@ -496,7 +417,7 @@
       call.sentAttempts--;
     } else {
       call.mayHaveExecuted = true;
-      logBrokenAttempt(effects, call, failed, reason);
+      effects.add(callLog.broken(call, failed, reason));
       if (failed.hasBegun()) {
         crashEvidence.recordCrash(
             now, failed.endpoint.incarnation(), failed.dispatchedAt, call.spec.sharedParts());
@@ -520,7 +441,8 @@
     Call call = calls.get(number);
     if (call != null) {
       cancelAttempts(effects, call);
-      log(effects, "gone", call, "caller disconnected after ms=" + (now - call.arrivedAt));
+      effects.add(
+          callLog.call("gone", call, "caller disconnected after ms=" + (now - call.arrivedAt)));
       remove(call);
       dispatchQueued(now, effects);
     }
@@ -619,7 +541,7 @@
 
   private void dispatchOrQueue(long now, List<CallEffect> effects, Call call, double maxLoad) {
     if (crashEvidence.isBlocked(now, call.spec.sharedParts())) {
-      reject(now, effects, call, Rejection.BLOCKED_PROMPT, "parts=" + formatParts(call));
+      reject(now, effects, call, Rejection.BLOCKED_PROMPT, "parts=" + CallLog.formatParts(call));
       return;
     }
     Choice choice = chooseEndpoint(now, call, maxLoad);
@@ -709,11 +631,11 @@
       return;
     }
     call.backup = startAttempt(now, call, choice);
-    log(
-        effects,
-        "backup",
-        call,
-        "no data from the endpoint for " + (now - call.current.lastProgressAt) + " ms");
+    effects.add(
+        callLog.call(
+            "backup",
+            call,
+            "no data from the endpoint for " + (now - call.current.lastProgressAt) + " ms"));
     addDispatch(now, effects, call, call.backup);
     logDispatch(now, effects, call, call.backup, choice);
   }
@@ -751,12 +673,7 @@
   private void logDispatch(
       long now, List<CallEffect> effects, Call call, Attempt attempt, Choice choice) {
     double load = attempt.endpoint.estimateLoad(now, endpointPool.entryCount());
-    log(
-        effects,
-        "route",
-        call,
-        attempt,
-        "load=" + round(load) + " allowed=" + choice.eligibleCount());
+    effects.add(callLog.dispatch(call, attempt, load, choice.eligibleCount()));
   }
 
   /** Handles the head of a response to the second of two attempts. */
@@ -800,7 +717,7 @@
   /** Ends the second of two attempts, which has failed or is known to be not executed. */
   private void removeBackup(List<CallEffect> effects, Call call, String reason) {
     effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.backup.number));
-    log(effects, "drop", call, call.backup, reason);
+    effects.add(callLog.attempt("drop", call, call.backup, reason));
     call.backup.endpoint.ownCalls--;
     call.backup = null;
   }
@@ -811,7 +728,7 @@
     call.current = call.backup;
     call.backup = null;
     effects.add(new CallEffect.PromoteBackup(call.spec.number(), call.current.number));
-    log(effects, "promote", call, reason);
+    effects.add(callLog.call("promote", call, reason));
     if (call.current.hasBegun()) {
       startStream(effects, call);
     }
@@ -845,7 +762,7 @@
     }
     boolean countsAsRetry = call.sentAttempts > 0;
     releaseCurrent(call);
-    log(effects, "again", call, reason);
+    effects.add(callLog.call("again", call, reason));
     if (call.sentAttempts >= call.route.maxAttempts()
         || call.deadline - now < MIN_RETRY_TIME_MILLIS) {
       reject(
@@ -920,7 +837,7 @@
 
   private void abortResponse(List<CallEffect> effects, Call call, String reason) {
     effects.add(new CallEffect.AbortResponse(call.spec.number(), reason));
-    log(effects, "cut", call, reason);
+    effects.add(callLog.call("cut", call, reason));
     remove(call);
   }
 
@@ -940,98 +857,26 @@
             effective,
             retryAfterMillis(now, effective, call.arrivedAt + call.spec.deadlineMillis() - now),
             reason));
-    log(effects, "refuse", call, effective + ": " + reason);
+    effects.add(callLog.call("refuse", call, effective + ": " + reason));
     remove(call);
   }
 
-  /**
-   * Rejects a call because of its route or key. If the configuration is too old, the route or key
-   * may have been added in the meantime, so the call is rejected as not ready instead.
-   */
-  private void rejectAsUnknown(
-      long now,
-      List<CallEffect> effects,
-      CallSpec spec,
-      Rejection rejection,
-      String reason,
-      long ageMillis) {
-    boolean fresh = ageMillis <= options.maxDenialAgeMillis();
-    rejectOnArrival(now, effects, spec, fresh ? rejection : Rejection.NOT_READY, reason, ageMillis);
-  }
-
-  private void rejectOnArrival(
-      long now,
-      List<CallEffect> effects,
-      CallSpec spec,
-      Rejection rejection,
-      String reason,
-      long ageMillis) {
+  private void rejectOnArrival(long now, List<CallEffect> effects, CallSpec spec, Refusal refusal) {
+    long retryAfterMillis = retryAfterMillis(now, refusal.rejection(), spec.deadlineMillis());
     effects.add(
         new CallEffect.Reject(
-            spec.number(),
-            rejection,
-            retryAfterMillis(now, rejection, spec.deadlineMillis()),
-            reason));
-    String logReason =
-        rejection + ": " + reason + " ageMs=" + Math.min(ageMillis, Integer.MAX_VALUE);
-    effects.add(
-        new CallEffect.Log(
-            new Decision("refuse", spec.id(), "", List.of(), "", logReason, config.version())));
+            spec.number(), refusal.rejection(), retryAfterMillis, refusal.reason()));
+    effects.add(callLog.rejectedOnArrival(spec, refusal, freshness.ageMillis(now)));
   }
 
   private long retryAfterMillis(long now, Rejection rejection, long remainingMillis) {
     Availability others =
-        rejection == Rejection.NOT_READY ? otherAvailability(now) : Availability.UNLIKELY;
+        rejection == Rejection.NOT_READY ? admission.otherAvailability(now) : Availability.UNLIKELY;
     return retryAfter.millis(others, remainingMillis);
   }
 
   // Helpers
 
-  /**
-   * Estimates how long the caller already waited in earlier tries of the same call. A caller that
-   * retries shortens its deadline by that time, so the estimate is the difference to the longest
-   * deadline seen on the route.
-   */
-  private long estimateEarlierWait(RouteSpec route, CallSpec spec) {
-    long longest = longestDeadlineByRoute.merge(route.name(), spec.deadlineMillis(), Math::max);
-    long waited = longest - spec.deadlineMillis();
-    return waited > DEADLINE_TOLERANCE_MILLIS ? waited : 0;
-  }
-
-  /** Picks a service at random, in proportion to the weights on the route. */
-  private Optional<ServiceSpec> pickService(RouteSpec route) {
-    List<WeightedService> services = route.services();
-    double totalWeight = 0;
-    for (WeightedService s : services) {
-      totalWeight += s.weight();
-    }
-    double point = services.size() == 1 ? 0 : random.nextDouble() * totalWeight;
-    for (WeightedService s : services) {
-      point -= s.weight();
-      if (point < 0 || services.size() == 1) {
-        return config.findService(s.service());
-      }
-    }
-    return Optional.empty();
-  }
-
-  private static Set<String> allowedRegions(RouteSpec route, WorkspaceSpec workspace) {
-    Set<String> regions = new HashSet<>(route.regions());
-    if (workspace != null && !workspace.regions().isEmpty()) {
-      if (regions.isEmpty()) {
-        regions.addAll(workspace.regions());
-      } else {
-        regions.retainAll(workspace.regions());
-        // Route and workspace have no region in common. An empty set would allow all regions, so
-        // add a name that matches no endpoint.
-        if (regions.isEmpty()) {
-          regions.add("");
-        }
-      }
-    }
-    return regions;
-  }
-
   private void cancelAttempts(List<CallEffect> effects, Call call) {
     dropBackup(effects, call, "the call ends");
     if (call.current != null) {
@@ -1055,25 +900,6 @@
     calls.remove(call.spec.number());
   }
 
-  private void log(List<CallEffect> effects, String kind, Call call, String reason) {
-    log(effects, kind, call, call.current, reason);
-  }
-
-  private void log(
-      List<CallEffect> effects, String kind, Call call, Attempt attempt, String reason) {
-    int number = attempt == null ? call.lastAttempt : attempt.number;
-    effects.add(
-        new CallEffect.Log(
-            new Decision(
-                kind,
-                call.spec.id(),
-                call.workspace == null ? "" : call.workspace.name(),
-                List.of(),
-                attempt == null ? "" : attempt.endpoint.spec.id(),
-                call.route.name() + " attempt=" + number + " " + reason,
-                config.version())));
-  }
-
   /**
    * Returns whether the end of a response proves that the endpoint survived it. A response that
    * ends on the close of its connection may have been ended by a crash shortly after its start.
@@ -1083,21 +909,6 @@
         && (!attempt.endsOnClose || now - attempt.begunAt >= MIN_SERVICE_MILLIS);
   }
 
-  /** Logs what calls that broke off at the same endpoint may have in common. */
-  private void logBrokenAttempt(
-      List<CallEffect> effects, Call call, Attempt attempt, String reason) {
-    log(
-        effects,
-        "broken",
-        call,
-        attempt,
-        "begun=" + attempt.hasBegun() + " parts=" + formatParts(call) + " " + reason);
-  }
-
-  private static String formatParts(Call call) {
-    return call.spec.sharedParts().stream().map(Long::toHexString).collect(Collectors.joining(","));
-  }
-
   /** Records the limit that an endpoint names in a response and logs that it changed. */
   private void recordNamedLimit(
       long now, List<CallEffect> effects, Endpoint endpoint, NamedLimit limit) {
@@ -1106,16 +917,7 @@
       return;
     }
     endpoint.namedLimit = limit;
-    effects.add(
-        new CallEffect.Log(
-            new Decision(
-                "limit",
-                endpoint.spec.id(),
-                "",
-                List.of(),
-                "",
-                limit.kind() + " perSecond=" + limit.perSecond(),
-                config.version())));
+    effects.add(callLog.namedLimit(endpoint, limit));
   }
 
   /** Logs parts of prompts that became blocked or were cleared, and stores those of this entry. */
@@ -1126,20 +928,7 @@
             new CallEffect.StoreBlockedPart(
                 change.part(), change.blocked() ? change.crashCount() : 0));
       }
-      effects.add(
-          new CallEffect.Log(
-              new Decision(
-                  change.blocked() ? "block" : "clear",
-                  Long.toHexString(change.part()),
-                  "",
-                  List.of(),
-                  "",
-                  "part of prompts, crashes=" + change.crashCount(),
-                  config.version())));
+      effects.add(callLog.partChange(change));
     }
   }
-
-  private static double round(double value) {
-    return Math.round(value * 10) / 10.0;
-  }
 }
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
@@ -0,0 +1,88 @@
+package org.cornelchute.policy.forward;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.cornelchute.core.log.Decision;
+import org.cornelchute.policy.crash.CrashEvidence.PartChange;
+
+/** Builds the lines of the decision log on calls, with the version of the configuration in use. */
+final class CallLog {
+
+  private long configVersion;
+
+  void updateConfigVersion(long version) {
+    configVersion = version;
+  }
+
+  /** Returns a line on a call and its current attempt. */
+  CallEffect call(String kind, Call call, String reason) {
+    return attempt(kind, call, call.current, reason);
+  }
+
+  /**
+   * Returns a line on a call and one of its attempts.
+   *
+   * @param attempt the attempt, null if there is none
+   */
+  CallEffect attempt(String kind, Call call, Attempt attempt, String reason) {
+    int number = attempt == null ? call.lastAttempt : attempt.number;
+    return new CallEffect.Log(
+        new Decision(
+            kind,
+            call.spec.id(),
+            call.workspace == null ? "" : call.workspace.name(),
+            List.of(),
+            attempt == null ? "" : attempt.endpoint.spec.id(),
+            call.route.name() + " attempt=" + number + " " + reason,
+            configVersion));
+  }
+
+  /** Returns a line on an attempt that was sent, with the load that its endpoint has then. */
+  CallEffect dispatch(Call call, Attempt attempt, double load, int eligibleCount) {
+    double rounded = Math.round(load * 10) / 10.0;
+    return attempt("route", call, attempt, "load=" + rounded + " allowed=" + eligibleCount);
+  }
+
+  /** Returns a line that tells what calls that broke off at one endpoint may have in common. */
+  CallEffect broken(Call call, Attempt attempt, String reason) {
+    return attempt(
+        "broken",
+        call,
+        attempt,
+        "begun=" + attempt.hasBegun() + " parts=" + formatParts(call) + " " + reason);
+  }
+
+  /** Returns a line on a call that was rejected when it arrived. */
+  CallEffect rejectedOnArrival(CallSpec spec, CallAdmission.Refusal refusal, long ageMillis) {
+    String reason =
+        refusal.rejection()
+            + ": "
+            + refusal.reason()
+            + " ageMs="
+            + Math.min(ageMillis, Integer.MAX_VALUE);
+    return line("refuse", spec.id(), reason);
+  }
+
+  /** Returns a line on the limit that an endpoint names. */
+  CallEffect namedLimit(Endpoint endpoint, NamedLimit limit) {
+    return line("limit", endpoint.spec.id(), limit.kind() + " perSecond=" + limit.perSecond());
+  }
+
+  /** Returns a line on a part of prompts that became blocked or was cleared. */
+  CallEffect partChange(PartChange change) {
+    return line(
+        change.blocked() ? "block" : "clear",
+        Long.toHexString(change.part()),
+        "part of prompts, crashes=" + change.crashCount());
+  }
+
+  /** Returns the shared parts of the prompt of a call. */
+  static String formatParts(Call call) {
+    return call.spec.sharedParts().stream().map(Long::toHexString).collect(Collectors.joining(","));
+  }
+
+  private CallEffect line(String kind, String subject, String reason) {
+    return new CallEffect.Log(
+        new Decision(kind, subject, "", List.of(), "", reason, configVersion));
+  }
+}
