Live on with addresses that cannot be connected to

What callers saw: a datagram or member record with an address that cannot be parsed ended the process that read it (exit by the fatal handler of the control duty), and one VM of the platform's list that was nested deeply or held a long number hid all other VMs from a process that starts.

Cause: DatagramTransport and FrameClient parsed addresses of messages unchecked on the duty's thread, and the VM list was read as one JSON tree, whose reader refuses the whole list for one element beyond its limits.

Evidence: on the code before, livesOnAfterMessagesWithOddAddresses failed with StringIndexOutOfBoundsException in the control duty, and contactsTheOthersOfListWithOddRows with no connection within 20 s. One at a time, the VMs that hid the others were those of 100,000 digits, and those nested 50,000 and 2,000 deep. Both tests pass now.

Fix: both transports ignore an address that is no IPv4 address and port, as any message may be lost; the VM list is read element by element, and an element without a valid address is skipped with a log line at a limited rate. Addresses and LogLimiter move to net and core, where their other users need them.

Ruled out: a port out of range in the VM list ended no process before either; the connection to it failed and was handled.

--- a/platform/src/main/java/org/cornelchute/platform/LogLimiter.java
+++ b/core/src/main/java/org/cornelchute/core/log/LogLimiter.java
@@ -1,11 +1,14 @@
-package org.cornelchute.platform;
+package org.cornelchute.core.log;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
-/** Limits the rate of one log message, so that input that is read again does not flood the log. */
-final class LogLimiter {
+/**
+ * Limits the rate of one log message, so that input that is read again does not flood the log;
+ * thread-safe.
+ */
+public final class LogLimiter {
 
   private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -14,7 +17,8 @@
   private boolean logged;
   private long suppressed;
 
-  LogLimiter() {
+  /** Creates a limiter on the clock of the system. */
+  public LogLimiter() {
     this(System::nanoTime);
   }
 
@@ -27,7 +31,7 @@
    *
    * @param message writes the message; receives the number of messages suppressed since the last
    */
-  void log(LongConsumer message) {
+  public synchronized void log(LongConsumer message) {
     long now = nanoClock.getAsLong();
     if (logged && now - lastLoggedAt < INTERVAL_NANOS) {
       suppressed++;
--- a/net/src/main/java/org/cornelchute/net/frame/DatagramTransport.java
+++ b/net/src/main/java/org/cornelchute/net/frame/DatagramTransport.java
@@ -9,6 +9,7 @@
 import org.cornelchute.core.kernel.Service;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.util.Addresses;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.resources.LoopResources;
@@ -31,6 +32,7 @@
   private final Meter receivedBytesMeter;
   private final Meter sentBytesMeter;
   private final Meter brokenMeter;
+  private final Meter unsentMeter;
   private Connection connection;
 
   /**
@@ -58,6 +60,7 @@
     this.receivedBytesMeter = metrics.meter("datagrams.received.bytes");
     this.sentBytesMeter = metrics.meter("datagrams.sent.bytes");
     this.brokenMeter = metrics.meter("datagrams.broken");
+    this.unsentMeter = metrics.meter("datagrams.unsent");
   }
 
   @Override
@@ -76,8 +79,12 @@
             .bindNow();
   }
 
-  /** Sends a message. Delivery is not guaranteed. */
+  /** Sends a message. Delivery is not guaranteed; an address that is invalid is ignored. */
   public void send(String address, Message message) {
+    if (!Addresses.isValid(address)) {
+      unsentMeter.mark();
+      return;
+    }
     byte[] bytes = codec.encode(message);
     int colon = address.lastIndexOf(':');
     InetSocketAddress recipient =
--- a/net/src/main/java/org/cornelchute/net/frame/FrameClient.java
+++ b/net/src/main/java/org/cornelchute/net/frame/FrameClient.java
@@ -11,6 +11,7 @@
 import org.cornelchute.core.message.ControlMessage;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.util.Addresses;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
@@ -50,8 +51,15 @@
     this.listener = listener;
   }
 
-  /** Sends a message and opens a connection if there is none. Does nothing after {@link #close}. */
+  /**
+   * Sends a message and opens a connection if there is none. Does nothing after {@link #close}. A
+   * message to an address that is invalid is undelivered.
+   */
   public void send(String address, Message message) {
+    if (!Addresses.isValid(address)) {
+      listener.onUndelivered(address, message);
+      return;
+    }
     Channel channel = null;
     boolean queueFull = false;
     synchronized (this) {
--- a/net/src/main/java/org/cornelchute/net/platform/TableClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -1,12 +1,17 @@
 package org.cornelchute.net.platform;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutException;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
@@ -16,8 +21,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
-import java.util.regex.Pattern;
+import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.util.Addresses;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
@@ -31,12 +39,27 @@
  */
 public final class TableClient {
 
+  private static final Logger LOG = LoggerFactory.getLogger(TableClient.class);
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
-  private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
+  private static final int MAX_LOGGED_CHARS = 64;
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_CONFLICT = 409;
 
+  /**
+   * Reads lists whose elements are skipped without being kept, so that an element may be nested
+   * deeply or hold a long number.
+   */
+  private static final JsonFactory LIST_READER =
+      JsonFactory.builder()
+          .streamReadConstraints(
+              StreamReadConstraints.builder()
+                  .maxNestingDepth(Integer.MAX_VALUE)
+                  .maxNumberLength(Integer.MAX_VALUE)
+                  .build())
+          .build();
+
+  private final LogLimiter logLimiter = new LogLimiter();
   private final HttpClient http;
   private final ObjectMapper mapper = new ObjectMapper();
 
@@ -140,20 +163,56 @@
     if (status != STATUS_OK) {
       return Either.left(Failure.unavailable("VM list request answered with status " + status));
     }
-    try {
+    try (JsonParser parser = LIST_READER.createParser(text)) {
+      if (parser.nextToken() != JsonToken.START_ARRAY) {
+        return Either.left(Failure.unknown("answer to the VM list request is not a JSON list"));
+      }
       List<String> addresses = new ArrayList<>();
-      for (JsonNode vm : mapper.readTree(text)) {
-        String address = vm.path("address").asText();
-        if (ADDRESS.matcher(address).matches()) {
+      while (parser.nextToken() != JsonToken.END_ARRAY) {
+        String address = readAddress(parser);
+        if (Addresses.isValid(address)) {
           addresses.add(address);
+        } else {
+          logIgnoredAddress(address);
         }
       }
       return Either.right(addresses);
-    } catch (JsonProcessingException e) {
+    } catch (IOException e) {
       return Either.left(Failure.unknown("answer to the VM list request is not JSON"));
     }
   }
 
+  /**
+   * Reads one element of the VM list up to its end.
+   *
+   * @return its address, empty if it has none
+   */
+  private static String readAddress(JsonParser parser) throws IOException {
+    if (parser.currentToken() != JsonToken.START_OBJECT) {
+      parser.skipChildren();
+      return "";
+    }
+    String address = "";
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String field = parser.currentName();
+      if (parser.nextToken() == JsonToken.VALUE_STRING && field.equals("address")) {
+        address = parser.getText();
+      }
+      parser.skipChildren();
+    }
+    return address;
+  }
+
+  private void logIgnoredAddress(String address) {
+    String start = address.substring(0, Math.min(MAX_LOGGED_CHARS, address.length()));
+    logLimiter.log(
+        suppressed ->
+            LOG.warn(
+                "VM without an IP address and a port ignored address=\"{}\" suppressed={}",
+                start,
+                suppressed));
+  }
+
   private static Failure toFailure(Throwable error) {
     if (error instanceof ConnectException
         || error instanceof ConnectTimeoutException
--- a/platform/src/main/java/org/cornelchute/platform/Addresses.java
+++ b/net/src/main/java/org/cornelchute/net/util/Addresses.java
@@ -1,9 +1,9 @@
-package org.cornelchute.platform;
+package org.cornelchute.net.util;
 
 import java.util.regex.Pattern;
 
 /** Checks addresses that other programs wrote, before a connection to them is opened. */
-final class Addresses {
+public final class Addresses {
 
   private static final int MAX_OCTET = 255;
   private static final int MAX_PORT = 65_535;
@@ -14,7 +14,7 @@
   private Addresses() {}
 
   /** Returns whether a text is an IPv4 address and a port that can be connected to. */
-  static boolean isValid(String address) {
+  public static boolean isValid(String address) {
     if (!FORM.matcher(address).matches()) {
       return false;
     }
