--- a/ctl/src/main/java/org/cornelchute/ctl/RulesLog.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/RulesLog.java
@@ -47,11 +47,20 @@
   /** Reads the head row; its version is 0 if no rules were accepted yet. */
   Either<Failure, Head> readHead() {
     return readRow(ConfigurationRecord.HEAD_KEY)
-        .map(
-            result ->
-                result
-                    .map(row -> new Head(Long.parseLong(row.value()), row.version()))
-                    .orElse(Head.EMPTY));
+        .flatMap(
+            result -> result.map(RulesLog::parseHead).orElseGet(() -> Either.right(Head.EMPTY)));
+  }
+
+  private static Either<Failure, Head> parseHead(TableRow row) {
+    return ConfigurationRecord.parseHead(row.value())
+        .map(version -> Either.<Failure, Head>right(new Head(version, row.version())))
+        .orElseGet(
+            () ->
+                Either.left(
+                    Failure.invalid(
+                        "malformed row '"
+                            + ConfigurationRecord.HEAD_KEY
+                            + "' in the rules log; accepted: a version number")));
   }
 
   /** Reads an accepted version. */
@@ -64,7 +73,7 @@
       return Either.left(
           new Failure(Failure.Code.NOT_FOUND, "there is no version " + version + " of the rules"));
     }
-    return ConfigurationRecord.parse(row.get().get().value());
+    return ConfigurationRecord.parse(version, row.get().get().value());
   }
 
   /** Reads the text of the newest accepted version, empty if no rules were accepted yet. */
--- a/ctl/src/test/java/org/cornelchute/ctl/RulesLogTest.java
+++ b/ctl/src/test/java/org/cornelchute/ctl/RulesLogTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -118,6 +120,58 @@
     assertThat(err.toString()).contains("may have been accepted").contains("--timeout");
   }
 
+  /** Failure: the command ended with a stack trace because of a row of another writer. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "x",
+        "-1",
+        "1.5",
+        "9223372036854775808",
+        "100000000000000000000",
+        "[[[[",
+        "{}"
+      })
+  void reportsAnOddHeadAndUsesTheNextOne(String odd) throws IOException {
+    table.put(ConfigurationRecord.HEAD_KEY, odd);
+    table.put(ConfigurationRecord.key(1), record(RULES));
+    for (String command : List.of("show", "history")) {
+      assertThat(run(command)).isEqualTo(ExitCode.USAGE);
+    }
+    assertThat(apply()).isEqualTo(ExitCode.USAGE);
+    assertThat(err.toString()).contains("malformed row 'config-head'");
+    assertThat(table.commits).isZero();
+    table.put(ConfigurationRecord.HEAD_KEY, "1");
+    assertThat(run("show")).isEqualTo(ExitCode.OK);
+  }
+
+  /** Failure: the command ended with a stack trace because of a row of another writer. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "null",
+        "7",
+        "[]",
+        "{}",
+        "{\"version\":1}",
+        "{\"version\":1,\"text\":null}",
+        "{\"version\":100000000000000000000}",
+        "[[[[[[["
+      })
+  void reportsAnOddVersionAndUsesTheNextOne(String odd) throws IOException {
+    table.put(ConfigurationRecord.HEAD_KEY, "1");
+    table.put(ConfigurationRecord.key(1), odd);
+    for (String command : List.of("show", "history")) {
+      assertThat(run(command)).isEqualTo(ExitCode.USAGE);
+    }
+    assertThat(err.toString()).contains("malformed row in the rules log");
+    assertThat(table.commits).isZero();
+    table.put(ConfigurationRecord.key(1), record(RULES));
+    assertThat(run("show")).isEqualTo(ExitCode.OK);
+  }
+
   private static String record(String text) {
     return new ConfigurationRecord(1, "other", 0, "other-proposal", "digest", text).toJson();
   }
--- a/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
+++ b/net/src/main/java/org/cornelchute/net/control/ControlPlane.java
@@ -12,6 +12,7 @@
 import org.cornelchute.core.kernel.Service;
 import org.cornelchute.core.log.Decision;
 import org.cornelchute.core.log.DecisionLog;
+import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.core.message.ControlMessage;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.model.Member;
@@ -69,6 +70,10 @@
   private final ControlListener listener;
   private final LongSupplier clock;
   private final Duty<Runnable> duty;
+
+  /** Used by the threads of the client of the table service. */
+  private final LogLimiter malformedRowLimiter = new LogLimiter();
+
   private volatile List<Member> memberSnapshot = List.of();
   private volatile List<ControlMessage.MembershipUpdate> gossipSnapshot = List.of();
   private volatile ControlMessage.RulesText rulesText = new ControlMessage.RulesText(0, "", "");
@@ -323,9 +328,15 @@
     if (row.isLeft() || row.get().isEmpty()) {
       return;
     }
-    long version = Long.parseLong(row.get().get().value());
+    Optional<Long> version = ConfigurationRecord.parseHead(row.get().get().value());
+    if (version.isEmpty()) {
+      logMalformedRow(ConfigurationRecord.HEAD_KEY, "not a version number");
+      return;
+    }
     duty.offer(
-        () -> executeConfigurationEffects(configuration.onHeadVersion(clock.getAsLong(), version)));
+        () ->
+            executeConfigurationEffects(
+                configuration.onHeadVersion(clock.getAsLong(), version.get())));
   }
 
   private void handleVersionRow(long version, Either<Failure, Optional<TableRow>> row) {
@@ -335,19 +346,25 @@
       return;
     }
     Either<Failure, ConfigurationRecord> parsed =
-        ConfigurationRecord.parse(row.get().get().value());
+        ConfigurationRecord.parse(version, row.get().get().value());
     if (parsed.isLeft()) {
-      LOG.warn(
-          "rules version {} not read, will be retried key={} cause={}",
-          version,
-          ConfigurationRecord.key(version),
-          parsed.getLeft().message());
+      logMalformedRow(ConfigurationRecord.key(version), parsed.getLeft().message());
       return;
     }
     ConfigurationRecord record = parsed.get();
     submitRulesText(new ControlMessage.RulesText(record.version(), record.digest(), record.text()));
   }
 
+  private void logMalformedRow(String key, String cause) {
+    malformedRowLimiter.log(
+        suppressed ->
+            LOG.warn(
+                "rules not read, will be retried key={} cause={} suppressed={}",
+                key,
+                cause,
+                suppressed));
+  }
+
   private void submitRulesText(ControlMessage.RulesText fetched) {
     duty.offer(
         () ->
--- a/net/src/test/java/org/cornelchute/net/control/ControlPlaneOddRowsTest.java
+++ b/net/src/test/java/org/cornelchute/net/control/ControlPlaneOddRowsTest.java
@@ -40,6 +40,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -147,6 +149,62 @@
         "[".repeat(2_000) + "]".repeat(2_000));
   }
 
+  /**
+   * Failure: a version number that was no number, or too large, kept the process from every later
+   * version of the rules.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "999999999999999999", "100000000000000000000"})
+  void followsTheRulesAfterAnOddHead(String odd) throws Exception {
+    putRow(ConfigurationRecord.HEAD_KEY, odd);
+    start();
+    awaitReads(ConfigurationRecord.HEAD_KEY);
+    putRules(1);
+    await("version 1", () -> controlPlane.rulesText().version() == 1);
+    putRow(ConfigurationRecord.HEAD_KEY, odd);
+    awaitReads(ConfigurationRecord.HEAD_KEY);
+    putRules(2);
+    await("version 2", () -> controlPlane.rulesText().version() == 2);
+    assertThat(fatalErrors).isEmpty();
+    assertThat(logLines).hasSizeLessThan(MAX_LOG_LINES);
+  }
+
+  /** Failure: a version of the rules without its text ended each process that read it. */
+  @Test
+  void followsTheRulesAfterOddVersions() throws Exception {
+    putRow(ConfigurationRecord.HEAD_KEY, "1");
+    start();
+    for (String odd : oddRecords()) {
+      putRow(ConfigurationRecord.key(1), odd);
+      awaitReads(ConfigurationRecord.key(1));
+      assertThat(controlPlane.rulesText().version()).as(odd).isZero();
+    }
+    putRules(1);
+    await("version 1", () -> controlPlane.rulesText().version() == 1);
+    putRules(2);
+    await("version 2", () -> controlPlane.rulesText().version() == 2);
+    assertThat(controlPlane.rulesText().text()).isEqualTo(RULES);
+    assertThat(fatalErrors).isEmpty();
+    assertThat(logLines).hasSizeLessThan(MAX_LOG_LINES);
+    assertThat(logLines).allMatch(line -> line.length() < 1_000);
+  }
+
+  private static List<String> oddRecords() {
+    String good = record(1).toJson();
+    return List.of(
+        "null",
+        "{}",
+        "{\"version\":1,\"text\":null,\"digest\":null}",
+        good.replace("\"version\":1", "\"version\":100000000000000000000"),
+        good.replace("\"version\":1", "\"version\":9223372036854775807"),
+        good.replace("\"digest\":\"digest\"", "\"digest\":null"),
+        good.replaceFirst("\"text\":\".*\"", "\"text\":7"),
+        good.replaceFirst(
+            "\"author\"", "\"a\":" + "[".repeat(400) + "]".repeat(400) + ",\"author\""),
+        "[".repeat(50_000),
+        "9".repeat(100_000));
+  }
+
   /** Failure: an address in a message that no connection can be opened to ended the process. */
   @Test
   void livesOnAfterMessagesWithOddAddresses() throws Exception {
--- a/policy/src/main/java/org/cornelchute/policy/configuration/ConfigurationDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/configuration/ConfigurationDecider.java
@@ -91,12 +91,21 @@
     return effects;
   }
 
-  /** Handles the version in the head row; a version that is not newer is ignored. */
+  /**
+   * Handles the version in the head row; a version that is not newer than the one in force is
+   * ignored.
+   *
+   * <p>The row replaces a higher version that it held before, since another program may have
+   * written a number to it that is no version.
+   */
   public List<ConfigurationEffect> onHeadVersion(long now, long version) {
     List<ConfigurationEffect> effects = new ArrayList<>();
-    if (version > newestVersion) {
+    if (version > rules.version() && version != newestVersion) {
       newestVersion = version;
       fetch(now, "", effects);
+    } else if (version == rules.version()) {
+      newestVersion = version;
+      fetchVersion = version;
     }
     return effects;
   }
--- a/standin/src/main/java/org/cornelchute/standin/bench/ConfigBench.java
+++ b/standin/src/main/java/org/cornelchute/standin/bench/ConfigBench.java
@@ -120,7 +120,10 @@
           .block();
       TableRow storedRow = table.read(ConfigurationRecord.key(head + 1)).block().get().orElse(null);
       if (storedRow != null
-          && ConfigurationRecord.parse(storedRow.value()).get().proposal().equals(proposal)) {
+          && ConfigurationRecord.parse(head + 1, storedRow.value())
+              .get()
+              .proposal()
+              .equals(proposal)) {
         return head + 1;
       }
     }
