--- a/policy/src/test/java/org/cornelchute/policy/forward/EndpointLimitTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EndpointLimitTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -127,4 +128,82 @@
       assertThat(simulation.arrivalsAt(slot, 60_000, 90_000)).isGreaterThan(10);
     }
   }
+
+  // Guards against: calls that are repeated after the end of another engine do not count.
+  @ParameterizedTest
+  @CsvSource({"4, 1, 1.4", "6, 2, 1", "13, 3, 3"})
+  void countsRetriesAgainstLimit(int entries, long seed, double limit) {
+    EngineSimulation simulation = simulation(entries, seed, 10);
+    for (long at = 8_000; at < END_MILLIS; at += 1_500) {
+      simulation.killEngines(at, 0.3, entries / 2);
+    }
+    for (int slot = 0; slot < entries / 2; slot++) {
+      simulation.nameLimit(NAMED_MILLIS, slot, Double.toString(limit));
+    }
+    simulation.run(END_MILLIS);
+    for (int slot = 0; slot < entries / 2; slot++) {
+      int limited = slot;
+      assertThat(simulation.arrivals).anyMatch(a -> a.slot() == limited && a.attempt() > 1);
+      assertThat(
+              simulation.mostArrivalsIn4Seconds(slot, NAMED_MILLIS + STABILITY_MILLIS, END_MILLIS))
+          .isLessThanOrEqualTo(allowed(limit));
+    }
+  }
+
+  // Guards against: an entry that stood still sends what it held to an engine that named a limit.
+  @ParameterizedTest
+  @CsvSource({"4, 1, 1.4", "6, 2, 1", "6, 3, 0.2", "13, 4, 3"})
+  void staysWithinLimitThatWasNamedWhileAnEntryWasFrozen(int entries, long seed, double limit) {
+    EngineSimulation simulation = simulation(entries, seed, 10);
+    simulation.nameLimit(NAMED_MILLIS, 0, Double.toString(limit));
+    simulation.freeze(1, NAMED_MILLIS - 100, 9_000);
+    simulation.freeze(2, 20_000, 23_000);
+    simulation.run(END_MILLIS);
+    assertThat(simulation.arrivals).anyMatch(a -> a.entry() == 1 && a.sentAt() >= 1_009_000);
+    assertThat(simulation.mostArrivalsIn4Seconds(0, NAMED_MILLIS + STABILITY_MILLIS, END_MILLIS))
+        .isLessThanOrEqualTo(allowed(limit));
+  }
+
+  // Guards against: an entry that joins takes a share beside the shares of those before it.
+  @ParameterizedTest
+  @CsvSource({"4, 1, 1.4", "6, 2, 1", "6, 3, 5", "13, 4, 3"})
+  void staysWithinLimitWhenEntriesJoin(int entries, long seed, double limit) {
+    EngineSimulation simulation = simulation(entries, seed, 10);
+    simulation.nameLimit(NAMED_MILLIS, 0, Double.toString(limit));
+    for (int i = 0; i < 3; i++) {
+      int joined = entries + i;
+      simulation.at(12_000 + 5_000L * i, simulation::addEntry);
+      simulation.sendCalls(
+          12_000 + 5_000L * i + 1, END_MILLIS, 15, () -> List.of(HARMLESS_PART), () -> joined);
+    }
+    simulation.run(END_MILLIS);
+    assertThat(simulation.arrivals).anyMatch(a -> a.entry() == entries + 2);
+    assertThat(simulation.mostArrivalsIn4Seconds(0, NAMED_MILLIS + STABILITY_MILLIS, END_MILLIS))
+        .isLessThanOrEqualTo(allowed(limit));
+  }
+
+  // Guards against: calls of another route, as other services send them, count apart.
+  @Test
+  void countsCallsOfAllRoutesAgainstLimit() {
+    Fixture fixture = new Fixture().withEndpoints(Fixture.plain("p1"));
+    fixture.decider.updateEntries(List.of(Fixture.OPTIONS.self()));
+    int sent = 0;
+    for (int i = 0; i < 120; i++) {
+      fixture.now += 100;
+      fixture.decider.recordConfirmation(fixture.now);
+      String path = List.of("/o/", "/c/", "/c/deep/").get(i % 3);
+      Optional<CallEffect.Dispatch> dispatch =
+          Fixture.find(fixture.call(path), CallEffect.Dispatch.class);
+      if (dispatch.isEmpty()) {
+        continue;
+      }
+      sent += i >= 40 && i < 80 ? 1 : 0;
+      ResponseHead head =
+          new ResponseHead(200, false, false, true, false, 0, -1, 0, NamedLimit.parse("2"));
+      long number = dispatch.get().call();
+      fixture.decider.onResponseHead(fixture.now, number, 1, head);
+      fixture.decider.onResponseEnd(fixture.now, number, 1);
+    }
+    assertThat(sent).as("calls in 4 s").isBetween(4, 8);
+  }
 }
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -54,10 +54,10 @@
   }
 
   /** An attempt that reached an engine. */
-  record Arrival(long sentAt, long at, int slot, int entry, List<Long> parts) {}
+  record Arrival(long sentAt, long at, int slot, int entry, int attempt, List<Long> parts) {}
 
   /** The end of an engine, with the parts of the call that crashed it, none if it was killed. */
-  record Crash(long at, List<Long> parts) {}
+  record Crash(long at, int slot, List<Long> parts) {}
 
   final List<CallDecider> entries = new ArrayList<>();
   final List<Sent> calls = new ArrayList<>();
@@ -70,6 +70,12 @@
   /** Time from the end of an engine to its next start. */
   long restartMillis = 3_000;
 
+  /** Time for which a read or write of the store takes. */
+  long storeMillis;
+
+  /** Time for which an engine that started again is cold. */
+  long coldMillis;
+
   /** Time from the start of an engine until the entries read its row in the directory. */
   long listingMillis = DIRECTORY_DELAY_MILLIS;
 
@@ -81,6 +87,13 @@
   private final Map<Long, Integer> storedParts = new HashMap<>();
 
   private final Set<Integer> silentEntries = new HashSet<>();
+
+  /** Entries of a region that is cut from the others, empty if none is. */
+  private final Set<Integer> cutRegion = new HashSet<>();
+
+  /** Time until which an entry stands still; what reaches it meanwhile is handled then. */
+  private final Map<Integer, Long> frozenUntil = new HashMap<>();
+
   private final Map<Long, Sent> callByNumber = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Map<Told, Long> toldAt = new HashMap<>();
@@ -132,8 +145,11 @@
         Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of()))));
     decider.updateEndpoints(now, listedEngines());
     decider.recordConfirmation(now);
-    storedParts.forEach(
-        (part, crashes) -> decider.crashEvidence().recordStored(now, part, crashes));
+    schedule(
+        now + storeMillis,
+        () ->
+            storedParts.forEach(
+                (part, crashes) -> decider.crashEvidence().recordStored(now, part, crashes)));
     return decider;
   }
 
@@ -162,10 +178,15 @@
 
   /** Kills engines at a time, each with a probability. */
   void killEngines(long atMillis, double share) {
+    killEngines(atMillis, share, 0);
+  }
+
+  /** Kills engines from a slot on at a time, each with a probability. */
+  void killEngines(long atMillis, double share, int fromSlot) {
     schedule(
         START_MILLIS + atMillis,
         () -> {
-          for (Engine engine : engines) {
+          for (Engine engine : engines.subList(fromSlot, engines.size())) {
             if (random.nextDouble() < share) {
               engine.crash(List.of());
             }
@@ -187,6 +208,27 @@
     }
   }
 
+  /** Cuts entries from the others, so that no report crosses, until a time. */
+  void cutRegion(long fromMillis, long toMillis, Set<Integer> region) {
+    at(fromMillis, () -> cutRegion.addAll(region));
+    at(toMillis, cutRegion::clear);
+  }
+
+  /** Stops an entry for a time; callers, engines and other entries notice nothing. */
+  void freeze(int entry, long fromMillis, long toMillis) {
+    at(fromMillis, () -> frozenUntil.put(entry, START_MILLIS + toMillis));
+  }
+
+  /** Runs what reaches an entry, at the end of its stop if it stands still. */
+  private void handleAt(int entry, Runnable action) {
+    long until = frozenUntil.getOrDefault(entry, 0L);
+    if (now < until) {
+      schedule(until, action);
+    } else {
+      action.run();
+    }
+  }
+
   void at(long millis, Runnable action) {
     schedule(START_MILLIS + millis, action);
   }
@@ -271,6 +313,9 @@
 
   private void sweep() {
     for (int i = 0; i < entries.size(); i++) {
+      if (now < frozenUntil.getOrDefault(i, 0L)) {
+        continue;
+      }
       entries.get(i).recordConfirmation(now);
       apply(i, entries.get(i).sweep(now));
     }
@@ -278,7 +323,7 @@
 
   private void exchangeReports() {
     for (int from = 0; from < entries.size(); from++) {
-      if (silentEntries.contains(from)) {
+      if (silentEntries.contains(from) || now < frozenUntil.getOrDefault(from, 0L)) {
         continue;
       }
       String name = names.get(from);
@@ -293,13 +338,14 @@
           continue;
         }
         CallDecider other = entries.get(to);
-        deliver(() -> other.recordEntryReport(now, name, 0, open));
-        deliver(() -> other.crashEvidence().recordReport(now, report));
-        deliver(() -> other.endpointLimits().recordReport(now, limits));
+        deliver(from, to, () -> other.recordEntryReport(now, name, 0, open));
+        deliver(from, to, () -> other.crashEvidence().recordReport(now, report));
+        deliver(from, to, () -> other.endpointLimits().recordReport(now, limits));
       }
       if (!recipients.isEmpty()) {
-        CallDecider other = entries.get(recipients.get(random.nextInt(recipients.size())));
-        deliver(() -> other.crashEvidence().recordReport(now, summary));
+        int to = recipients.get(random.nextInt(recipients.size()));
+        CallDecider other = entries.get(to);
+        deliver(from, to, () -> other.crashEvidence().recordReport(now, summary));
       }
     }
   }
@@ -313,9 +359,10 @@
         .toList();
   }
 
-  private void deliver(Runnable datagram) {
-    if (random.nextDouble() >= DATAGRAM_LOSS) {
-      schedule(now + NETWORK_DELAY_MILLIS, datagram);
+  private void deliver(int from, int to, Runnable datagram) {
+    if (random.nextDouble() >= DATAGRAM_LOSS
+        && cutRegion.contains(from) == cutRegion.contains(to)) {
+      schedule(now + NETWORK_DELAY_MILLIS, () -> handleAt(to, datagram));
     }
   }
 
@@ -328,7 +375,7 @@
     CallSpec spec =
         new CallSpec(
             call.number, "id", "h", "/s/", Fixture.KEY, deadlineMillis, 977, 94, 0, -1, parts);
-    apply(entry, entries.get(entry).onCall(now, spec));
+    handleAt(entry, () -> apply(entry, entries.get(entry).onCall(now, spec)));
   }
 
   private void apply(int entry, List<CallEffect> effects) {
@@ -337,7 +384,7 @@
         long sentAt = now;
         schedule(now + NETWORK_DELAY_MILLIS, () -> arrive(entry, d, sentAt));
       } else if (effect instanceof CallEffect.StoreBlockedPart p) {
-        storedParts.put(p.part(), p.crashCount());
+        schedule(now + storeMillis, () -> storedParts.put(p.part(), p.crashCount()));
       } else if (effect instanceof CallEffect.CancelAttempt c) {
         schedule(
             now + NETWORK_DELAY_MILLIS,
@@ -363,7 +410,7 @@
     Work work = new Work(dispatch.call(), dispatch.attempt(), entry, call);
     for (Engine engine : engines) {
       if (engine.running && engine.id().equals(dispatch.endpoint().id())) {
-        arrivals.add(new Arrival(sentAt, now, engine.slot, entry, call.parts));
+        arrivals.add(new Arrival(sentAt, now, engine.slot, entry, dispatch.attempt(), call.parts));
         engine.accept(work);
         return;
       }
@@ -372,9 +419,14 @@
   }
 
   private void fail(Work work, boolean sent) {
-    apply(
+    handleAt(
         work.entry,
-        entries.get(work.entry).onAttemptFailure(now, work.call, work.attempt, sent, "closed"));
+        () ->
+            apply(
+                work.entry,
+                entries
+                    .get(work.entry)
+                    .onAttemptFailure(now, work.call, work.attempt, sent, "closed")));
   }
 
   private List<EndpointSpec> listedEngines() {
@@ -424,7 +476,7 @@
           domain,
           16,
           false,
-          0,
+          listedLife == 0 ? 0 : coldMillis,
           START_MILLIS + listedLife,
           "m",
           1);
@@ -450,20 +502,19 @@
       int active = work.size();
       NamedLimit named = NamedLimit.parse(limit);
       if (named.kind() == NamedLimit.Kind.NAMED) {
-        toldAt.putIfAbsent(new Told(slot, w.entry), now + NETWORK_DELAY_MILLIS);
+        long readAt = Math.max(now, frozenUntil.getOrDefault(w.entry, 0L));
+        toldAt.putIfAbsent(new Told(slot, w.entry), readAt + NETWORK_DELAY_MILLIS);
       }
+      ResponseHead head = new ResponseHead(200, false, false, true, false, 1, active, 0, named);
       schedule(
           now + NETWORK_DELAY_MILLIS,
           () ->
-              apply(
+              handleAt(
                   w.entry,
-                  entries
-                      .get(w.entry)
-                      .onResponseHead(
-                          now,
-                          w.call,
-                          w.attempt,
-                          new ResponseHead(200, false, false, true, false, 1, active, 0, named))));
+                  () ->
+                      apply(
+                          w.entry,
+                          entries.get(w.entry).onResponseHead(now, w.call, w.attempt, head))));
       int startedLife = life;
       if (w.sent.parts.stream().anyMatch(harmfulParts::contains)) {
         schedule(
@@ -482,7 +533,13 @@
             if (life == startedLife && running && work.remove(w)) {
               schedule(
                   now + NETWORK_DELAY_MILLIS,
-                  () -> apply(w.entry, entries.get(w.entry).onResponseEnd(now, w.call, w.attempt)));
+                  () ->
+                      handleAt(
+                          w.entry,
+                          () ->
+                              apply(
+                                  w.entry,
+                                  entries.get(w.entry).onResponseEnd(now, w.call, w.attempt))));
             }
           });
     }
@@ -491,7 +548,7 @@
       if (!running) {
         return;
       }
-      crashes.add(new Crash(now, parts));
+      crashes.add(new Crash(now, slot, parts));
       running = false;
       for (Work w : work) {
         schedule(now + NETWORK_DELAY_MILLIS, () -> fail(w, true));
