Test a slow store, engines that are back, and cold engines after crashes

The first form of usesEnginesThatAreBackAtOnce asked for calls at all engines within one second, also those that had never ended, and failed where one of six got none by chance; it now asks that of each engine that ended.

--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -11,6 +11,7 @@
 class CrashingPromptPartTest {
 
   private static final long STABILITY_MILLIS = 3_000;
+  private static final long MIN_MEASURED_MILLIS = 6_000;
   private static final long MAX_ARRIVALS_AFTERWARDS = 3;
   private static final double MIN_BEGIN_RATIO = 0.5;
   private static final int FIRST_PARTS = 20;
@@ -38,8 +39,8 @@
   }
 
   private static void assertSoundCallsServed(EngineSimulation simulation, long part, long first) {
-    long from = simulation.lastCountedCrash(part).orElseThrow() + 2 * STABILITY_MILLIS;
     long start = EngineSimulation.START_MILLIS;
+    long from = simulation.lastCountedCrash(part).orElseThrow() + 2 * STABILITY_MILLIS;
     double usual = simulation.beginShare(start, start + HARM_FROM_MILLIS, first);
     assertThat(simulation.beginShare(from, start + END_MILLIS, first))
         .as("share of sound calls that began, usually " + usual)
@@ -229,4 +230,80 @@
     assertThat(simulation.calls)
         .noneMatch(c -> c.sentAt >= from && c.rejection == Rejection.BLOCKED_PROMPT);
   }
+
+  // Guards against: an entry that starts while the store is slow learns nothing until it has read
+  // the stored parts.
+  @ParameterizedTest
+  @CsvSource({"6, 1", "13, 2", "40, 3"})
+  void stopsSendingCallsAtEntryThatStartsWhileTheStoreIsSlow(int entries, long seed) {
+    EngineSimulation simulation = simulation(entries, seed);
+    simulation.storeMillis = 60_000;
+    simulation.harmfulParts.add(HARMFUL);
+    simulation.sendCalls(
+        HARM_FROM_MILLIS, 20_000, 4, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    int[] started = {0};
+    simulation.at(20_000, () -> started[0] = simulation.addEntry());
+    simulation.sendCalls(23_000, END_MILLIS, 4, () -> List.of(7L, HARMFUL), () -> started[0]);
+    simulation.run(END_MILLIS);
+    assertContained(simulation, HARMFUL);
+    assertSoundCallsServed(simulation, HARMFUL, 7);
+  }
+
+  // Guards against: an engine that crashed is avoided after it has started again.
+  @ParameterizedTest
+  @CsvSource({"4, 1, false", "6, 2, false", "6, 3, true", "13, 4, true"})
+  void usesEnginesThatAreBackAtOnce(int entries, long seed, boolean keepsIds) {
+    int engines = entries + 2;
+    EngineSimulation simulation = new EngineSimulation(entries, engines, seed, keepsIds);
+    simulation.sendCalls(
+        0,
+        END_MILLIS,
+        10.0 * entries,
+        () -> List.of((long) simulation.random.nextInt(FIRST_PARTS)),
+        simulation::anyEntry);
+    simulation.harmfulParts.add(HARMFUL);
+    simulation.sendCalls(
+        HARM_FROM_MILLIS, 20_000, 4, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    simulation.run(END_MILLIS);
+    assertThat(simulation.crashes).hasSizeGreaterThan(2);
+    for (EngineSimulation.Crash crash : simulation.crashes) {
+      long back =
+          crash.at()
+              - EngineSimulation.START_MILLIS
+              + simulation.restartMillis
+              + simulation.listingMillis;
+      assertThat(simulation.arrivalsAt(crash.slot(), back, back + 1_000))
+          .as("calls in the second after the engine was listed again")
+          .isPositive();
+    }
+  }
+
+  // Guards against: the limits of cold engines and the retry budget, spent on the crashes, hold
+  // sound calls up long after the last one.
+  @ParameterizedTest
+  @CsvSource({"4, 1, false", "6, 2, false", "6, 3, true", "13, 4, false"})
+  void servesSoundCallsSoonAfterCrashesThoughEnginesAreCold(
+      int entries, long seed, boolean keepsIds) {
+    EngineSimulation simulation = new EngineSimulation(entries, entries + 2, seed, keepsIds);
+    simulation.coldMillis = 8_000;
+    simulation.sendCalls(
+        0,
+        END_MILLIS,
+        10.0 * entries,
+        () -> List.of((long) simulation.random.nextInt(FIRST_PARTS)),
+        simulation::anyEntry);
+    simulation.harmfulParts.add(HARMFUL);
+    simulation.sendCalls(
+        HARM_FROM_MILLIS, END_MILLIS, 8, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    simulation.run(END_MILLIS);
+    assertContained(simulation, HARMFUL);
+    long start = EngineSimulation.START_MILLIS;
+    double usual = simulation.beginShare(start, start + HARM_FROM_MILLIS, -1);
+    long from =
+        Math.min(
+            simulation.lastCountedCrash(HARMFUL).orElseThrow() + 2 * STABILITY_MILLIS,
+            start + END_MILLIS - MIN_MEASURED_MILLIS);
+    assertThat(simulation.beginShare(from, start + END_MILLIS, -1)).isGreaterThan(0.9 * usual);
+    assertThat(simulation.beginShare(from, start + END_MILLIS, 7)).isGreaterThan(0.9 * usual);
+  }
 }
