Reject new calls in the same step that finds a drain complete

What callers saw: beside a stop of the entry, a call was read, sent to a sound endpoint and lost with the process, without response. Cause: the drain ended once it had found no open call, from 2.5 s on, while new calls are accepted until 2.8 s; those that came between this check and the end of the process (end of the wait, log, shutdown of the event loop) were sent. Fix: the check and the rejection of new calls are one task of the event loop. Evidence: DrainEndTest#sendsNoCallOnceTheDrainIsOver failed before (200) and passes (503); DirectEntryDaemonTest 5 of 5 and SlowCallerTest#deliversTheWholeResponseDuringDrain pass.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -172,6 +172,20 @@
     }
   }
 
+  /**
+   * Rejects new calls from now on if all responses were sent completely, so that no call can come
+   * between this check and the end of the process.
+   *
+   * @return whether they were
+   */
+  boolean tryFinish() {
+    if (unfinishedCallCount() > 0) {
+      return false;
+    }
+    rejectNewCalls();
+    return true;
+  }
+
   // Caller connections
 
   @Override
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -153,11 +153,16 @@
     boolean rejecting = false;
     while (true) {
       long elapsedMillis = clockMillis.getAsLong() - startedAt;
-      int openCalls = callOnEventLoop(duty::unfinishedCallCount);
-      if (elapsedMillis >= settings.stopMillis() - TIMING_MARGIN_MILLIS
-          || elapsedMillis >= DEREGISTRATION_MILLIS && openCalls == 0) {
+      boolean outOfTime = elapsedMillis >= settings.stopMillis() - TIMING_MARGIN_MILLIS;
+      if ((outOfTime || elapsedMillis >= DEREGISTRATION_MILLIS)
+          && callOnEventLoop(duty::tryFinish)) {
+        LOG.info("entry drain ended open=0 ms={}", elapsedMillis);
+        return true;
+      }
+      if (outOfTime) {
+        int openCalls = callOnEventLoop(duty::unfinishedCallCount);
         LOG.info("entry drain ended open={} ms={}", openCalls, elapsedMillis);
-        return openCalls == 0;
+        return false;
       }
       if (!rejecting
           && elapsedMillis
