Reject the calls that are open when a drain is over

What callers saw: beside a stop of the entry, the connection ended without a response to a request that was read whole, if its endpoint was silent, or it was still queued, when the time for the drain was over (LOST around planned work). Cause: the process ended with its calls; nothing answered them. Fix: calls whose responses have not begun are rejected, 503 if no endpoint can have executed them and 502 otherwise; streams that have begun are broken off as before.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -186,6 +186,18 @@
     return true;
   }
 
+  /**
+   * Ends all calls whose responses are not complete, with a rejection if their responses have not
+   * begun, and rejects new ones.
+   */
+  void endOpenCalls() {
+    rejectNewCalls();
+    apply(decider.onShutdown(clockMillis.getAsLong()));
+    for (OpenCall call : List.copyOf(openCalls.values())) {
+      rejectCall(call, Rejection.NOT_READY, 0);
+    }
+  }
+
   // Caller connections
 
   @Override
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -162,6 +162,13 @@
       if (outOfTime) {
         int openCalls = callOnEventLoop(duty::unfinishedCallCount);
         LOG.info("entry drain ended open={} ms={}", openCalls, elapsedMillis);
+        callOnEventLoop(
+            () -> {
+              duty.endOpenCalls();
+              return 0;
+            });
+        // The rejections must be sent before the process ends.
+        sleep();
         return false;
       }
       if (!rejecting
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -498,6 +498,17 @@
     return effects;
   }
 
+  /** Ends all calls, because the process ends before their responses are complete. */
+  public List<CallEffect> onShutdown(long now) {
+    List<CallEffect> effects = new ArrayList<>();
+    for (Call call : new ArrayList<>(calls.values())) {
+      call.mayHaveExecuted |= call.current != null;
+      cancelAttempts(effects, call);
+      reject(now, effects, call, Rejection.NOT_READY, "the process ends");
+    }
+    return effects;
+  }
+
   /**
    * Ends calls that exceeded their deadline or queue time, sends streams of silent endpoints to a
    * second one, retries calls that still wait for an endpoint with superseded weights, and
