--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -175,6 +175,32 @@
     }
   }
 
+  /**
+   * Rejects new calls from now on if all responses were sent completely, so that no call can come
+   * between this check and the end of the process.
+   *
+   * @return whether they were
+   */
+  boolean tryFinish() {
+    if (unfinishedCallCount() > 0) {
+      return false;
+    }
+    rejectNewCalls();
+    return true;
+  }
+
+  /**
+   * Ends all calls whose responses are not complete, with a rejection if their responses have not
+   * begun, and rejects new ones.
+   */
+  void endOpenCalls() {
+    rejectNewCalls();
+    apply(decider.onShutdown(clockMillis.getAsLong()));
+    for (OpenCall call : List.copyOf(openCalls.values())) {
+      rejectCall(call, Rejection.NOT_READY, 0);
+    }
+  }
+
   // Caller connections
 
   @Override
