Pass on no status that promises what the endpoint does not state

What callers could see (REFUSED): 'not run, try again' for a call that an endpoint had run, if the endpoint answered 408, 429 or 503 without stating that it did not execute the call; only that statement and 421 prove it. Cause: a response without the statement was passed on as it came, also for calls that may not be repeated. Fix: such a response loses the attempt: a call that may be repeated is retried, another one gets 502. Ruled out: passing it on for calls that may be repeated (their callers wait for nothing).

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -294,6 +294,11 @@
       handleBackupHead(now, effects, call, head);
     } else if (head.notExecuted() || head.instanceMismatch()) {
       handleEndpointRefusal(now, effects, call, head);
+    } else if (head.impliesUnprovenRefusal()) {
+      effects.add(new CallEffect.CancelAttempt(number, attempt));
+      call.mayHaveExecuted = true;
+      handleLostResponse(
+          now, effects, call, "endpoint did not say whether it ran, status " + head.status());
     } else if (head.status() >= STATUS_INTERNAL_SERVER_ERROR
         && !call.streaming
         && (call.backup != null || canRetryNow(now, call))) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
@@ -1,5 +1,7 @@
 package org.cornelchute.policy.forward;
 
+import java.util.Set;
+
 /**
  * Head of a response from an endpoint, reduced to what decisions depend on.
  *
@@ -26,9 +28,20 @@
     int queued,
     NamedLimit limit) {
 
+  /** Statuses that tell callers that a call was not executed: 408, 429 and 503. */
+  private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 429, 503);
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_MULTIPLE_CHOICES = 300;
 
+  /**
+   * Returns whether callers would take the status for a promise that the call was not executed,
+   * which the endpoint does not make.
+   */
+  boolean impliesUnprovenRefusal() {
+    return !notExecuted && NOT_EXECUTED_STATUSES.contains(status);
+  }
+
   /** Returns whether the status is a success (2xx). */
   boolean isSuccess() {
     return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guarantees for calls that are sent directly to endpoints. */
 class CallDeciderTest {
@@ -132,6 +134,26 @@
   @Nested
   class Retries {
 
+    /**
+     * Failure: the status of an endpoint that had executed a call, or might have, was passed on,
+     * and told its caller that the call was not executed.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void passesOnNoPromiseThatTheEndpointDoesNotMake(int status) {
+      Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
+      CallEffect.Dispatch order = dispatch(fixture.call("/o/"));
+      List<CallEffect> answered =
+          fixture.decider.onResponseHead(
+              fixture.now, order.call(), order.attempt(), Fixture.head(status));
+      assertThat(rejection(answered)).isEqualTo(Rejection.ANSWER_LOST);
+      CallEffect.Dispatch check = dispatch(fixture.call("/c/"));
+      List<CallEffect> retried =
+          fixture.decider.onResponseHead(
+              fixture.now, check.call(), check.attempt(), Fixture.head(status));
+      assertThat(dispatch(retried).attempt()).isEqualTo(2);
+    }
+
     // Failure: a call that an endpoint had executed was rejected as not executed, since the attempt
     // was given up before it was known whether another endpoint could take the call.
     @Test
