Take no version of weights from an odd row of the sightings

Keys such as m/02 counted as other spellings of m/2.

Fix: entries use a sighting up to the newest assigned version that they know, or up to the first one of a model that they know none of. Rows that are ignored are logged at a limited rate, not at each read.

Not solved: a well-formed row of the next version, or an age that is too old for an assigned version, cannot be told from a true one.

--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.store.Backoff;
 import org.cornelchute.net.store.RetryingRead;
@@ -50,6 +51,7 @@
   private final ServingStateListener listener;
   private final RetryingRead read;
   private final Backoff writeBackoff;
+  private final LogLimiter ignoredRowLimiter = new LogLimiter();
   private final Map<String, Long> newestVersionByModel = new HashMap<>();
   private final Map<String, OwnSighting> ownSightingByKey = new HashMap<>();
   private int missingSightingReads;
@@ -126,7 +128,10 @@
     return model + SEPARATOR + version;
   }
 
-  /** Decodes a row of the table; empty if it holds no sighting. */
+  /**
+   * Decodes a row of the table; empty if it holds no sighting, or one under another key than {@link
+   * #key} returns.
+   */
   public static Option<Sighting> decode(StoredRow row) {
     int separator = row.key().lastIndexOf(SEPARATOR);
     String version = row.key().substring(separator + 1);
@@ -134,9 +139,11 @@
     if (separator <= 0 || !version.matches(NUMBER_PATTERN) || !time.matches(NUMBER_PATTERN)) {
       return Option.none();
     }
-    return Option.some(
+    Sighting sighting =
         new Sighting(
-            row.key().substring(0, separator), Long.parseLong(version), Long.parseLong(time)));
+            row.key().substring(0, separator), Long.parseLong(version), Long.parseLong(time));
+    return Option.some(sighting)
+        .filter(s -> key(s.model(), s.version()).equals(row.key()) && s.version() > 0);
   }
 
   private void create(OwnSighting own) {
@@ -190,16 +197,24 @@
 
   /**
    * Reports one stored sighting. Superseded versions are reported as well: from a certain age of
-   * each version on, calls must start on that version or a newer one.
+   * each version on, calls must start on that version or a newer one. A version that is newer than
+   * the one that operators assigned is not: no endpoint may ever hold it.
    *
    * @param storeTimeMillis time of the response on the store's clock
    * @param elapsedMillis time of the read, for all of which the response may have been on its way
    * @return whether the row holds a sighting
    */
   private boolean handleRow(StoredRow row, long storeTimeMillis, long elapsedMillis) {
-    Option<Sighting> sighting = decode(row).filter(s -> s.seenAtMillis() <= storeTimeMillis);
+    Option<Sighting> sighting =
+        decode(row).filter(s -> s.seenAtMillis() <= storeTimeMillis && mayBeAssigned(s));
     if (sighting.isEmpty()) {
-      LOG.warn("row that is no sighting ignored table={} key={}", TABLE, row.key());
+      ignoredRowLimiter.log(
+          suppressed ->
+              LOG.warn(
+                  "row that is no sighting ignored table={} key={} suppressed={}",
+                  TABLE,
+                  row.key(),
+                  suppressed));
       return false;
     }
     String model = sighting.get().model();
@@ -222,6 +237,15 @@
     return true;
   }
 
+  /**
+   * Returns whether operators may have assigned a version: up to the newest one that is known, and
+   * the first one of a model that none is known of.
+   */
+  private boolean mayBeAssigned(Sighting sighting) {
+    return sighting.version()
+        <= newestVersionByModel.getOrDefault(sighting.model(), INITIAL_VERSION + 1);
+  }
+
   /** Reads again if the newest version of a model has no sighting, which may still be written. */
   private void readMissingSightings(Set<String> storedKeys) {
     for (Map.Entry<String, Long> newest : newestVersionByModel.entrySet()) {
