Store a blocked part however long the store is away

What callers would see: an entry refuses prompts with a part that crashes endpoints, but gave up to store the part after six writes, about 2 s. After a longer outage of the store and a loss of power of all machines no entry knew the part, and it could crash endpoints again.

Cause: a limit on the writes. Two states of one part were written independently of each other, so that the earlier one could arrive last.

Evidence: on the code before, storesTheLastStateOfBlockedPartAfterLongOutage failed: no row within 8 s after an outage of 8 s. It passes now, with the other three tests of the table.

Fix: the newest state of each part is written until the store confirms it, one write of a part at a time, with one log line for an outage and part.

--- a/entry/src/main/java/org/cornelchute/entry/direct/BlockedPartTable.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/BlockedPartTable.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.cornelchute.core.log.LogLimiter;
@@ -25,7 +27,6 @@
   public static final String TABLE = "blockedparts";
 
   private static final Logger LOG = LoggerFactory.getLogger(BlockedPartTable.class);
-  private static final int MAX_WRITE_ATTEMPTS = 6;
   private static final int HEXADECIMAL = 16;
   private static final String KEY_PATTERN = "[0-9a-f]{1,16}";
   private static final String COUNT_PATTERN = "[0-9]{1,6}";
@@ -37,6 +38,9 @@
   private final LogLimiter ignoredRowLimiter = new LogLimiter();
   private final long seed;
 
+  /** Newest number of crashes by part that the store has not confirmed. */
+  private final Map<Long, Integer> unconfirmed = new HashMap<>();
+
   /**
    * Creates an instance that has read nothing yet.
    *
@@ -68,37 +72,41 @@
     read.request();
   }
 
-  /** Stores a part; repeated some times if the store does not confirm it. */
+  /**
+   * Stores a part; repeated until the store has confirmed it. One write of a part is in progress at
+   * a time, so that an earlier state cannot replace a later one.
+   */
   public void store(long part, int crashCount) {
-    write(part, crashCount, new Backoff(seed + part), 1);
+    if (unconfirmed.put(part, crashCount) == null) {
+      write(part, new Backoff(seed + part));
+    }
   }
 
-  private void write(long part, int crashCount, Backoff backoff, int attempt) {
-    byte[] value = Integer.toString(crashCount).getBytes(StandardCharsets.UTF_8);
+  private void write(long part, Backoff backoff) {
+    int crashCount = unconfirmed.get(part);
     store.write(
         TABLE,
         Long.toHexString(part),
-        value,
-        result -> handleWritten(part, crashCount, backoff, attempt, result));
+        Integer.toString(crashCount).getBytes(StandardCharsets.UTF_8),
+        result -> handleWritten(part, crashCount, backoff, result));
   }
 
   private void handleWritten(
-      long part, int crashCount, Backoff backoff, int attempt, Either<Failure, Long> result) {
+      long part, int crashCount, Backoff backoff, Either<Failure, Long> result) {
     if (result.isRight()) {
+      if (!unconfirmed.remove(part, crashCount)) {
+        write(part, backoff);
+      }
       return;
     }
-    LOG.warn(
-        "blocked part not stored part={} crashes={} attempt={} cause={}",
-        Long.toHexString(part),
-        crashCount,
-        attempt,
-        result.getLeft().message());
-    if (attempt < MAX_WRITE_ATTEMPTS) {
-      loop.schedule(
-          () -> write(part, crashCount, backoff, attempt + 1),
-          backoff.onFailure(),
-          TimeUnit.MILLISECONDS);
+    if (!backoff.isActive()) {
+      LOG.warn(
+          "blocked part not stored, will retry part={} crashes={} cause={}",
+          Long.toHexString(part),
+          crashCount,
+          result.getLeft().message());
     }
+    loop.schedule(() -> write(part, backoff), backoff.onFailure(), TimeUnit.MILLISECONDS);
   }
 
   private void handleRows(RowsResponse response) {
