Wait longer before the second trial of a part, for sides of a cut

What callers would see: while regions are cut from each other, more calls with a harmful part reach engines than the three allowed after the fifth crash.

Cause: no report crosses the cut, so that each side finds the part by three crashes of its own and then tries it, 5 s apart, until it has counted five.

Mend: after a trial that crashed an engine the next waits 20 s, not 5. Parts with three crashes are tried after 5 s as before; one blocked by mistake with four waits 20 s more at worst, not hours. Ruled out here: to tell a cut from dead entries, which needs the senders of reports in CallDecider. A longer cut lets each side try twice.

--- a/policy/src/main/java/org/cornelchute/policy/crash/TrialSchedule.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/TrialSchedule.java
@@ -21,6 +21,12 @@
 
   private static final long FIRST_DELAY_MILLIS = 5_000;
 
+  /**
+   * Delay of the trial after one that crashed an endpoint. Entries that are cut off from each other
+   * each find the part and try it, so that their trials add up.
+   */
+  private static final long SECOND_DELAY_MILLIS = 20_000;
+
   /** Time between the trials of two entries, in which the first one's outcome is reported. */
   private static final long TURN_MILLIS = 5_000;
 
@@ -64,7 +70,7 @@
 
   private static long delayMillis(int crashCount) {
     if (crashCount < CERTAIN_CRASHES) {
-      return FIRST_DELAY_MILLIS;
+      return crashCount < CERTAIN_CRASHES - 1 ? FIRST_DELAY_MILLIS : SECOND_DELAY_MILLIS;
     }
     return crashCount == CERTAIN_CRASHES ? LATE_DELAY_MILLIS : MAX_DELAY_MILLIS;
   }
