Do not take calls for late because another one named a far deadline

What callers would see: after one call without a deadline, or with a far one, every other call of the route counted as one that had waited that long: it was sent only to endpoints under 0.6 of their load and never queued. Cause: the longest deadline of a route was kept as callers named it. Evidence: CallDeciderTest.Retries#takesNoCallForLateSinceAnotherOneNamedFarDeadline failed before (the tenth call was rejected) and passes; BurstTest passes.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallAdmission.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallAdmission.java
@@ -142,8 +142,9 @@
    * deadline seen on the route.
    */
   private long estimateEarlierWait(RouteSpec route, CallSpec spec) {
-    long longest = longestDeadlineByRoute.merge(route.name(), spec.deadlineMillis(), Math::max);
-    long waited = longest - spec.deadlineMillis();
+    long deadlineMillis = Math.min(spec.deadlineMillis(), route.timeoutMillis());
+    long longest = longestDeadlineByRoute.merge(route.name(), deadlineMillis, Math::max);
+    long waited = longest - deadlineMillis;
     return waited > DEADLINE_TOLERANCE_MILLIS ? waited : 0;
   }
 
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -134,6 +134,21 @@
   @Nested
   class Retries {
 
+    /**
+     * Failure: after one call without a deadline, or with a far one, all other calls of the route
+     * counted as late, and were rejected or not queued though endpoints had slots.
+     */
+    @Test
+    void takesNoCallForLateSinceAnotherOneNamedFarDeadline() {
+      Fixture fixture = new Fixture().withEndpoints(engine("a", "d1", 1));
+      fixture.call("/s/", Integer.MAX_VALUE);
+      for (int i = 1; i < 12; i++) {
+        assertThat(find(fixture.call("/s/"), CallEffect.Dispatch.class))
+            .as("call " + i)
+            .isPresent();
+      }
+    }
+
     /**
      * Failure: the status of an endpoint that had executed a call, or might have, was passed on,
      * and told its caller that the call was not executed.
