Run periodic tasks of an entry again after they failed

Cause: the event loop drops a periodic task that throws. Fix: the failure is logged and the task runs again.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -126,12 +126,22 @@
 
   /** Schedules the periodic tasks. */
   void start() {
+    schedule(this::sweep, SWEEP_INTERVAL_MILLIS);
+    schedule(this::closeTimedOutConnections, CONNECTION_CHECK_INTERVAL_MILLIS);
+  }
+
+  /** Runs a task periodically, also after it failed: without it, no call would expire. */
+  private void schedule(Runnable task, long intervalMillis) {
     loop.scheduleWithFixedDelay(
-        this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    loop.scheduleWithFixedDelay(
-        this::closeTimedOutConnections,
-        CONNECTION_CHECK_INTERVAL_MILLIS,
-        CONNECTION_CHECK_INTERVAL_MILLIS,
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            LOG.error("periodic task failed, will run again", e);
+          }
+        },
+        intervalMillis,
+        intervalMillis,
         TimeUnit.MILLISECONDS);
   }
 
