--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -24,6 +24,9 @@
  * is rejected as not executed only if no attempt can have executed it. A call is retried only if
  * its route is retryable or the failed attempt is known not to have executed it, within the maximum
  * attempts of the route and this entry's share of the retry budget of the service.
+ *
+ * <p>An attempt is given up only for something better: a stream whose endpoint is silent is sent to
+ * a second one beside the first, and the attempt that delivers next is kept.
  */
 public final class CallDecider {
 
