Follow what endpoints say of themselves: that they leave, or take no calls for a time

Cause: nothing read Server-Leaving or the Retry-After of a 503, so that an endpoint which had told this entry that it leaves got calls until the directory said so, and one that wanted nothing got retries after 200 ms. Now EndpointNotices keeps both by incarnation, apart from the directory, so that a row that is missing or still ready changes nothing. EndpointPool.choose, the one place through which first attempts, retries, second attempts and resumptions go, asks it. If all endpoints pause, callers are rejected at once, those in the queue too, with the time that the first one named. Ruled out: keeping it on the endpoint of the pool, which forgets 5 s after a removal; a second response that shortens a pause.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -34,12 +34,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.cornelchute.core.log.DecisionLog;
+import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.net.wire.WireClient;
 import org.cornelchute.net.wire.WireListener;
 import org.cornelchute.net.wire.WireRequest;
 import org.cornelchute.policy.forward.CallDecider;
 import org.cornelchute.policy.forward.CallEffect;
 import org.cornelchute.policy.forward.CallSpec;
+import org.cornelchute.policy.forward.EndpointNotice;
 import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.NamedLimit;
 import org.cornelchute.policy.forward.Rejection;
@@ -95,6 +97,7 @@
   private final Histogram latencyHistogram;
   private final MetricRegistry metrics;
   private final StallDetector stallDetector = new StallDetector();
+  private final LogLimiter noticeLog = new LogLimiter();
   private long lastCallNumber;
   private boolean draining;
   private boolean rejectingNewCalls;
@@ -406,7 +409,8 @@
     // A send that fails immediately is handled later on the event loop, after the remaining
     // effects.
     attempt.exchange =
-        client.send(toWireRequest(call, dispatch), new AttemptListener(call, attempt));
+        client.send(
+            toWireRequest(call, dispatch), new AttemptListener(call, attempt, dispatch.endpoint()));
   }
 
   private WireRequest toWireRequest(OpenCall call, CallEffect.Dispatch dispatch) {
@@ -616,14 +620,17 @@
 
     private final OpenCall call;
     private final OpenAttempt attempt;
+    private final EndpointSpec endpoint;
 
-    AttemptListener(OpenCall call, OpenAttempt attempt) {
+    AttemptListener(OpenCall call, OpenAttempt attempt, EndpointSpec endpoint) {
       this.call = call;
       this.attempt = attempt;
+      this.endpoint = endpoint;
     }
 
     @Override
     public void onHead(HttpResponse head) {
+      handleNotice(head);
       if (attempt.resumed && isOtherContent(head)) {
         // The caller has the head of an event stream, or may get it from another attempt.
         attempt.exchange.reject("success response to a resumed stream that is no event stream");
@@ -650,6 +657,28 @@
               clockMillis.getAsLong(), call.number, attempt.number, responseHead));
     }
 
+    /** Handles what the endpoint says of itself, which holds whatever becomes of the response. */
+    private void handleNotice(HttpResponse head) {
+      HttpHeaders headers = head.headers();
+      EndpointNotice notice =
+          EndpointNotice.parse(
+              head.status().code(),
+              headers.getAll(headerNames.endpointLeaving()),
+              headers.getAll(HttpHeaderNames.RETRY_AFTER));
+      if (notice.unreadable()) {
+        noticeLog.log(
+            suppressed ->
+                LOG.warn(
+                    "unreadable header of an endpoint ignored endpoint={} leaving={} retryAfter={}"
+                        + " suppressed={}",
+                    endpoint.id(),
+                    headers.getAll(headerNames.endpointLeaving()),
+                    headers.getAll(HttpHeaderNames.RETRY_AFTER),
+                    suppressed));
+      }
+      apply(decider.onEndpointNotice(clockMillis.getAsLong(), endpoint, notice));
+    }
+
     /** Returns whether a success response names a type of content other than an event stream. */
     private static boolean isOtherContent(HttpResponse head) {
       CharSequence type = HttpUtil.getMimeType(head);
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
@@ -19,6 +19,7 @@
  * @param weightsVersion version of the weights that produced the response
  * @param endpointLoad running calls, queued calls and slots, separated by commas
  * @param endpointLimit calls per second that the endpoint takes from all entries together
+ * @param endpointLeaving {@code 1} if the endpoint is about to leave and takes no new calls
  */
 public record CallHeaderNames(
     String requestId,
@@ -35,4 +36,5 @@
     String responseSignature,
     String weightsVersion,
     String endpointLoad,
-    String endpointLimit) {}
+    String endpointLimit,
+    String endpointLeaving) {}
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -36,7 +36,8 @@
           "x-signature",
           "x-version",
           "x-load",
-          "x-limit");
+          "x-limit",
+          "x-leaving");
 
   private static final String HOST = "127.0.0.1";
   private static final String NAME = "e1";
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -275,6 +275,16 @@
     return effects;
   }
 
+  /**
+   * Handles what the head of a response says about further calls to its endpoint. To be called
+   * before {@link #onResponseHead}, and also if no call waits for the response any more.
+   */
+  public List<CallEffect> onEndpointNotice(long now, EndpointSpec endpoint, EndpointNotice notice) {
+    return endpointPool.recordNotice(now, endpoint, notice)
+        ? List.of(callLog.notice(endpoint, notice))
+        : List.of();
+  }
+
   /** Handles the head of a response from an endpoint. */
   public List<CallEffect> onResponseHead(long now, long number, int attempt, ResponseHead head) {
     List<CallEffect> effects = new ArrayList<>(3);
@@ -526,6 +536,8 @@
         queue.remove(call);
         call.queuedUntil = 0;
         dispatch(now, effects, call, choice);
+      } else if (choice.eligibleCount() == 0 && pauseEnd(now, call) > call.queuedUntil) {
+        rejectWithoutEndpoint(now, effects, call);
       } else {
         saturatedServices.add(call.service.name());
       }
@@ -571,7 +583,7 @@
     } else if (endpointPool.mayLackEndpoints(now, call.service.name())) {
       reject(now, effects, call, Rejection.NOT_READY, "endpoints of the service are not known yet");
     } else if (choice.eligibleCount() == 0) {
-      reject(now, effects, call, Rejection.NO_ENDPOINT, "no endpoint is eligible");
+      rejectWithoutEndpoint(now, effects, call);
     } else if (!tryEnqueue(now, call)) {
       reject(
           now,
@@ -582,6 +594,30 @@
     }
   }
 
+  /** Rejects a call that no endpoint may serve, until the first of those that pause returns. */
+  private void rejectWithoutEndpoint(long now, List<CallEffect> effects, Call call) {
+    long pauseEnd = pauseEnd(now, call);
+    if (pauseEnd > now) {
+      long pauseMillis = pauseEnd - now;
+      reject(
+          effects,
+          call,
+          Rejection.NO_ENDPOINT,
+          retryAfter.millisAfterPause(pauseMillis),
+          "all endpoints pause, the first for ms=" + pauseMillis);
+    } else {
+      reject(now, effects, call, Rejection.NO_ENDPOINT, "no endpoint is eligible");
+    }
+  }
+
+  /** Returns the time at which the first endpoint that pauses takes the call, 0 if none pauses. */
+  private long pauseEnd(long now, Call call) {
+    return endpointPool
+        .earliestPauseEnd(
+            now, requirements(now, call, maxLoadPerSlot(call), requiredVersion(now, call)))
+        .orElse(0L);
+  }
+
   private Choice chooseEndpoint(long now, Call call, double maxLoad) {
     return chooseEndpoint(now, call, maxLoad, requiredVersion(now, call));
   }
@@ -862,24 +898,34 @@
 
   private void reject(
       long now, List<CallEffect> effects, Call call, Rejection rejection, String reason) {
+    long remainingMillis = call.arrivedAt + call.spec.deadlineMillis() - now;
+    long retryAfterMillis =
+        retryAfterMillis(now, truthfulRejection(call, rejection), remainingMillis);
+    reject(effects, call, rejection, retryAfterMillis, reason);
+  }
+
+  private void reject(
+      List<CallEffect> effects,
+      Call call,
+      Rejection rejection,
+      long retryAfterMillis,
+      String reason) {
     if (call.streaming) {
       abortResponse(effects, call, reason);
       return;
     }
-    Rejection effective =
-        rejection.guaranteesNotExecuted() && call.mayHaveExecuted
-            ? Rejection.ANSWER_LOST
-            : rejection;
-    effects.add(
-        new CallEffect.Reject(
-            call.spec.number(),
-            effective,
-            retryAfterMillis(now, effective, call.arrivedAt + call.spec.deadlineMillis() - now),
-            reason));
+    Rejection effective = truthfulRejection(call, rejection);
+    effects.add(new CallEffect.Reject(call.spec.number(), effective, retryAfterMillis, reason));
     effects.add(callLog.call("refuse", call, effective + ": " + reason));
     remove(call);
   }
 
+  private static Rejection truthfulRejection(Call call, Rejection rejection) {
+    return rejection.guaranteesNotExecuted() && call.mayHaveExecuted
+        ? Rejection.ANSWER_LOST
+        : rejection;
+  }
+
   private void rejectOnArrival(long now, List<CallEffect> effects, CallSpec spec, Refusal refusal) {
     long retryAfterMillis = retryAfterMillis(now, refusal.rejection(), spec.deadlineMillis());
     effects.add(
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
@@ -68,6 +68,14 @@
     return line("limit", endpoint.spec.id(), limit.kind() + " perSecond=" + limit.perSecond());
   }
 
+  /** Returns a line on what an endpoint said about further calls to it. */
+  CallEffect notice(EndpointSpec endpoint, EndpointNotice notice) {
+    return line(
+        "notice",
+        endpoint.id(),
+        "leaving=" + notice.leaving() + " pauseMs=" + notice.pauseMillis());
+  }
+
   /** Returns a line on a part of prompts that became blocked or was cleared. */
   CallEffect partChange(PartChange change) {
     return line(
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -77,6 +77,7 @@
   private Set<String> evacuatedDomains = Set.of();
   private final EntryList entries;
   private final EndpointLimits limits;
+  private final EndpointNotices notices = new EndpointNotices();
   private long recoveryGraceUntil;
 
   /** Time up to which running endpoints may be missing from the first list. */
@@ -122,6 +123,15 @@
     return limits;
   }
 
+  /**
+   * Records what a response of an endpoint says about further calls to it.
+   *
+   * @return whether this entry knows more than before
+   */
+  boolean recordNotice(long now, EndpointSpec endpoint, EndpointNotice notice) {
+    return notices.record(now, endpoint, notice);
+  }
+
   /** Returns the open calls of this entry at each endpoint that has any. */
   List<OpenCalls> openCalls() {
     List<OpenCalls> open = new ArrayList<>();
@@ -329,7 +339,8 @@
       if (tried
           || requirements.excludesAsSilent(endpoint)
           || endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)
-          || !limits.permits(now, endpoint)) {
+          || !limits.permits(now, endpoint)
+          || !notices.permits(endpoint)) {
         continue;
       }
       double load = endpoint.estimateLoad(now, entries.foundCount());
@@ -362,8 +373,33 @@
     endpoint.avoidUntil = 0;
   }
 
+  /**
+   * Returns the earliest time at which an endpoint that could serve a call but for the pause that
+   * it asked for takes calls again; empty if none is paused.
+   */
+  Optional<Long> earliestPauseEnd(long now, Requirements requirements) {
+    long earliest = NEVER;
+    for (Endpoint endpoint : byService.getOrDefault(requirements.service().name(), List.of())) {
+      long pausedUntil = notices.pausedUntil(endpoint);
+      if (pausedUntil > now && isEligible(now, endpoint, requirements, pausedUntil)) {
+        earliest = Math.min(earliest, pausedUntil);
+      }
+    }
+    return earliest == NEVER ? Optional.empty() : Optional.of(earliest);
+  }
+
   private boolean isEligible(long now, Endpoint endpoint, Requirements requirements) {
-    if (isExpired(now, endpoint)) {
+    return isEligible(now, endpoint, requirements, now);
+  }
+
+  /**
+   * Returns whether an endpoint may serve a call, with or without a free slot.
+   *
+   * @param noticesAt time for which what the endpoint said of itself counts
+   */
+  private boolean isEligible(
+      long now, Endpoint endpoint, Requirements requirements, long noticesAt) {
+    if (isExpired(now, endpoint) || notices.excludes(noticesAt, endpoint)) {
       return false;
     }
     if (endpoint.spec.draining() || evacuatedDomains.contains(endpoint.spec.domain())) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
@@ -28,8 +28,11 @@
     int queued,
     NamedLimit limit) {
 
+  static final int STATUS_SERVICE_UNAVAILABLE = 503;
+
   /** Statuses that tell callers that a call was not executed: 408, 429 and 503. */
-  private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 429, 503);
+  private static final Set<Integer> NOT_EXECUTED_STATUSES =
+      Set.of(408, 429, STATUS_SERVICE_UNAVAILABLE);
 
   private static final int STATUS_OK = 200;
   private static final int STATUS_MULTIPLE_CHOICES = 300;
--- a/policy/src/main/java/org/cornelchute/policy/forward/RetryAfter.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/RetryAfter.java
@@ -17,6 +17,14 @@
    */
   private static final double MIN_FACTOR = 0.6;
 
+  /**
+   * Time over which callers return after a pause of all endpoints, so that not all come at once.
+   */
+  private static final double MIN_SPREAD_MILLIS = 200;
+
+  /** Such a time as a fraction of the pause, in which more callers gather the longer it is. */
+  private static final double MAX_SPREAD_SHARE = 0.2;
+
   /** Minimum for calls that another entry is likely to accept. */
   private static final long FAILOVER_MILLIS = 20;
 
@@ -47,4 +55,15 @@
     double upper = Math.min(longest, MAX_SHARE * Math.max(0, remainingMillis));
     return Math.round(upper * (MIN_FACTOR + (1 - MIN_FACTOR) * random.nextDouble()));
   }
+
+  /**
+   * Returns the delay of a retry of a call that no endpoint takes before a known time. It is not
+   * cut to what callers honor, since an earlier retry would be rejected again.
+   *
+   * @param pauseMillis time until the first endpoint takes calls again
+   */
+  long millisAfterPause(long pauseMillis) {
+    double spread = Math.max(MIN_SPREAD_MILLIS, MAX_SPREAD_SHARE * pauseMillis);
+    return pauseMillis + Math.round(spread * random.nextDouble());
+  }
 }
