Report to entries of the same region first

Rows of entries did not tell the region. Now the row holds address and region, and ReportRecipients, which the simulation uses too in place of its own copy, takes five of the region, two of them in the order of names so that nobody is left out, and three of others. Ruled out: recipients of the region by hashes only (ReportRecipientsTest: at 200 and 820 entries some got no reports).

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -363,9 +363,9 @@
   }
 
   @Override
-  public void updateEntries(Map<String, String> addressByName) {
-    decider.updateEntries(addressByName.keySet());
-    openCallsReporter.ifPresent(reporter -> reporter.updateEntries(addressByName));
+  public void updateEntries(Map<String, EntryAddress> entryByName) {
+    decider.updateEntries(entryByName.keySet());
+    openCallsReporter.ifPresent(reporter -> reporter.updateEntries(entryByName));
   }
 
   // Effects
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -99,6 +99,7 @@
                   decider,
                   clockMillis,
                   settings.name(),
+                  settings.region(),
                   settings.peers(),
                   metrics));
     }
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCallsReporter.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCallsReporter.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,15 +19,15 @@
 import org.cornelchute.net.frame.MessageCodec;
 import org.cornelchute.policy.crash.CrashEvidence;
 import org.cornelchute.policy.forward.CallDecider;
-import org.cornelchute.policy.util.RendezvousHash;
+import org.cornelchute.policy.forward.ReportRecipients;
 
 /**
  * Reports the open calls of this entry, and what it knows of limits that endpoints name and of
  * prompts that crash endpoints, to other entries and records their reports.
  *
  * <p>Reports are not acknowledged: a lost one is replaced by the next, and the load caused by an
- * entry that sends no reports is estimated. Each entry reports to at most {@value #MAX_RECIPIENTS}
- * others, so that the cost does not grow with the number of entries.
+ * entry that sends no reports is estimated. Each entry reports to a few others; see {@link
+ * ReportRecipients}.
  */
 final class OpenCallsReporter {
 
@@ -37,8 +36,6 @@
   /** Consecutive reports that are skipped while the open calls do not change. */
   private static final int MAX_SKIPPED_REPORTS = 3;
 
-  private static final int MAX_RECIPIENTS = 8;
-
   /**
    * Intervals between two summaries of the evidence on crashes, each to one recipient in turn, so
    * that an entry that has just started gets one within the time of a few reports.
@@ -49,6 +46,7 @@
   private final CallDecider decider;
   private final LongSupplier clockMillis;
   private final String self;
+  private final String region;
   private final DatagramTransport datagrams;
   private List<String> recipientAddresses = List.of();
   private Set<OpenCalls> lastReportedCalls = Set.of();
@@ -59,6 +57,7 @@
    * Creates a reporter; {@link #start()} opens its socket.
    *
    * @param self name of this entry
+   * @param region region of this entry
    * @param address {@code ip:port} at which this entry receives reports
    */
   OpenCallsReporter(
@@ -67,12 +66,14 @@
       CallDecider decider,
       LongSupplier clockMillis,
       String self,
+      String region,
       String address,
       MetricRegistry metrics) {
     this.loop = loop;
     this.decider = decider;
     this.clockMillis = clockMillis;
     this.self = self;
+    this.region = region;
     int colon = address.lastIndexOf(':');
     this.datagrams =
         new DatagramTransport(
@@ -91,16 +92,18 @@
   }
 
   /** Updates the addresses of all entries by name and chooses those to report to. */
-  void updateEntries(Map<String, String> addressByName) {
-    Map<String, String> otherEntries = new HashMap<>(addressByName);
-    otherEntries.remove(self);
-    List<String> chosen = new ArrayList<>();
-    for (String name : RendezvousHash.order(self, otherEntries.keySet())) {
-      if (chosen.size() < MAX_RECIPIENTS && !otherEntries.get(name).isEmpty()) {
-        chosen.add(otherEntries.get(name));
-      }
-    }
-    recipientAddresses = List.copyOf(chosen);
+  void updateEntries(Map<String, EntryAddress> entryByName) {
+    Map<String, String> regionByName = new HashMap<>();
+    entryByName.forEach(
+        (name, entry) -> {
+          if (!entry.address().isEmpty()) {
+            regionByName.put(name, entry.region());
+          }
+        });
+    recipientAddresses =
+        ReportRecipients.choose(self, region, regionByName).stream()
+            .map(name -> entryByName.get(name).address())
+            .toList();
   }
 
   private void sendReports() {
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -54,6 +54,6 @@
   /** Updates the engines that switch to other weights, by host. */
   void updateWeightsSwitches(Map<String, WeightsSwitch> switchByHost);
 
-  /** Replaces the list of entries; each name is mapped to the entry's address for datagrams. */
-  void updateEntries(Map<String, String> addressByName);
+  /** Replaces the list of entries, by name. */
+  void updateEntries(Map<String, EntryAddress> entryByName);
 }
--- a/entry/src/test/java/org/cornelchute/entry/direct/EndpointNoticeTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EndpointNoticeTest.java
@@ -95,7 +95,7 @@
 
   /** Failure: calls went on to an endpoint whose stream, still running, had begun with a notice. */
   @Test
-  void sendsNoCallToEndpointThatSaysInTheHeadOfAStreamThatItLeaves() throws Exception {
+  void sendsNoCallToEndpointWhoseStreamBeganWithNotice() throws Exception {
     try (ScriptedEndpoint leaving = streaming("x-leaving: 1\r\n");
         ScriptedEndpoint other = streaming();
         StreamFixture fixture = new StreamFixture(leaving, other)) {
@@ -155,7 +155,7 @@
 
   /** Failure: callers waited, or were told to come back while all endpoints still paused. */
   @Test
-  void rejectsCallsAtOnceWithATimeThatFitsIfAllEndpointsPause() throws Exception {
+  void rejectsCallsUntilTheFirstEndpointReturnsIfAllPause() throws Exception {
     try (ScriptedEndpoint one =
             answering("503 Service Unavailable", "x-not-executed: 1", "Retry-After: 4");
         ScriptedEndpoint two =
--- a/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/EntryFixture.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -101,7 +102,10 @@
       listener.recordFirstStart();
       listener.updateConfig(config);
       listener.updateEvacuatedDomains(Set.of());
-      listener.updateEntries(addressByEntry);
+      Map<String, EntryAddress> entryByName = new HashMap<>();
+      addressByEntry.forEach(
+          (name, address) -> entryByName.put(name, new EntryAddress(address, REGION)));
+      listener.updateEntries(entryByName);
       listener.updateEndpoints(endpoints);
       listener.recordConfirmation(clock.getAsLong());
     };
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -15,7 +15,6 @@
 import org.cornelchute.core.message.ControlMessage.EndpointLimitsReport;
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.crash.CrashEvidence;
-import org.cornelchute.policy.util.RendezvousHash;
 
 /**
  * Callers, entries that report to each other, and engines that end and start again, in virtual
@@ -28,7 +27,6 @@
   private static final long NETWORK_DELAY_MILLIS = 2;
   private static final long SWEEP_INTERVAL_MILLIS = 50;
   private static final long REPORT_INTERVAL_MILLIS = 100;
-  private static final int MAX_RECIPIENTS = 8;
   private static final double DATAGRAM_LOSS = 0.02;
   private static final long CRASH_DELAY_MILLIS = 60;
   private static final long DIRECTORY_DELAY_MILLIS = 300;
@@ -80,6 +78,10 @@
   long listingMillis = DIRECTORY_DELAY_MILLIS;
 
   private final boolean keepsIds;
+
+  /** Number of entries at the start; later ones are of the last region. */
+  private final int firstEntries;
+
   private final List<String> names = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
 
@@ -111,6 +113,7 @@
    */
   EngineSimulation(int entryCount, int engineCount, long seed, boolean keepsIds) {
     this.keepsIds = keepsIds;
+    this.firstEntries = entryCount;
     random = new Random(seed);
     for (int i = 0; i < engineCount; i++) {
       engines.add(new Engine(i));
@@ -350,11 +353,16 @@
     }
   }
 
+  /** Returns the region of an entry: three of them, the first with a third of the entries. */
+  private String regionOf(int entry) {
+    return "r" + Math.min(2, entry / (firstEntries / 3 + 1));
+  }
+
   /** Returns the entries that an entry reports to. */
   private List<Integer> recipients(String name) {
-    return RendezvousHash.order(name, names).stream()
-        .filter(n -> !n.equals(name))
-        .limit(MAX_RECIPIENTS)
+    Map<String, String> regionByName = new HashMap<>();
+    names.forEach(n -> regionByName.put(n, regionOf(names.indexOf(n))));
+    return ReportRecipients.choose(name, regionByName.get(name), regionByName).stream()
         .map(names::indexOf)
         .toList();
   }
