Read the origin in one region only, also while it fails or is slow

Before the origin crashed at 20.5 s it had sent 137 chunks, 80 different ones: agents of the other regions read it too, since no chunk had come within the 1 s after which another agent takes over an import (94 reads from 19.0 to 19.75 s). The origin's region had 29 of the 52 chunks that the others had together, and never asks other regions. When the origin was back at 26.5 s, all regions read from it at once: 721 reads for 44 missing chunks. Now a region other than the source reads from the origin only once no chunk has become known elsewhere for 2.5 s, one agent more for each further 2.5 s; all regions ask other regions first; and a failed read of the origin starts the wait for a takeover anew. Ruled out: manifests and naming (0.25 s), handshakes within the region (done after 1 s).

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -120,6 +120,11 @@
   private double meanNewChunkGapMillis;
   private long nextHandshakeAt;
   private long importsPausedUntil;
+  private long lastOriginFailureAt = Long.MIN_VALUE / 2;
+
+  /** Time at which a chunk that this region lacks last became known in another region. */
+  private long lastProgressElsewhereAt;
+
   private long nextRemoteImportAt;
   private int importsInFlight;
   private int neighborRequestsInFlight;
@@ -156,6 +161,7 @@
     this.heldChunks = (BitSet) held.clone();
     this.regionChunks.or(held);
     this.lastNewChunkAt = now;
+    this.lastProgressElsewhereAt = now;
     this.meanLatencyMillis = options.maxRequestTimeoutMillis() / TIMEOUT_FACTOR;
   }
 
@@ -359,9 +365,13 @@
    * <p>Pauses imports, with up to 200 ms of jitter, to give other importers time to succeed.
    */
   public List<SwarmEffect> onOriginFailure(long now, int chunk) {
-    List<SwarmEffect> effects = new ArrayList<>();
     closeRequest(chunk, ORIGIN);
     importsPausedUntil = now + options.takeoverMillis() / 2 + random.nextInt(200);
+    lastOriginFailureAt = now;
+    if (!readsOrigin) {
+      lastProgressElsewhereAt = now;
+    }
+    List<SwarmEffect> effects = new ArrayList<>();
     startRequests(now, effects);
     return effects;
   }
@@ -454,8 +464,9 @@
   private boolean startImport(long now, List<SwarmEffect> effects) {
     int position = importRanking.indexOf(self);
     int count = manifest.chunks().size();
-    long sinceNewChunk = now - lastNewChunkAt;
-    int allowedRank = (int) (sinceNewChunk / takeoverDelayMillis());
+    // An origin that fails is no sign of importers that do; all would read from it once it is back.
+    long waitedMillis = now - Math.max(lastNewChunkAt, lastOriginFailureAt);
+    int allowedRank = (int) (waitedMillis / takeoverDelayMillis());
     if (position < 0 || position >= options.importers() && allowedRank == 0) {
       return false;
     }
@@ -469,10 +480,8 @@
       if (importRank(chunk, position) > allowedRank) {
         continue;
       }
-      Peer remote = isSourceRegion() ? null : findRemoteHolder(now, chunk);
-      // Outside the source region, read from the origin only as the last resort: its link has
-      // capacity for few copies.
-      if (remote != null || readsOrigin || allowedRank > 0) {
+      Peer remote = findRemoteHolder(now, chunk);
+      if (remote != null || readsOrigin || mayReadOriginAsLastResort(now, position)) {
         beginImport(now, effects, chunk, remote);
         return true;
       }
@@ -480,6 +489,14 @@
     return position < options.importers() && importForStalledImporter(now, effects);
   }
 
+  /**
+   * Returns whether an agent outside the source region may read from the origin, whose link has
+   * capacity for few copies: one after another, once no chunk has become known elsewhere for long.
+   */
+  private boolean mayReadOriginAsLastResort(long now, int position) {
+    return position < (now - lastProgressElsewhereAt) / REGION_TIMEOUT_MILLIS;
+  }
+
   /**
    * Imports a chunk assigned to a stalled importer; called when no chunk assigned to this agent
    * remains to be requested.
@@ -509,7 +526,7 @@
       return false;
     }
     int chunk = candidates.get(random.nextInt(candidates.size()));
-    Peer remote = isSourceRegion() ? null : findRemoteHolder(now, chunk);
+    Peer remote = findRemoteHolder(now, chunk);
     if (remote != null || readsOrigin) {
       beginImport(now, effects, chunk, remote);
       return true;
@@ -916,7 +933,7 @@
 
   private void addRegionChunks(long now, Peer peer, BitSet held) {
     if (!peer.region.equals(region)) {
-      held.stream().forEach(c -> heldElsewhereSince.putIfAbsent(c, now));
+      held.stream().forEach(c -> recordHeldElsewhere(now, c));
       return;
     }
     boolean added = false;
@@ -932,6 +949,12 @@
     }
   }
 
+  private void recordHeldElsewhere(long now, int chunk) {
+    if (heldElsewhereSince.putIfAbsent(chunk, now) == null && !regionChunks.get(chunk)) {
+      lastProgressElsewhereAt = now;
+    }
+  }
+
   /** Updates the mean gap between the arrivals of chunks that are new to the region. */
   private void recordNewChunk(long now) {
     meanNewChunkGapMillis =
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -40,6 +40,15 @@
 
   boolean originRefuses;
 
+  /** Regions whose reads from the origin fail. */
+  final Set<String> regionsWithoutOrigin = new HashSet<>();
+
+  /** Time that each read from the origin takes in addition, as its reads share its link. */
+  long originLatencyMillis;
+
+  /** Chunks read from the origin, by reading region. */
+  final Map<String, Integer> chunksFromOrigin = new TreeMap<>();
+
   /** Regions whose agents reach the origin but no agent of another region, and notice nothing. */
   final Set<String> cutRegions = new HashSet<>();
 
@@ -201,13 +210,15 @@
   }
 
   private void fetch(Node node, int chunk) {
-    if (originRefuses) {
+    if (originRefuses || regionsWithoutOrigin.contains(node.member.region())) {
       schedule(now + 2, () -> execute(node, node.decider.onOriginFailure(now, chunk)));
       return;
     }
     originChunks++;
+    chunksFromOrigin.merge(node.member.region(), 1, Integer::sum);
     originFreeAt = Math.max(originFreeAt, now) + originMillisPerChunk;
-    schedule(Math.round(originFreeAt) + 1, () -> deliverChunk(node, "", chunk, 0));
+    long deliveredAt = Math.round(originFreeAt) + 1 + originLatencyMillis;
+    schedule(deliveredAt, () -> deliverChunk(node, "", chunk, 0));
   }
 
   private void deliver(Node from, String to, SwarmMessage message, long when) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -130,6 +130,66 @@
     }
   }
 
+  /** More than a hundred agents in five regions, whose origin is far or fails for a time. */
+  @Nested
+  class InLargeFleets {
+
+    private static final int CHUNKS = 96;
+
+    private FakeSwarm swarm(int agents, int regions, long seed) {
+      return new FakeSwarm(
+          agents, regions, new FakeSwarm.Links(CHUNKS, 27, 41), OnSlowLinks.OPTIONS, seed);
+    }
+
+    /**
+     * Failure: chunks of the origin came after the time for which a region waits, so that the other
+     * regions read the same ones, and the first complete copy was as late as all these copies.
+     */
+    @ParameterizedTest
+    @CsvSource({"110, 5, 1", "28, 3, 4", "66, 5, 5"})
+    void otherRegionsLeaveTheOriginToItsOwnRegion(int agents, int regions, long seed) {
+      FakeSwarm swarm = swarm(agents, regions, seed);
+      swarm.originLatencyMillis = 1_300;
+      swarm.run(LIMIT_MILLIS);
+      assertThat(swarm.chunksFromOrigin).containsOnlyKeys("r0");
+      assertThat(swarm.originChunks / (double) CHUNKS).isLessThanOrEqualTo(1.4);
+    }
+
+    /**
+     * Failure: while the origin was away, agents of all regions waited for it, and read the same
+     * chunks once it was back; those that other regions had were read again.
+     */
+    @ParameterizedTest
+    @CsvSource({"110, 5, 1", "110, 5, 2", "28, 3, 4", "66, 5, 5"})
+    void completesSoonAfterTheOriginIsBack(int agents, int regions, long seed) {
+      FakeSwarm swarm = swarm(agents, regions, seed);
+      swarm.originLatencyMillis = 400;
+      swarm.runUntil(2_300);
+      swarm.originRefuses = true;
+      swarm.runUntil(8_300);
+      long before = swarm.originChunks;
+      int held =
+          swarm.nodes.values().stream().mapToInt(n -> n.decider.heldChunkCount()).max().orElse(0);
+      swarm.originRefuses = false;
+      swarm.run(LIMIT_MILLIS);
+      long missing = CHUNKS - held;
+      assertThat(swarm.originChunks - before).isLessThanOrEqualTo(missing + CHUNKS / 4);
+      // Chunks cross two links one after another; agents wait up to 0.7 s between two tries.
+      assertThat(swarm.now - 8_300).isLessThanOrEqualTo(2 * 41 * missing + 400 + 2 * 700);
+    }
+
+    /** Guards against a source region that waits for an origin that only other regions reach. */
+    @ParameterizedTest
+    @CsvSource({"20, 2, 1", "66, 5, 2"})
+    void sourceRegionReadsFromOthersWhatItLacks(int agents, int regions, long seed) {
+      FakeSwarm swarm = swarm(agents, regions, seed);
+      swarm.regionsWithoutOrigin.add("r0");
+      swarm.run(LIMIT_MILLIS);
+      assertThat(swarm.nodes.values()).allMatch(n -> n.completedAt >= 0);
+      assertThat(swarm.originChunks / (double) CHUNKS).isLessThanOrEqualTo(1.5);
+    }
+  }
+
   /** VMs stop responding, among them the only holders of some chunks in a region. */
   @Nested
   class WhenAgentsStopResponding {
