Give up responses without a length whose connection closes after the head

An endpoint that stopped right after the blank line of a head without a length had its response passed on as a complete 200 with an empty body, and an event stream without events ended as complete. Nothing tells this from a server that stopped there; an empty body can be stated by a length. Ruled out: every other byte of the head as the place of the cut (CutHeadTest, plain responses with and without a length, chunked, streams, resumed streams): never passed on before either.

--- a/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/StreamFixture.java
@@ -1,5 +1,6 @@
 package org.cornelchute.entry.direct;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -9,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cornelchute.policy.forward.CallKind;
 import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.RouteSpec;
@@ -21,6 +24,8 @@
   static final int TIMEOUT_MILLIS = 6_000;
 
   private static final String SERVICE = "s";
+  private static final Pattern CONTENT_LENGTH =
+      Pattern.compile("content-length: *([0-9]+)", Pattern.CASE_INSENSITIVE);
   private static final long KEY_AGE_MILLIS = 60_000;
   private static final int MAX_ATTEMPTS = 2;
 
@@ -104,18 +109,48 @@
 
   /** Sends a call and returns the connection of its caller, from which nothing is read yet. */
   Socket open(String id) throws IOException {
+    Socket caller = connect();
+    caller.getOutputStream().write(request(id, false).getBytes(StandardCharsets.US_ASCII));
+    return caller;
+  }
+
+  /** Opens a connection of a caller. */
+  Socket connect() throws IOException {
     int colon = address.indexOf(':');
     Socket caller =
         new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     caller.setSoTimeout(2 * TIMEOUT_MILLIS);
-    String request =
-        "POST /s/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: "
-            + id
-            + "\r\nx-deadline: 20000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
-    caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
     return caller;
   }
 
+  /** Returns the bytes of a call. */
+  static String request(String id, boolean keepsConnection) {
+    return "POST /s/ HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: "
+        + id
+        + "\r\nx-deadline: 20000\r\n"
+        + (keepsConnection ? "" : "Connection: close\r\n")
+        + "Content-Length: 2\r\n\r\nhi";
+  }
+
+  /**
+   * Reads one response with a length, and nothing after it.
+   *
+   * @return whether it was complete
+   */
+  static boolean readResponse(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        throw new EOFException("no complete head of a response");
+      }
+      head.append((char) next);
+    }
+    Matcher length = CONTENT_LENGTH.matcher(head);
+    int bytes = length.find() ? Integer.parseInt(length.group(1)) : 0;
+    return in.readNBytes(bytes).length == bytes;
+  }
+
   private static String readAll(InputStream in) throws IOException {
     StringBuilder text = new StringBuilder();
     byte[] buffer = new byte[4_096];
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -27,6 +27,9 @@
  * the request, and the server may still run it. Bytes that arrive while no exchange is in progress,
  * or after the end of a response, close the connection, as does a response that is complete before
  * its request was written.
+ *
+ * <p>A response without a length whose connection closes right after its head fails the exchange:
+ * nothing tells it from one whose server stopped there, and an empty body can be stated.
  */
 final class WireConnection extends ChannelInboundHandlerAdapter {
 
@@ -56,6 +59,10 @@
   private Channel channel;
   private WireExchange exchange;
   private boolean headReceived;
+
+  /** Whether only the close of the connection ends the response, of which no content came yet. */
+  private boolean contentMissing;
+
   private boolean skippingResponse;
   private boolean receivedOtherResponse;
   private boolean carriedHeadRequest;
@@ -94,6 +101,7 @@
   void send(WireExchange next) {
     exchange = next;
     headReceived = false;
+    contentMissing = false;
     skippingResponse = false;
     receivedOtherResponse = false;
     carriedHeadRequest |= isHeadRequest();
@@ -250,6 +258,7 @@
 
   private void acceptHead(HttpResponse response) {
     headReceived = true;
+    contentMissing = endsOnClose(response);
     reusable =
         HttpUtil.isKeepAlive(exchange.request.message())
             && HttpUtil.isKeepAlive(response)
@@ -280,10 +289,15 @@
       return;
     }
     if (content.content().isReadable()) {
+      contentMissing = false;
       exchange.listener().onContent(content.content());
     }
     if (last && exchange != null) {
-      completeExchange();
+      if (contentMissing) {
+        failExchange("connection closed right after the head of the response");
+      } else {
+        completeExchange();
+      }
     }
   }
 
