Repeat handshakes with the region of the origin until one is answered

Now an importer repeats them after 0.25, 0.75 and 1.75 s while no agent of that region has replied. An importer that asked the origin in vain helps no other one for the time of a takeover. Measured: SwarmDeciderTest.InLargeFleets, three new cases failed before.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -54,6 +54,12 @@
   private static final long LOST_PEER_BACKOFF_MILLIS = 3_000;
   private static final long HANDSHAKE_INTERVAL_MILLIS = 2_000;
 
+  /**
+   * First interval between handshakes with the source region while none of its agents has replied:
+   * those that do not know of the version yet ignore them. Doubles with each further one.
+   */
+  private static final long FIRST_SOURCE_HANDSHAKE_MILLIS = 250;
+
   /** Time without a message after which a region does not respond: two handshakes. */
   private static final long REGION_TIMEOUT_MILLIS =
       HANDSHAKE_INTERVAL_MILLIS + HANDSHAKE_TIMEOUT_MILLIS;
@@ -77,6 +83,9 @@
 
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
+  /** Agents of the source region that such a handshake is sent to. */
+  private static final int SOURCE_HANDSHAKES = 3;
+
   /** Stands for the origin where a peer ID is expected. */
   private static final String ORIGIN = "";
 
@@ -119,6 +128,8 @@
   private long lastNewChunkAt;
   private double meanNewChunkGapMillis;
   private long nextHandshakeAt;
+  private long nextSourceHandshakeAt;
+  private long sourceHandshakeMillis = FIRST_SOURCE_HANDSHAKE_MILLIS;
   private long importsPausedUntil;
   private long lastOriginFailureAt = Long.MIN_VALUE / 2;
 
@@ -527,7 +538,8 @@
     }
     int chunk = candidates.get(random.nextInt(candidates.size()));
     Peer remote = findRemoteHolder(now, chunk);
-    if (remote != null || readsOrigin) {
+    boolean originFailed = now - lastOriginFailureAt < takeoverDelayMillis();
+    if (remote != null || readsOrigin && !originFailed) {
       beginImport(now, effects, chunk, remote);
       return true;
     }
@@ -874,6 +886,7 @@
 
   private void sendHandshakes(long now, List<SwarmEffect> effects) {
     if (now < nextHandshakeAt) {
+      sendSourceHandshakes(now, effects);
       return;
     }
     nextHandshakeAt = now + HANDSHAKE_INTERVAL_MILLIS;
@@ -898,6 +911,28 @@
     }
   }
 
+  /** Repeats the handshakes with the source region of an importer that none was answered. */
+  private void sendSourceHandshakes(long now, List<SwarmEffect> effects) {
+    int position = importRanking.indexOf(self);
+    boolean imports = !isSourceRegion() && position >= 0 && position < options.importers();
+    if (!imports || now < nextSourceHandshakeAt) {
+      return;
+    }
+    nextSourceHandshakeAt = now + sourceHandshakeMillis;
+    sourceHandshakeMillis *= 2;
+    List<Peer> source = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      if (peer.region.equals(sourceOrder.get(0))) {
+        if (peer.handshakeDone) {
+          return;
+        }
+        source.add(peer);
+      }
+    }
+    source.sort(Comparator.comparingLong(peer -> pairWeight(peer.id)));
+    sendHandshakesToFirst(now, source, SOURCE_HANDSHAKES, effects);
+  }
+
   private long pairWeight(String peerId) {
     return self.compareTo(peerId) < 0
         ? RendezvousHash.weight(self, peerId)
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeSwarm.java
@@ -32,6 +32,9 @@
   /** IDs of agents whose connections stay open but that receive and send nothing. */
   private final Set<String> unresponsive = new HashSet<>();
 
+  /** IDs of running agents that do not know of the version yet. */
+  private final Set<String> unaware = new HashSet<>();
+
   /** Share of the chunks that arrive corrupt, 0 to 1. */
   double corruptShare;
 
@@ -99,6 +102,13 @@
         });
   }
 
+  /** Runs an agent that ignores messages on the version before it learns of it. */
+  void learnAt(long when, String id, String region) {
+    startAt(when, id, region);
+    unaware.add(id);
+    schedule(when, () -> unaware.remove(id));
+  }
+
   private Member member(String id, String region, long boot) {
     return new Member(
         id, Role.AGENT, id, region, "d", "", boot, 1, false, Generation.NONE, manifest.digest());
@@ -236,7 +246,7 @@
         when,
         () -> {
           Node node = nodes.get(to);
-          if (unresponsive.contains(to)) {
+          if (unresponsive.contains(to) || unaware.contains(to)) {
             return;
           }
           if (node == null) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/SwarmDeciderTest.java
@@ -178,6 +178,26 @@
       assertThat(swarm.now - 8_300).isLessThanOrEqualTo(2 * 41 * missing + 400 + 2 * 700);
     }
 
+    /**
+     * Failure: agents learn of a version at different times, and ignore handshakes on it before.
+     * Those of other regions sent the next ones two seconds later, and got no chunk until then.
+     */
+    @ParameterizedTest
+    @CsvSource({"20, 3, 1", "66, 5, 2", "110, 5, 3"})
+    void importsSoonFromRegionThatLearnsOfTheVersionLater(int agents, int regions, long seed) {
+      FakeSwarm swarm = swarm(0, regions, seed);
+      for (int i = 0; i < agents; i++) {
+        int region = i % regions;
+        swarm.learnAt(region == 0 ? 500 : 1 + swarm.random.nextInt(100), "a" + i, "r" + region);
+      }
+      swarm.runUntil(1_500);
+      for (int region = 1; region < regions; region++) {
+        assertThat(swarm.chunksFromOtherRegions.getOrDefault("r" + region, 0))
+            .as("chunks that region %d received 1 s after the source region learned", region)
+            .isPositive();
+      }
+    }
+
     /** Guards against a source region that waits for an origin that only other regions reach. */
     @ParameterizedTest
     @CsvSource({"20, 2, 1", "66, 5, 2"})
