Give up a request at a suspected agent only for something better

Now a repeatable request leaves a suspected agent only if another one can take it at once, within attempts and retry budget; a request whose response has begun and that may not be repeated waits for its deadline; agents that are dead count as lost as before. Ruled out: a longer timeout, which only moves the fault.

--- a/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/routing/RequestDecider.java
@@ -707,7 +707,7 @@
               request,
               Refusal.OUTCOME_UNKNOWN,
               "the deadline passed after the request was sent");
-        } else if (now - request.lastFrameAt >= FRAME_TIMEOUT_MILLIS && isAgentSuspected(request)) {
+        } else if (now - request.lastFrameAt >= FRAME_TIMEOUT_MILLIS && isLost(now, request)) {
           if (request.spec.repeatable()) {
             send(effects, request, new ServingMessage.Cancel(request.wireId, request.attempt));
           }
@@ -724,9 +724,27 @@
     }
   }
 
-  private boolean isAgentSuspected(RequestState request) {
+  /**
+   * Returns whether the response to a silent attempt counts as lost. Its agent may be sound and
+   * about to go on while it is only suspected, so the attempt is then given up only for something
+   * better: the seal of a request without a response, or another agent that can take it now.
+   */
+  private boolean isLost(long now, RequestState request) {
     Optional<Endpoint> endpoint = endpoints.find(request.agent);
-    return endpoint.isEmpty() || endpoint.get().health != Health.ALIVE;
+    if (endpoint.isEmpty() || endpoint.get().health == Health.DEAD) {
+      return true;
+    }
+    if (endpoint.get().health == Health.ALIVE) {
+      return false;
+    }
+    if (!request.spec.repeatable()) {
+      return !request.headDelivered;
+    }
+    return (request.spec.stream() || !request.headDelivered)
+        && request.dispatchCount < options.maxAttempts()
+        && limits.hasRetryBudget(now, request.spec.target())
+        && eligibleEndpoints(request, now).stream()
+            .anyMatch(e -> !e.member.id().equals(request.agent));
   }
 
   private void requestLoad(long now, List<RoutingEffect> effects, Endpoint endpoint) {
--- a/policy/src/test/java/org/cornelchute/policy/routing/SuspectedAgentTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/routing/SuspectedAgentTest.java
@@ -13,6 +13,7 @@
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.model.Role;
 import org.cornelchute.policy.rules.RulesParser;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -88,4 +89,38 @@
     assertThat(effects).noneMatch(e -> e instanceof RoutingEffect.AbortResponse);
     assertThat(effects).anyMatch(e -> e instanceof RoutingEffect.CompleteResponse);
   }
+
+  /** Guards against a request that waits for a silent agent although another one can take it. */
+  @Test
+  void sendsTheStreamToAnotherAgentThatCanTakeIt() {
+    send(true);
+    Member other = new Member("a2", Role.AGENT, "a2", "r1", "d", "", 1, 1, false, GENERATION, "w");
+    decider.updateMember(90, other, Health.ALIVE);
+    decider.onMessage(91, "a2", new ControlMessage.LoadReport("a2", LOAD));
+    decider.updateMember(100, AGENT, Health.SUSPECT);
+    List<RoutingEffect> effects = new ArrayList<>();
+    for (long now = 100; now < SILENCE_MILLIS + 200; now += TICK_MILLIS) {
+      effects.addAll(decider.tick(now));
+    }
+    assertThat(effects)
+        .anyMatch(
+            e ->
+                e instanceof RoutingEffect.Send s
+                    && s.message() instanceof ServingMessage.Dispatch
+                    && s.agent().equals("a2"));
+  }
+
+  /** Guards against a request that waits until its deadline for an agent that is gone. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void givesUpTheResponseOfAnAgentThatIsDead(boolean stream) {
+    send(stream);
+    List<RoutingEffect> effects = new ArrayList<>(decider.updateMember(100, AGENT, Health.DEAD));
+    for (long now = 100; now < DEADLINE_MILLIS / 2; now += TICK_MILLIS) {
+      effects.addAll(decider.tick(now));
+    }
+    assertThat(effects)
+        .anyMatch(
+            e -> e instanceof RoutingEffect.AbortResponse || e instanceof RoutingEffect.Refuse);
+  }
 }
