Send a chunk when the link is free, not once it would have been sent

An agent held each chunk back for the time that its bytes take on the link, and the link then took that time again: with four requests open and served one after the other, 210 ms a chunk. Now a chunk is sent at the start of its interval where the link enforces its rate; the next upload starts at the end, as before. Where the agent itself stands for the link (the product's own path on loopback) nothing changes. Ruled out, in virtual time: more requests in flight (4 to 8: slower), longer upload queues. Measured: WeightsDutyUploadTest failed before. FakeSwarm always sent at the start, so that tests in virtual time had not shown it.

--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -325,19 +325,38 @@
     frameClient.send(address, message);
   }
 
+  /**
+   * Sends a chunk and ends the upload once the link has had the time for it. A link that enforces
+   * its rate delays the bytes itself, so they are sent as soon as it is free.
+   */
   private void upload(HeldVersion version, SwarmEffect.Upload upload) {
-    byte[] bytes = version.chunks[upload.chunk()];
-    runAfterNanos(
-        uplink.reserve(bytes.length),
-        () -> {
-          int queueLength = version.decider.queuedUploadCount();
-          send(
-              upload.peer(),
-              upload.address(),
-              new SwarmMessage.ChunkData(
-                  version.manifest.digest(), upload.chunk(), queueLength, bytes));
-          execute(version, version.decider.onUploadCompleted(clockMillis.getAsLong()));
-        });
+    LinkLimiter.Interval interval = uplink.reserveInterval(version.chunks[upload.chunk()].length);
+    if (!options.linkEnforcesRate()) {
+      runAfterNanos(
+          interval.endNanos(),
+          () -> {
+            sendChunk(version, upload);
+            completeUpload(version);
+          });
+      return;
+    }
+    runAfterNanos(interval.startNanos(), () -> sendChunk(version, upload));
+    runAfterNanos(interval.endNanos(), () -> completeUpload(version));
+  }
+
+  private void sendChunk(HeldVersion version, SwarmEffect.Upload upload) {
+    send(
+        upload.peer(),
+        upload.address(),
+        new SwarmMessage.ChunkData(
+            version.manifest.digest(),
+            upload.chunk(),
+            version.decider.queuedUploadCount(),
+            version.chunks[upload.chunk()]));
+  }
+
+  private void completeUpload(HeldVersion version) {
+    execute(version, version.decider.onUploadCompleted(clockMillis.getAsLong()));
   }
 
   private void fetchFromOrigin(HeldVersion version, int chunk) {
--- a/net/src/main/java/org/cornelchute/net/util/LinkLimiter.java
+++ b/net/src/main/java/org/cornelchute/net/util/LinkLimiter.java
@@ -23,12 +23,26 @@
    *
    * @return nanoseconds from now until the bytes are transmitted, 0 if there is no limit
    */
-  public synchronized long reserve(long bytes) {
+  public long reserve(long bytes) {
+    return reserveInterval(bytes).endNanos();
+  }
+
+  /** Reserves the interval in which a number of bytes is transmitted. */
+  public synchronized Interval reserveInterval(long bytes) {
     if (bytesPerNano <= 0) {
-      return 0;
+      return new Interval(0, 0);
     }
     long now = System.nanoTime();
-    nextFreeNanos = Math.max(nextFreeNanos, now) + (long) (bytes / bytesPerNano);
-    return nextFreeNanos - now;
+    long start = Math.max(nextFreeNanos, now);
+    nextFreeNanos = start + (long) (bytes / bytesPerNano);
+    return new Interval(start - now, nextFreeNanos - now);
   }
+
+  /**
+   * An interval of transmission time; both bounds are 0 if there is no limit.
+   *
+   * @param startNanos nanoseconds from now until the link is free for the bytes
+   * @param endNanos nanoseconds from now until the bytes are transmitted
+   */
+  public record Interval(long startNanos, long endNanos) {}
 }
