Move the choice of who reads the origin, and the queue of uploads, out of SwarmDecider

OriginAccess decides which regions read from the origin, UploadQueue keeps the chunks to be sent. Behaviour unchanged.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -1,11 +1,9 @@
 package org.cornelchute.policy.weights;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -91,7 +89,7 @@
 
   private final String self;
   private final String region;
-  private final String originRegion;
+  private final OriginAccess originAccess;
   private final Manifest manifest;
   private final SwarmOptions options;
   private final Random random;
@@ -111,18 +109,9 @@
   /** Time since when an agent of another region is known to hold a chunk, by chunk. */
   private final Map<Integer, Long> heldElsewhereSince = new HashMap<>();
 
-  private final Deque<QueuedUpload> uploadQueue = new ArrayDeque<>();
+  private final UploadQueue uploadQueue;
   private List<String> importRanking = List.of();
 
-  /** Regions in the order in which they read from the origin; only the first that responds does. */
-  private List<String> sourceOrder;
-
-  /** Whether this region reads from the origin, since no region before it responds. */
-  private boolean readsOrigin;
-
-  /** Whether an upload is in progress; uploads run one at a time. */
-  private boolean uploading;
-
   private boolean complete;
   private double meanLatencyMillis;
   private long lastNewChunkAt;
@@ -131,11 +120,6 @@
   private long nextSourceHandshakeAt;
   private long sourceHandshakeMillis = FIRST_SOURCE_HANDSHAKE_MILLIS;
   private long importsPausedUntil;
-  private long lastOriginFailureAt = Long.MIN_VALUE / 2;
-
-  /** Time at which a chunk that this region lacks last became known in another region. */
-  private long lastProgressElsewhereAt;
-
   private long nextRemoteImportAt;
   private int importsInFlight;
   private int neighborRequestsInFlight;
@@ -163,16 +147,16 @@
       long now) {
     this.self = self;
     this.region = region;
-    this.originRegion = originRegion;
-    this.sourceOrder = List.of(region);
-    this.readsOrigin = true;
     this.manifest = manifest;
     this.options = options;
     this.random = new Random(seed);
     this.heldChunks = (BitSet) held.clone();
     this.regionChunks.or(held);
     this.lastNewChunkAt = now;
-    this.lastProgressElsewhereAt = now;
+    this.originAccess =
+        new OriginAccess(region, originRegion, manifest.digest(), REGION_TIMEOUT_MILLIS, now);
+    this.uploadQueue =
+        new UploadQueue(options.uploadQueueCapacity(), 2 * options.maxRequestsPerPeer());
     this.meanLatencyMillis = options.maxRequestTimeoutMillis() / TIMEOUT_FACTOR;
   }
 
@@ -243,8 +227,8 @@
         removePeer(id);
       }
     }
-    sourceOrder = findSourceOrder();
-    updateSource(now);
+    originAccess.updateRegions(peers.values());
+    originAccess.update(now, peers.values());
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
     // All chunks may have been reused, so that none arrives.
@@ -378,10 +362,7 @@
   public List<SwarmEffect> onOriginFailure(long now, int chunk) {
     closeRequest(chunk, ORIGIN);
     importsPausedUntil = now + options.takeoverMillis() / 2 + random.nextInt(200);
-    lastOriginFailureAt = now;
-    if (!readsOrigin) {
-      lastProgressElsewhereAt = now;
-    }
+    originAccess.recordFailure(now);
     List<SwarmEffect> effects = new ArrayList<>();
     startRequests(now, effects);
     return effects;
@@ -390,7 +371,7 @@
   /** Handles the end of an upload; starts the next one. */
   public List<SwarmEffect> onUploadCompleted(long now) {
     List<SwarmEffect> effects = new ArrayList<>();
-    uploading = false;
+    uploadQueue.complete();
     startUpload(effects);
     return effects;
   }
@@ -400,7 +381,7 @@
     List<SwarmEffect> effects = new ArrayList<>();
     Peer peer = peers.get(peerId);
     if (peer != null) {
-      uploadQueue.removeIf(u -> u.peerId.equals(peerId));
+      uploadQueue.removeAllOf(peerId);
       markLost(now, peer);
       updateImportRanking(now);
     }
@@ -431,7 +412,7 @@
     if (now - lastNewChunkAt >= takeoverDelayMillis()) {
       recomputeRegionChunks();
     }
-    updateSource(now);
+    originAccess.update(now, peers.values());
     updateImportRanking(now);
     List<SwarmEffect> effects = new ArrayList<>();
     sendHandshakes(now, effects);
@@ -476,7 +457,7 @@
     int position = importRanking.indexOf(self);
     int count = manifest.chunks().size();
     // An origin that fails is no sign of importers that do; all would read from it once it is back.
-    long waitedMillis = now - Math.max(lastNewChunkAt, lastOriginFailureAt);
+    long waitedMillis = now - Math.max(lastNewChunkAt, originAccess.lastFailureAt());
     int allowedRank = (int) (waitedMillis / takeoverDelayMillis());
     if (position < 0 || position >= options.importers() && allowedRank == 0) {
       return false;
@@ -492,7 +473,9 @@
         continue;
       }
       Peer remote = findRemoteHolder(now, chunk);
-      if (remote != null || readsOrigin || mayReadOriginAsLastResort(now, position)) {
+      if (remote != null
+          || originAccess.readsOrigin()
+          || originAccess.mayReadAsLastResort(now, position)) {
         beginImport(now, effects, chunk, remote);
         return true;
       }
@@ -500,14 +483,6 @@
     return position < options.importers() && importForStalledImporter(now, effects);
   }
 
-  /**
-   * Returns whether an agent outside the source region may read from the origin, whose link has
-   * capacity for few copies: one after another, once no chunk has become known elsewhere for long.
-   */
-  private boolean mayReadOriginAsLastResort(long now, int position) {
-    return position < (now - lastProgressElsewhereAt) / REGION_TIMEOUT_MILLIS;
-  }
-
   /**
    * Imports a chunk assigned to a stalled importer; called when no chunk assigned to this agent
    * remains to be requested.
@@ -538,8 +513,8 @@
     }
     int chunk = candidates.get(random.nextInt(candidates.size()));
     Peer remote = findRemoteHolder(now, chunk);
-    boolean originFailed = now - lastOriginFailureAt < takeoverDelayMillis();
-    if (remote != null || readsOrigin && !originFailed) {
+    boolean originFailed = now - originAccess.lastFailureAt() < takeoverDelayMillis();
+    if (remote != null || originAccess.readsOrigin() && !originFailed) {
       beginImport(now, effects, chunk, remote);
       return true;
     }
@@ -549,7 +524,7 @@
   /** Returns whether the importer of a chunk has had time to request and receive it. */
   private boolean couldBeImported(long now, int chunk) {
     Long since = heldElsewhereSince.get(chunk);
-    return readsOrigin || since != null && now - since >= requestTimeoutMillis();
+    return originAccess.readsOrigin() || since != null && now - since >= requestTimeoutMillis();
   }
 
   /** Returns this agent's rank, from 0, among those that may import a chunk; 0 imports it. */
@@ -564,7 +539,7 @@
 
   /** Starts to import a chunk from a remote peer, or from the origin if {@code remote} is null. */
   private void beginImport(long now, List<SwarmEffect> effects, int chunk, Peer remote) {
-    if (options.remoteBytesPerSecond() > 0 && !isSourceRegion()) {
+    if (options.remoteBytesPerSecond() > 0 && !originAccess.isSourceRegion()) {
       // Live requests share the link between regions, so each importer uses its share of the rate.
       int importers = Math.min(options.importers(), importRanking.size());
       double intervalMillis =
@@ -742,89 +717,23 @@
 
   private void handleChunkRequest(List<SwarmEffect> effects, Peer peer, int chunk) {
     boolean chunkMissing = !isInManifest(chunk) || !heldChunks.get(chunk);
-    int queuedForPeer = 0;
-    for (QueuedUpload u : uploadQueue) {
-      if (u.peerId.equals(peer.id)) {
-        queuedForPeer++;
-      }
-    }
-    // Each peer is limited to a share of the queue so that none of them starves the others.
-    if (chunkMissing
-        || uploadQueue.size() >= options.uploadQueueCapacity()
-        || queuedForPeer >= 2 * options.maxRequestsPerPeer()) {
+    if (chunkMissing || !uploadQueue.offer(peer, chunk)) {
       send(effects, peer, new SwarmMessage.ChunkRefused(manifest.digest(), chunk, chunkMissing));
       return;
     }
-    uploadQueue.add(new QueuedUpload(peer.id, peer.address, chunk));
     startUpload(effects);
   }
 
   private void startUpload(List<SwarmEffect> effects) {
-    if (uploading || uploadQueue.isEmpty()) {
-      return;
-    }
-    QueuedUpload next = uploadQueue.poll();
-    uploading = true;
-    effects.add(new SwarmEffect.Upload(next.peerId, next.address, next.chunk));
+    uploadQueue.startNext().ifPresent(effects::add);
   }
 
   // Peers
 
-  /**
-   * Returns the order in which regions read from the origin: the origin's region first if it has an
-   * agent that wants this version, the others in rendezvous order.
-   */
-  private List<String> findSourceOrder() {
-    Set<String> regions = new HashSet<>();
-    regions.add(region);
-    for (Peer peer : peers.values()) {
-      regions.add(peer.region);
-    }
-    List<String> order = new ArrayList<>(RendezvousHash.order(manifest.digest(), regions));
-    if (order.remove(originRegion)) {
-      order.add(0, originRegion);
-    }
-    return order;
-  }
-
-  private boolean isSourceRegion() {
-    return region.equals(sourceOrder.get(0));
-  }
-
-  /**
-   * Decides whether this region reads from the origin: it is the first of the order that responds.
-   *
-   * <p>A region does not respond if none of its agents that got a handshake has replied. A region
-   * that got none counts as responding unless no other region responds.
-   */
-  private void updateSource(long now) {
-    Set<String> responding = new HashSet<>();
-    Set<String> silent = new HashSet<>();
-    for (Peer peer : peers.values()) {
-      if (peer.handshakeDone && now - peer.lastMessageAt < REGION_TIMEOUT_MILLIS) {
-        responding.add(peer.region);
-      } else if (peer.handshakeSentAt > 0 && now - peer.handshakeSentAt >= REGION_TIMEOUT_MILLIS) {
-        silent.add(peer.region);
-      }
-    }
-    responding.remove(region);
-    silent.remove(region);
-    silent.removeAll(responding);
-    boolean cutOff = responding.isEmpty() && !silent.isEmpty();
-    String first = region;
-    for (String each : sourceOrder) {
-      if (each.equals(region) || !cutOff && !silent.contains(each)) {
-        first = each;
-        break;
-      }
-    }
-    readsOrigin = first.equals(region);
-  }
-
   /** Removes a peer that has left or restarted, with its requests and queued uploads. */
   private void removePeer(String id) {
     closeRequests(id);
-    uploadQueue.removeIf(u -> u.peerId.equals(id));
+    uploadQueue.removeAllOf(id);
     peers.remove(id);
     recomputeRegionChunks();
   }
@@ -906,7 +815,7 @@
     remotePeers.sort(order);
     sendHandshakesToFirst(now, regionPeers, options.neighbors(), effects);
     int position = importRanking.indexOf(self);
-    if (!isSourceRegion() && position >= 0 && position < options.importers()) {
+    if (!originAccess.isSourceRegion() && position >= 0 && position < options.importers()) {
       sendHandshakesToFirst(now, remotePeers, options.importers(), effects);
     }
   }
@@ -914,7 +823,8 @@
   /** Repeats the handshakes with the source region of an importer that none was answered. */
   private void sendSourceHandshakes(long now, List<SwarmEffect> effects) {
     int position = importRanking.indexOf(self);
-    boolean imports = !isSourceRegion() && position >= 0 && position < options.importers();
+    boolean imports =
+        !originAccess.isSourceRegion() && position >= 0 && position < options.importers();
     if (!imports || now < nextSourceHandshakeAt) {
       return;
     }
@@ -922,7 +832,7 @@
     sourceHandshakeMillis *= 2;
     List<Peer> source = new ArrayList<>();
     for (Peer peer : peers.values()) {
-      if (peer.region.equals(sourceOrder.get(0))) {
+      if (peer.region.equals(originAccess.sourceRegion())) {
         if (peer.handshakeDone) {
           return;
         }
@@ -986,7 +896,7 @@
 
   private void recordHeldElsewhere(long now, int chunk) {
     if (heldElsewhereSince.putIfAbsent(chunk, now) == null && !regionChunks.get(chunk)) {
-      lastProgressElsewhereAt = now;
+      originAccess.recordProgressElsewhere(now);
     }
   }
 
@@ -1023,6 +933,4 @@
   }
 
   private record OpenRequest(String peerId, long sentAt, boolean isImport) {}
-
-  private record QueuedUpload(String peerId, String address, int chunk) {}
 }
