--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -40,8 +40,20 @@
     this.store = new StoreStandin();
   }
 
-  /** Writes the first configuration; the origin is left out if its address is empty. */
-  void configure(String origin) {
+  /** Writes a configuration with one tenant, which holds the key. */
+  void configure() {
+    configure(
+        7,
+        List.of(
+            Json.map(
+                "name", "tenant-1",
+                "apiKeys", List.of(KEY),
+                "priority", 1,
+                "allowedRegions", List.of())));
+  }
+
+  /** Writes a configuration; the store's answer, which is immediate, is its acknowledgement. */
+  void configure(long version, List<Object> tenants) {
     List<Object> services = new ArrayList<>();
     services.add(
         Json.map(
@@ -68,20 +80,11 @@
             "maxConnections", 110,
             "coldStartS", 0.0,
             "coldPerS", 0.0));
-    if (!origin.isEmpty()) {
-      services.add(
-          Json.map(
-              "name", "weights",
-              "origin", origin,
-              "zone", "zone-a",
-              "linkMbps", 7.3,
-              "maxConnections", 48));
-    }
     store.put(
         "op",
         "config",
         Json.map(
-            "version", 7,
+            "version", version,
             "routes", List.of(streamRoute(), orderRoute()),
             "services", services,
             "limits",
@@ -90,13 +93,8 @@
                     "maxBodyBytes", 4_194_304,
                     "headerTimeoutMs", 3_000,
                     "idleTimeoutMs", 15_000),
-            "tenants",
-                List.of(
-                    Json.map(
-                        "name", "tenant-1",
-                        "apiKeys", List.of(KEY),
-                        "priority", 1,
-                        "allowedRegions", List.of()))));
+            "tenants", tenants));
+    record.line("configuration " + version + " is acknowledged, tenants " + tenants);
   }
 
   private static Map<String, Object> streamRoute() {
@@ -161,23 +159,6 @@
     readinessAddresses.add(readiness);
   }
 
-  /** Starts the agent beside a model replica. */
-  Daemon startAgent(String zone, int number, ReplicaStandin replica) throws IOException {
-    String host = replica.address().substring(0, replica.address().indexOf(':'));
-    Map<String, Object> settings =
-        Json.map(
-            "name", "side-" + zone + "-" + number,
-            "domain", zone,
-            "regions", REGIONS,
-            "peers", Daemon.freeAddress(host),
-            "operators", Daemon.freeAddress(host),
-            "store", store.address(),
-            "engine", replica.address(),
-            "versionMillis", 8_000,
-            "linkMbps", 5.11);
-    return new Daemon(home, folder, "agent", settings);
-  }
-
   /** Waits until all entries are ready; ends the run if they are not in time. */
   void awaitReady() {
     for (int i = 0; i < 300; i++) {
--- a/review/standin/PromptCrash.java
+++ b/review/standin/PromptCrash.java
@@ -65,7 +65,7 @@
           }
         };
     Deployment deployment = new Deployment(Path.of(args[0]), record);
-    deployment.configure("");
+    deployment.configure();
     for (int i = 0; i < REPLICAS; i++) {
       new ReplicaStandin(
           "127.0.0.1",
