--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 [ -f "$home/target/review/PromptCrash.class" ] || { echo "run review/build.sh first"; exit 2; }
 [ -f "$home/target/daemon/cornelchute-platform-0.1.0.jar" ] || { echo "build first"; exit 2; }
 exec timeout 110 java -Xmx512m -XX:-UsePerfData -cp "$home/target/review" \
-  PromptCrash "$home" "$here/record.txt" "${TROUBLE:-1}"
+  PromptCrash "$home" "$here/record.txt" "${TROUBLE:-1}" head
--- a/review/standin/PromptCrash.java
+++ b/review/standin/PromptCrash.java
@@ -9,7 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 1: one part of a prompt crashes each replica that begins to write an answer on it.
+ * Cases 1 and 3: one part of a prompt crashes each replica that begins to write an answer on it.
+ * The replica ends while it writes the head (case 1), or goes dark with its machine (case 3).
  *
  * <p>BUDGET: no more than three requests with such a part may reach replicas later than
  * stabilityWindowMs after the fifth crash.
@@ -28,10 +29,11 @@
 
   private PromptCrash() {}
 
-  /** Arguments: root of the repository, file of the record, 0 for no trouble. */
+  /** Arguments: root of the repository, file of the record, 0 for no trouble, head or dark. */
   public static void main(String[] args) throws IOException {
     Record record = new Record(Path.of(args[1]));
     boolean trouble = !args[2].equals("0");
+    boolean dark = args[3].equals("dark");
     List<Long> crashTimes = new ArrayList<>();
     List<Long> arrivalTimes = new ArrayList<>();
     ReplicaStandin.Observer observer =
@@ -53,14 +55,17 @@
             if (!trouble || !prefix.contains(HARMFUL_PART)) {
               return false;
             }
-            // The replica ends while it writes the head of its answer.
-            out.write("HTTP/1.1 200 OK\r\nContent-".getBytes(StandardCharsets.US_ASCII));
-            out.flush();
-            synchronized (crashTimes) {
-              crashTimes.add(record.millis());
-              record.line("crash " + crashTimes.size() + " of " + replica.name());
+            if (!dark) {
+              // The replica ends while it writes the head of its answer.
+              out.write("HTTP/1.1 200 OK\r\nContent-".getBytes(StandardCharsets.US_ASCII));
+              out.flush();
+            }
+            if (replica.crash(DOWN_MILLIS, dark)) {
+              synchronized (crashTimes) {
+                crashTimes.add(record.millis());
+                record.line("crash " + crashTimes.size() + " of " + replica.name());
+              }
             }
-            replica.crash(DOWN_MILLIS);
             return true;
           }
         };
--- a/review/standin/ReplicaStandin.java
+++ b/review/standin/ReplicaStandin.java
@@ -94,14 +94,25 @@
     return version;
   }
 
-  /** Crashes; the replica is back after some time with a new identity and its weights loaded. */
-  void crash(long downMillis) {
-    if (!up) {
-      return;
+  /**
+   * Crashes; the replica is back after some time with a new identity and its weights loaded.
+   *
+   * @param dark whether its machine crashes too, so that its open connections are silent
+   * @return false if it was down already
+   */
+  boolean crash(long downMillis, boolean dark) {
+    synchronized (this) {
+      if (!up) {
+        return false;
+      }
+      up = false;
     }
-    up = false;
     String oldId = id;
-    listener.crash();
+    if (dark) {
+      listener.goDark();
+    } else {
+      listener.crash();
+    }
     Threads.start(
         "restart " + name,
         () -> {
@@ -118,6 +129,7 @@
           Threads.sleep(3 * HEARTBEAT_MILLIS - downMillis);
           store.put("servers", oldId, null);
         });
+    return true;
   }
 
   private void newIncarnation() {
@@ -283,12 +295,17 @@
     for (int i = after + 1; i <= EVENTS; i++) {
       String event = "id: " + i + "\ndata: " + requestId + "-" + i + "\n\n";
       String chunk = Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+      if (listener.isDark()) {
+        return;
+      }
       out.write(chunk.getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
       Threads.sleep(EVENT_MILLIS);
     }
-    out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-    out.flush();
+    if (!listener.isDark()) {
+      out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+    }
   }
 
   private boolean refuse(OutputStream out, String requestId, int status) throws IOException {
