Review case 4: a sound replica that is silent for a second begins on old weights

One replica of the half that switches last is silent for 1.0 s from 7.1 s after version 2 was acknowledged.

--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -26,6 +26,7 @@
   final Record record;
   final List<Daemon> entries = new ArrayList<>();
   final List<String> entryAddresses = new ArrayList<>();
+  private String origin = "";
   private final List<String> readinessAddresses = new ArrayList<>();
 
   /**
@@ -42,6 +43,12 @@
 
   /** Writes a configuration with one tenant, which holds the key. */
   void configure() {
+    configure("");
+  }
+
+  /** Writes a configuration with an origin of weights too. */
+  void configure(String originAddress) {
+    origin = originAddress;
     configure(
         7,
         List.of(
@@ -80,6 +87,15 @@
             "maxConnections", 110,
             "coldStartS", 0.0,
             "coldPerS", 0.0));
+    if (!origin.isEmpty()) {
+      services.add(
+          Json.map(
+              "name", "weights",
+              "origin", origin,
+              "zone", "zone-a",
+              "linkMbps", 7.3,
+              "maxConnections", 48));
+    }
     store.put(
         "op",
         "config",
@@ -159,6 +175,23 @@
     readinessAddresses.add(readiness);
   }
 
+  /** Starts the agent beside a model replica. */
+  Daemon startAgent(String zone, int number, ReplicaStandin replica) throws IOException {
+    String host = replica.address().substring(0, replica.address().indexOf(':'));
+    Map<String, Object> settings =
+        Json.map(
+            "name", "side-" + zone + "-" + number,
+            "domain", zone,
+            "regions", REGIONS,
+            "peers", Daemon.freeAddress(host),
+            "operators", Daemon.freeAddress(host),
+            "store", store.address(),
+            "engine", replica.address(),
+            "versionMillis", 8_000,
+            "linkMbps", 5.11);
+    return new Daemon(home, folder, "agent", settings);
+  }
+
   /** Waits until all entries are ready; ends the run if they are not in time. */
   void awaitReady() {
     for (int i = 0; i < 300; i++) {
--- a/review/standin/ReplicaStandin.java
+++ b/review/standin/ReplicaStandin.java
@@ -42,6 +42,7 @@
   private volatile long version;
   private volatile long sequence;
   private volatile boolean busy;
+  private volatile long silentUntil = Long.MIN_VALUE / 2;
 
   /**
    * Starts a replica that is listed in the store.
@@ -70,6 +71,7 @@
         "heartbeat " + name,
         () -> {
           while (true) {
+            awaitSound();
             if (up) {
               store.put("servers", id, row());
             }
@@ -164,7 +166,20 @@
     }
   }
 
+  /** Falls silent for some time and then goes on; nothing is lost and no connection ends. */
+  void fallSilent(long millis) {
+    silentUntil = System.nanoTime() / 1_000_000 + millis;
+  }
+
+  private void awaitSound() {
+    long left;
+    while ((left = silentUntil - System.nanoTime() / 1_000_000) > 0) {
+      Threads.sleep(left);
+    }
+  }
+
   private boolean handle(HttpMessage request, OutputStream out) throws IOException {
+    awaitSound();
     String path = request.path();
     if (path.equals("/api/report")) {
       Map<String, Object> report =
@@ -275,6 +290,7 @@
         return true;
       }
       Threads.sleep(PREFILL_MILLIS);
+      awaitSound();
       observer.onRun(this, request, version);
       if (observer.crashesAtBegin(this, request, out)) {
         return false;
@@ -295,6 +311,7 @@
     for (int i = after + 1; i <= EVENTS; i++) {
       String event = "id: " + i + "\ndata: " + requestId + "-" + i + "\n\n";
       String chunk = Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+      awaitSound();
       if (listener.isDark()) {
         return;
       }
