--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -17,6 +17,12 @@
   static final String PLAIN_SERVICE = "orders";
   static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
 
+  private static final int EXIT_HELD = 0;
+  private static final int EXIT_NOT_RUN = 2;
+
+  /** Not 1, with which a Java program ends after an unexpected exception; run.sh makes it 1. */
+  private static final int EXIT_BROKEN = 3;
+
   private static final Map<String, Object> REGIONS =
       Json.map("zone-a", "region-a", "zone-b", "region-b", "zone-c", "region-c");
 
@@ -207,7 +213,7 @@
   /** Ends the run because it shows nothing. */
   void cannotRun(String cause) {
     record.say("could not run: " + cause);
-    System.exit(2);
+    System.exit(EXIT_NOT_RUN);
   }
 
   /** Ends the run with its verdict. */
@@ -218,7 +224,7 @@
       }
     }
     record.say((broken ? "BROKEN: " : "held: ") + verdict);
-    System.exit(broken ? 1 : 0);
+    System.exit(broken ? EXIT_BROKEN : EXIT_HELD);
   }
 
   /** Returns the headers of a request to the model. */
