--- a/review/standin/LastTenant.java
+++ b/review/standin/LastTenant.java
@@ -105,6 +105,7 @@
       Threads.start(
           "client",
           () -> {
+            deployment.record.line(requestId + " sent");
             String outcome =
                 Client.call(
                     deployment.entryAddresses.get(number % deployment.entryAddresses.size()),
--- a/review/standin/LateBegin.java
+++ b/review/standin/LateBegin.java
@@ -117,6 +117,7 @@
           "client",
           () -> {
             String requestId = "r" + number;
+            deployment.record.line(requestId + " sent");
             String outcome =
                 Client.call(
                     deployment.entryAddresses.get(number % deployment.entryAddresses.size()),
--- a/review/standin/PromptCrash.java
+++ b/review/standin/PromptCrash.java
@@ -48,6 +48,11 @@
             }
           }
 
+          @Override
+          public void onRun(ReplicaStandin replica, HttpMessage request, long version) {
+            record.line(replica.name() + " runs " + id(request));
+          }
+
           @Override
           public boolean crashesAtBegin(
               ReplicaStandin replica, HttpMessage request, OutputStream out) throws IOException {
@@ -132,6 +137,7 @@
       Deployment deployment, String kind, int number, Map<String, AtomicInteger> outcomes) {
     String requestId = kind + "-" + number;
     String middle = kind.equals("harmful") ? HARMFUL_PART + ":60," : "0a" + number % 10 + ":60,";
+    deployment.record.line(requestId + " sent");
     String last = String.format("%08x:300", (kind + number).hashCode());
     String outcome =
         Client.call(
--- a/review/standin/TenantNames.java
+++ b/review/standin/TenantNames.java
@@ -102,6 +102,7 @@
       Threads.start(
           "client",
           () -> {
+            deployment.record.line(requestId + " sent");
             String outcome =
                 Client.call(
                     deployment.entryAddresses.get(number % deployment.entryAddresses.size()),
