Count endpoints that end before the head of a response as evidence against a prompt

Cause: a crash was recorded only in onAttemptFailure and only for attempts with a complete success head. A replica that ended inside its head, or before its first byte, left no evidence: the part was never blocked.

Ruled out: the exchange between entries and the analysis.

Why this mends it: CrashDetector is told of each attempt whose connection ends. One that has no head may have been reset for other reasons, so it waits up to 5 s for a sign beside itself: the endpoint is delisted or replaced at its address, a connection to it cannot be opened while others are heard, or any entry reports its crash. Data from the endpoint refutes it. What the attempt had received does not matter. A 421 is no sign of life of the expected instance. Line `crashed` in the log.

The simulation gained ways for engines to end, fall silent, lose connections or be cut; recordCrash takes the time of the end, so that CrashEvidenceTest names it (its checks are the same).

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -580,7 +580,7 @@
 
   private void sweep() {
     observeClocks(clockMillis.getAsLong());
-    if (decider.openCallCount() > 0) {
+    if (decider.needsSweep()) {
       recordPausedStreams();
       apply(decider.sweep(clockMillis.getAsLong()));
     }
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -115,6 +115,11 @@
     return parts.stream().anyMatch(suspects(now)::containsKey);
   }
 
+  /** Returns whether any entry has seen an endpoint end since a time. */
+  public boolean hasCrashedSince(int endpoint, long time) {
+    return crashes.values().stream().anyMatch(c -> c.endpoint() == endpoint && c.at() >= time);
+  }
+
   /** Returns the parts that became blocked or were cleared since the last call. */
   public List<PartChange> takeChanges(long now) {
     suspects(now);
@@ -136,15 +141,16 @@
   }
 
   /**
-   * Records a response that broke off after it had begun.
+   * Records the end of an endpoint that a call was sent to and not served by.
    *
    * @param endpoint hash code of the endpoint's incarnation
-   * @param sentAt time at which the call was sent to the endpoint
+   * @param sentAt time at which the call was sent, or an earlier one at which the endpoint ran
+   * @param endedAt time by which the endpoint had ended, not after {@code now}
    */
-  public void recordCrash(long now, int endpoint, long sentAt, List<Long> parts) {
+  public void recordCrash(long now, int endpoint, long sentAt, long endedAt, List<Long> parts) {
     List<Long> recordedParts = parts.subList(0, Math.min(MAX_PARTS, parts.size()));
     int id = Crash.toId(Objects.hash(self, now, ++lastObservation));
-    Crash crash = new Crash(endpoint, id, sentAt, now, recordedParts);
+    Crash crash = new Crash(endpoint, id, sentAt, endedAt, recordedParts);
     observedParts.addAll(crash.parts());
     if (add(crash)) {
       exchange.announceOwn(crash, !servedAtByPart.keySet().containsAll(crash.parts()));
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -76,6 +76,7 @@
   private final VersionGate versionGate;
   private final RetryBudget retryBudget;
   private final CrashEvidence crashEvidence;
+  private final CrashDetector crashDetector;
   private final CallAdmission admission;
   private final RetryAfter retryAfter;
   private final CallLog callLog = new CallLog();
@@ -97,6 +98,7 @@
         new RetryBudget(
             options.retryRatio(), options.retryAllowance(), options.retryWindowMillis(), startedAt);
     this.crashEvidence = new CrashEvidence(options.self());
+    this.crashDetector = new CrashDetector(crashEvidence, callLog);
     Random random = new Random(seed);
     this.admission = new CallAdmission(options, freshness, otherEntries, endpointPool, random);
     this.retryAfter = new RetryAfter(random);
@@ -109,6 +111,11 @@
     return calls.size();
   }
 
+  /** Returns whether {@link #sweep} may have something to do. */
+  public boolean needsSweep() {
+    return !calls.isEmpty() || crashDetector.isPending();
+  }
+
   /** Returns whether a configuration has been received and the endpoints are known. */
   public boolean isReady(long now) {
     return admission.isReady(now, config);
@@ -296,6 +303,9 @@
     received.lastProgressAt = now;
     Endpoint endpoint = received.endpoint;
     endpointPool.recordActivity(now, endpoint);
+    if (!head.instanceMismatch()) {
+      crashDetector.recordHeard(now, endpoint);
+    }
     if (head.running() >= 0) {
       endpoint.recordLoad(now, head.running(), head.queued());
     }
@@ -349,10 +359,11 @@
     }
     received.lastProgressAt = now;
     endpointPool.recordActivity(now, received.endpoint);
+    crashDetector.recordHeard(now, received.endpoint);
     if (received == call.current) {
       dropBackup(effects, call, "the endpoint of the first attempt goes on");
     } else if (lastEventId > call.lastEventId) {
-      effects.add(new CallEffect.CancelAttempt(number, call.current.number));
+      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
       call.mayHaveExecuted = true;
       promoteBackup(effects, call, "the endpoint of the second attempt delivers first");
     }
@@ -433,14 +444,12 @@
     endpointPool.recordFailure(now, failed.endpoint);
     if (!sent) {
       call.sentAttempts--;
+      crashDetector.recordUnreachable(now, failed.endpoint);
     } else {
       call.mayHaveExecuted = true;
       effects.add(callLog.broken(call, failed, reason));
-      if (failed.hasBegun()) {
-        crashEvidence.recordCrash(
-            now, failed.endpoint.incarnation(), failed.dispatchedAt, call.spec.sharedParts());
-        reportPartChanges(now, effects);
-      }
+      crashDetector.recordEnd(now, call, failed);
+      reportPartChanges(now, effects);
     }
     if (failed == call.backup) {
       removeBackup(effects, call, reason);
@@ -486,6 +495,7 @@
   public List<CallEffect> sweep(long now) {
     List<CallEffect> effects = new ArrayList<>();
     endpointPool.removeExpired(now);
+    crashDetector.check(now, effects);
     reportPartChanges(now, effects);
     for (Call call : new ArrayList<>(calls.values())) {
       if (now >= call.deadline) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
@@ -52,6 +52,11 @@
         "begun=" + attempt.hasBegun() + " parts=" + formatParts(call) + " " + reason);
   }
 
+  /** Returns a line on the end of an endpoint, confirmed after an attempt had no response. */
+  CallEffect crashed(Call call, Attempt attempt, String reason) {
+    return attempt("crashed", call, attempt, "parts=" + formatParts(call) + " " + reason);
+  }
+
   /** Returns a line on a call that was rejected when it arrived. */
   CallEffect rejectedOnArrival(CallSpec spec, CallAdmission.Refusal refusal, long ageMillis) {
     String reason =
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -39,6 +39,9 @@
   /** Whether an attempt went unanswered for long and nothing was received since. */
   boolean stalled;
 
+  /** Signs of life and of the end of this incarnation. */
+  final Vitality vitality = new Vitality();
+
   /** Limit that the endpoint named in its last response to this entry. */
   NamedLimit namedLimit = NamedLimit.NONE;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -217,6 +217,9 @@
               || endpoint.spec.startedAtMillis() != spec.startedAtMillis()
               || !endpoint.spec.address().equals(spec.address());
       if (newIncarnation) {
+        if (endpoint != null) {
+          endpoint.vitality.setDelisted(true);
+        }
         endpoint = new Endpoint(spec);
         byId.put(spec.id(), endpoint);
         applySwitchReport(endpoint);
@@ -236,15 +239,31 @@
       }
       endpoint.spec = spec;
     }
+    recordReplaced();
     handleMissing(now, listedIds);
     removedById.values().removeIf(e -> e.ownCalls == 0 && now >= e.removeAt + RETENTION_MILLIS);
     rebuildServiceIndex();
   }
 
+  /** Records which endpoints have ended because a later one is listed at their address. */
+  private void recordReplaced() {
+    Map<String, Long> latestStartByAddress = new HashMap<>();
+    for (Endpoint endpoint : byId.values()) {
+      latestStartByAddress.merge(
+          endpoint.spec.address(), endpoint.spec.startedAtMillis(), Math::max);
+    }
+    for (Endpoint endpoint : byId.values()) {
+      if (endpoint.spec.startedAtMillis() < latestStartByAddress.get(endpoint.spec.address())) {
+        endpoint.vitality.setDelisted(true);
+      }
+    }
+  }
+
   /** Returns an endpoint, with its state from before its removal if it was removed; may be null. */
   private Endpoint findOrRestore(String id) {
     Endpoint removed = removedById.remove(id);
     if (removed != null) {
+      removed.vitality.setDelisted(false);
       byId.putIfAbsent(id, removed);
       applySwitchReport(removed);
     }
@@ -270,6 +289,7 @@
 
   private void remove(long now, Endpoint endpoint) {
     byId.remove(endpoint.spec.id());
+    endpoint.vitality.setDelisted(true);
     endpoint.removeAt = now;
     removedById.put(endpoint.spec.id(), endpoint);
   }
--- a/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/crash/CrashEvidenceTest.java
@@ -39,7 +39,7 @@
 
   /** Records a crash in which a call that was sent shortly before broke off. */
   private void recordCrash(int endpoint, List<Long> parts) {
-    evidence.recordCrash(now, endpoint, now - OPEN_MILLIS, parts);
+    evidence.recordCrash(now, endpoint, now - OPEN_MILLIS, now, parts);
   }
 
   private boolean isBlocked(Long... parts) {
@@ -96,8 +96,8 @@
     long sentAt = now;
     for (int i = 0; i < 20; i++) {
       now += 500;
-      evidence.recordCrash(now, 1, sentAt + 20 * i, List.of(FIRST, (long) i + 100));
-      evidence.recordCrash(now, 1, sentAt + 20 * i, List.of(FIRST));
+      evidence.recordCrash(now, 1, sentAt + 20 * i, now, List.of(FIRST, (long) i + 100));
+      evidence.recordCrash(now, 1, sentAt + 20 * i, now, List.of(FIRST));
     }
     assertThat(evidence.isSuspect(now, List.of(FIRST))).isFalse();
   }
@@ -134,7 +134,8 @@
       // The last entry saw nothing of it.
       CrashEvidence entry = entries.get(random.nextInt(12));
       long seenAt = crashAt + random.nextInt(60);
-      entry.recordCrash(seenAt, 1, crashAt - 1 - random.nextInt(900), List.of(FIRST, HARMFUL));
+      entry.recordCrash(
+          seenAt, 1, crashAt - 1 - random.nextInt(900), seenAt, List.of(FIRST, HARMFUL));
     }
     // Each report also comes once more, up to 5 s late, as to an entry that was frozen.
     for (long at = crashAt + 60; at < crashAt + 30_000; at += 100) {
@@ -324,8 +325,8 @@
     }
     // Crashes after the start count with those that are stored.
     now += 500;
-    started.recordCrash(now, 90, now - OPEN_MILLIS, List.of(FIRST));
-    started.recordCrash(now + 500, 91, now + 200, List.of(FIRST));
+    started.recordCrash(now, 90, now - OPEN_MILLIS, now, List.of(FIRST));
+    started.recordCrash(now + 500, 91, now + 200, now + 500, List.of(FIRST));
     assertThat(started.isBlocked(now + HOUR_MILLIS / 2, List.of(FIRST))).isTrue();
   }
 
@@ -340,7 +341,7 @@
           entry.recordDispatch(at, List.of(FIRST, HARMFUL));
           crashTimes.add(at);
           for (CrashEvidence other : entries) {
-            other.recordCrash(at + 200, crashTimes.size(), at, List.of(FIRST, HARMFUL));
+            other.recordCrash(at + 200, crashTimes.size(), at, at + 200, List.of(FIRST, HARMFUL));
           }
         }
       }
@@ -376,7 +377,8 @@
       for (int part = 0; part < 40; part++) {
         parts.add(random.nextLong());
       }
-      evidence.recordCrash(now + i / 10, 1_000 + i, now + i / 10 - OPEN_MILLIS, parts);
+      evidence.recordCrash(
+          now + i / 10, 1_000 + i, now + i / 10 - OPEN_MILLIS, now + i / 10, parts);
       if (i % 4 == 0) {
         evidence.recordServed(now + i / 10, parts);
       }
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -33,14 +33,14 @@
     return simulation;
   }
 
-  private static void assertContained(EngineSimulation simulation, long part) {
+  static void assertContained(EngineSimulation simulation, long part) {
     long counted = simulation.lastCountedCrash(part).orElseThrow();
     assertThat(simulation.arrivalsWith(part, counted + STABILITY_MILLIS))
         .as("calls with the part that reached engines later than 3 s after the fifth crash")
         .isLessThanOrEqualTo(MAX_ARRIVALS_AFTERWARDS);
   }
 
-  private static void assertSoundCallsServed(EngineSimulation simulation, long part, long first) {
+  static void assertSoundCallsServed(EngineSimulation simulation, long part, long first) {
     long start = EngineSimulation.START_MILLIS;
     // A trial near the end may be the fifth crash; the last seconds are measured in any case.
     long from =
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -28,11 +28,25 @@
   private static final long SWEEP_INTERVAL_MILLIS = 50;
   private static final long REPORT_INTERVAL_MILLIS = 100;
   private static final double DATAGRAM_LOSS = 0.02;
+  private static final long CONNECT_TIMEOUT_MILLIS = 250;
+  private static final long EVENT_INTERVAL_MILLIS = 150;
   private static final long CRASH_DELAY_MILLIS = 60;
   private static final long DIRECTORY_DELAY_MILLIS = 300;
   private static final long REMOVAL_DELAY_MILLIS = 1_500;
   private static final int MEAN_ANSWER_MILLIS = 900;
 
+  /** What entries see of the end of an engine. */
+  enum CrashMode {
+    /** The head of the response, and then closed connections. */
+    AFTER_HEAD,
+
+    /** Closed connections, and no head of the response that crashed it. */
+    BEFORE_HEAD,
+
+    /** Nothing: connections stay open and silent, and new ones are not opened. */
+    SILENT
+  }
+
   /** One call of a caller to one entry. */
   static final class Sent {
     final long number;
@@ -65,6 +79,12 @@
   final Random random;
   long now = START_MILLIS;
 
+  /** How an engine ends when a harmful part crashes it; by default after the head. */
+  Supplier<CrashMode> crashMode = () -> CrashMode.AFTER_HEAD;
+
+  /** Whether responses are streams of events rather than one event at their end. */
+  boolean sendsEvents;
+
   /** Time from the end of an engine to its next start. */
   long restartMillis = 3_000;
 
@@ -90,6 +110,9 @@
 
   private final Set<Integer> silentEntries = new HashSet<>();
 
+  /** Cuts between entries and engines. */
+  private final List<LinkCut> linkCuts = new ArrayList<>();
+
   /** Entries of a region that is cut from the others, empty if none is. */
   private final Set<Integer> cutRegion = new HashSet<>();
 
@@ -191,12 +214,55 @@
         () -> {
           for (Engine engine : engines.subList(fromSlot, engines.size())) {
             if (random.nextDouble() < share) {
-              engine.crash(List.of());
+              engine.crash(List.of(), false);
+            }
+          }
+        });
+  }
+
+  /** Ends engines at a time without closing their connections, each with a probability. */
+  void darkenEngines(long atMillis, double share) {
+    at(
+        atMillis,
+        () -> {
+          for (Engine engine : engines) {
+            if (random.nextDouble() < share) {
+              engine.crash(List.of(), true);
             }
           }
         });
   }
 
+  /** Makes an engine send nothing for a time, and go on then. */
+  void silenceEngine(long fromMillis, long toMillis, int slot) {
+    at(fromMillis, () -> engines.get(slot).silentUntil = START_MILLIS + toMillis);
+  }
+
+  /** Resets the connections of an engine at a time, each with a probability; it goes on. */
+  void resetConnections(long atMillis, int slot, double share) {
+    at(atMillis, () -> engines.get(slot).resetConnections(share));
+  }
+
+  /** Cuts entries from engines; what they send to each other arrives after the end of the cut. */
+  void cutLinks(long fromMillis, long toMillis, Set<Integer> cutEntries, Set<Integer> slots) {
+    linkCuts.add(
+        new LinkCut(START_MILLIS + fromMillis, START_MILLIS + toMillis, cutEntries, slots));
+  }
+
+  /** Returns the time from which an entry and an engine reach each other. */
+  private long linkedFrom(int entry, int slot) {
+    long from = now;
+    for (LinkCut cut : linkCuts) {
+      if (cut.from <= now
+          && now < cut.to
+          && cut.entries.contains(entry)
+          && cut.slots.contains(slot)) {
+        from = Math.max(from, cut.to);
+      }
+    }
+    return from;
+  }
+
   /** Makes an engine name a limit in its responses from a time on; null for none. */
   void nameLimit(long atMillis, int slot, String limit) {
     at(atMillis, () -> engines.get(slot).limit = limit);
@@ -415,15 +481,37 @@
     if (call == null) {
       return;
     }
-    Work work = new Work(dispatch.call(), dispatch.attempt(), entry, call);
-    for (Engine engine : engines) {
-      if (engine.running && engine.id().equals(dispatch.endpoint().id())) {
-        arrivals.add(new Arrival(sentAt, now, engine.slot, entry, dispatch.attempt(), call.parts));
-        engine.accept(work);
-        return;
+    Work work =
+        new Work(
+            dispatch.call(),
+            dispatch.attempt(),
+            entry,
+            call,
+            Math.max(0, dispatch.resumeAfterEventId()));
+    Engine engine = engineAt(dispatch.endpoint().address());
+    long linkedFrom = linkedFrom(entry, engine.slot);
+    if (linkedFrom > now || !engine.running && engine.silentEnd) {
+      // A new connection cannot be opened, one that is open already carries nothing.
+      if (random.nextBoolean()) {
+        schedule(now + CONNECT_TIMEOUT_MILLIS, () -> fail(work, false));
+      } else if (linkedFrom > now) {
+        schedule(linkedFrom, () -> arrive(entry, dispatch, sentAt));
       }
+    } else if (!engine.running) {
+      schedule(now + NETWORK_DELAY_MILLIS, () -> fail(work, false));
+    } else if (!engine.id().equals(dispatch.endpoint().id())) {
+      ResponseHead head =
+          new ResponseHead(421, true, true, false, false, 0, -1, 0, NamedLimit.NONE);
+      engine.send(
+          entry, () -> entries.get(entry).onResponseHead(now, work.call, work.attempt, head));
+    } else {
+      arrivals.add(new Arrival(sentAt, now, engine.slot, entry, dispatch.attempt(), call.parts));
+      engine.accept(work);
     }
-    schedule(now + NETWORK_DELAY_MILLIS, () -> fail(work, false));
+  }
+
+  private Engine engineAt(String address) {
+    return engines.stream().filter(e -> e.address().equals(address)).findFirst().orElseThrow();
   }
 
   private void fail(Work work, boolean sent) {
@@ -457,6 +545,12 @@
     int life;
     boolean running = true;
 
+    /** Whether it ended last without closing its connections. */
+    boolean silentEnd;
+
+    /** Time until which it sends nothing, though it runs. */
+    long silentUntil;
+
     /** Limit that its responses name, null if none. */
     String limit;
 
@@ -474,12 +568,43 @@
       return keepsIds ? "i" + slot : "i" + slot + "-" + life;
     }
 
+    String address() {
+      return "10.0.0." + slot + ":80";
+    }
+
+    /** Lets something that it sends to an entry take effect there. */
+    void send(int entry, Supplier<List<CallEffect>> effects) {
+      long sendsFrom = Math.max(silentUntil, linkedFrom(entry, slot));
+      if (sendsFrom > now) {
+        int startedLife = life;
+        schedule(
+            sendsFrom,
+            () -> {
+              if (life == startedLife && (running || !silentEnd)) {
+                send(entry, effects);
+              }
+            });
+        return;
+      }
+      schedule(
+          now + NETWORK_DELAY_MILLIS, () -> handleAt(entry, () -> apply(entry, effects.get())));
+    }
+
+    void resetConnections(double share) {
+      for (Work w : List.copyOf(work)) {
+        if (random.nextDouble() < share) {
+          work.remove(w);
+          schedule(now + NETWORK_DELAY_MILLIS, () -> fail(w, true));
+        }
+      }
+    }
+
     EndpointSpec listed() {
       String domain = "d" + slot % 3;
       return new EndpointSpec(
           listedId,
           "engines",
-          "10.0.0.1:80",
+          address(),
           domain,
           domain,
           16,
@@ -492,21 +617,23 @@
 
     void accept(Work w) {
       work.add(w);
-      int startedLife = life;
-      long beginsAt = now + 120 + random.nextInt(250);
-      schedule(
-          beginsAt,
-          () -> {
-            if (life == startedLife && running && work.contains(w)) {
-              begin(w);
-            }
-          });
+      beginLater(w, now + 120 + random.nextInt(250));
     }
 
     private void begin(Work w) {
+      if (silentUntil > now) {
+        beginLater(w, silentUntil);
+        return;
+      }
       if (w.attempt == 1) {
         w.sent.beganAtFirstAttempt = true;
       }
+      boolean harmful = w.sent.parts.stream().anyMatch(harmfulParts::contains);
+      CrashMode mode = crashMode.get();
+      if (harmful && mode != CrashMode.AFTER_HEAD) {
+        crash(w.sent.parts, mode == CrashMode.SILENT);
+        return;
+      }
       int active = work.size();
       NamedLimit named = NamedLimit.parse(limit);
       if (named.kind() == NamedLimit.Kind.NAMED) {
@@ -514,52 +641,70 @@
         toldAt.putIfAbsent(new Told(slot, w.entry), readAt + NETWORK_DELAY_MILLIS);
       }
       ResponseHead head = new ResponseHead(200, false, false, true, false, 1, active, 0, named);
-      schedule(
-          now + NETWORK_DELAY_MILLIS,
-          () ->
-              handleAt(
-                  w.entry,
-                  () ->
-                      apply(
-                          w.entry,
-                          entries.get(w.entry).onResponseHead(now, w.call, w.attempt, head))));
+      send(w.entry, () -> entries.get(w.entry).onResponseHead(now, w.call, w.attempt, head));
       int startedLife = life;
-      if (w.sent.parts.stream().anyMatch(harmfulParts::contains)) {
+      if (harmful) {
         schedule(
             now + CRASH_DELAY_MILLIS,
             () -> {
               if (life == startedLife && running) {
-                crash(w.sent.parts);
+                crash(w.sent.parts, false);
               }
             });
         return;
       }
       long answerMillis = 200 + Math.round(-Math.log(1 - random.nextDouble()) * MEAN_ANSWER_MILLIS);
+      endLater(w, now + answerMillis);
+      if (sendsEvents) {
+        sendEvents(w, w.resumeAfter + 1);
+      }
+    }
+
+    private void sendEvents(Work w, long id) {
+      send(w.entry, () -> entries.get(w.entry).onResponseProgress(now, w.call, w.attempt, id));
+      int startedLife = life;
+      schedule(
+          Math.max(silentUntil, now + EVENT_INTERVAL_MILLIS),
+          () -> {
+            if (life == startedLife && running && work.contains(w)) {
+              sendEvents(w, id + 1);
+            }
+          });
+    }
+
+    private void beginLater(Work w, long time) {
+      int startedLife = life;
+      schedule(
+          time,
+          () -> {
+            if (life == startedLife && running && work.contains(w)) {
+              begin(w);
+            }
+          });
+    }
+
+    private void endLater(Work w, long time) {
+      int startedLife = life;
       schedule(
-          now + answerMillis,
+          time,
           () -> {
             if (life == startedLife && running && work.remove(w)) {
-              schedule(
-                  now + NETWORK_DELAY_MILLIS,
-                  () ->
-                      handleAt(
-                          w.entry,
-                          () ->
-                              apply(
-                                  w.entry,
-                                  entries.get(w.entry).onResponseEnd(now, w.call, w.attempt))));
+              send(w.entry, () -> entries.get(w.entry).onResponseEnd(now, w.call, w.attempt));
             }
           });
     }
 
-    void crash(List<Long> parts) {
+    void crash(List<Long> parts, boolean silent) {
       if (!running) {
         return;
       }
       crashes.add(new Crash(now, slot, parts));
       running = false;
-      for (Work w : work) {
-        schedule(now + NETWORK_DELAY_MILLIS, () -> fail(w, true));
+      silentEnd = silent;
+      if (!silent) {
+        for (Work w : work) {
+          schedule(now + NETWORK_DELAY_MILLIS, () -> fail(w, true));
+        }
       }
       work.clear();
       if (!keepsIds) {
@@ -592,7 +737,10 @@
   }
 
   /** One attempt at an engine. */
-  private record Work(long call, int attempt, int entry, Sent sent) {}
+  private record Work(long call, int attempt, int entry, Sent sent, long resumeAfter) {}
+
+  /** A cut between entries and engines, by slot. */
+  private record LinkCut(long from, long to, Set<Integer> entries, Set<Integer> slots) {}
 
   /** An entry that an engine has told its limit. */
   private record Told(int slot, int entry) {}
