Count endpoints that go silent for good as evidence against a prompt

Cause: only the end of a connection was ever counted. An attempt that is silent ends in expire, in a canceled or promoted second attempt, or when its caller leaves; none of them told the evidence, nor did the directory when it dropped or replaced the endpoint.

Ruled out: silence alone as evidence. Sound endpoints are silent for a second and go on, busy ones for longer, and a cut or a domain without power silences many at once.

A silent attempt counts once something else says that its endpoint ended, as for closed ones, and 900 ms without data have passed while this process was not stalled. Its time is only known within bounds, which the evidence gets, so that all observations of one end are taken for one. Only the first silent attempt of a call counts: the second may go to an endpoint that was dark before, and parts of few calls were blocked for it.

--- a/policy/src/main/java/org/cornelchute/policy/forward/Attempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Attempt.java
@@ -27,6 +27,9 @@
   /** Whether only the close of the connection ends that response. */
   boolean endsOnClose;
 
+  /** Whether the end of its endpoint was recorded as a crash, or need not be. */
+  boolean crashRecorded;
+
   Attempt(int number, Endpoint endpoint, boolean resumes, long resumedAfter, long now) {
     this.number = number;
     this.endpoint = endpoint;
--- a/policy/src/main/java/org/cornelchute/policy/forward/Call.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -47,6 +47,9 @@
   /** Version of the weights that the stream started on. */
   long streamVersion;
 
+  /** Whether the end of an endpoint that was silent on an attempt was recorded as a crash. */
+  boolean silentCrashRecorded;
+
   /** Whether an attempt without a response may have been executed. */
   boolean mayHaveExecuted;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -30,9 +30,6 @@
  */
 public final class CallDecider {
 
-  /** Time without data from the endpoint after which a stream is sent to a second one as well. */
-  private static final long STREAM_IDLE_TIMEOUT_MILLIS = 900;
-
   /** Time for which a call may be on its way to an endpoint that did not respond in time lately. */
   private static final long MAX_DELIVERY_MILLIS = 2_500;
 
@@ -334,7 +331,7 @@
       handleLostResponse(now, effects, call, "success response without signature of the endpoint");
     } else if (head.isSuccess()) {
       recordBegin(now, received, head);
-      dropBackup(effects, call, "the endpoint of the first attempt goes on");
+      dropBackup(now, effects, call, "the endpoint of the first attempt goes on");
       startStream(effects, call);
     } else if (call.streaming) {
       effects.add(new CallEffect.CancelAttempt(number, attempt));
@@ -361,9 +358,9 @@
     endpointPool.recordActivity(now, received.endpoint);
     crashDetector.recordHeard(now, received.endpoint);
     if (received == call.current) {
-      dropBackup(effects, call, "the endpoint of the first attempt goes on");
+      dropBackup(now, effects, call, "the endpoint of the first attempt goes on");
     } else if (lastEventId > call.lastEventId) {
-      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+      cancel(now, effects, call, call.current);
       call.mayHaveExecuted = true;
       promoteBackup(effects, call, "the endpoint of the second attempt delivers first");
     }
@@ -408,7 +405,7 @@
       return effects;
     }
     if (ended == call.backup) {
-      dropBackup(effects, call, "no event after the last one that was delivered");
+      dropBackup(now, effects, call, "no event after the last one that was delivered");
       return effects;
     }
     if (provesService(now, ended)) {
@@ -419,7 +416,7 @@
       call.mayHaveExecuted = true;
       handleLostResponse(now, effects, call, "resumed stream ended without a new event");
     } else {
-      dropBackup(effects, call, "the response of the first attempt is complete");
+      dropBackup(now, effects, call, "the response of the first attempt is complete");
       effects.add(new CallEffect.Complete(number, attempt));
       effects.add(callLog.call("answered", call, "ms=" + (now - call.arrivedAt)));
       remove(call);
@@ -448,7 +445,7 @@
     } else {
       call.mayHaveExecuted = true;
       effects.add(callLog.broken(call, failed, reason));
-      crashDetector.recordEnd(now, call, failed);
+      crashDetector.recordEnd(now, call, failed, false);
       reportPartChanges(now, effects);
     }
     if (failed == call.backup) {
@@ -467,7 +464,7 @@
     List<CallEffect> effects = new ArrayList<>(2);
     Call call = calls.get(number);
     if (call != null) {
-      cancelAttempts(effects, call);
+      cancelAttempts(now, effects, call);
       effects.add(
           callLog.call("gone", call, "caller disconnected after ms=" + (now - call.arrivedAt)));
       remove(call);
@@ -481,7 +478,7 @@
     List<CallEffect> effects = new ArrayList<>();
     for (Call call : new ArrayList<>(calls.values())) {
       call.mayHaveExecuted |= call.current != null;
-      cancelAttempts(effects, call);
+      cancelAttempts(now, effects, call);
       reject(now, effects, call, Rejection.NOT_READY, "the process ends");
     }
     return effects;
@@ -495,7 +492,7 @@
   public List<CallEffect> sweep(long now) {
     List<CallEffect> effects = new ArrayList<>();
     endpointPool.removeExpired(now);
-    crashDetector.check(now, effects);
+    crashDetector.check(now, effects, calls.values());
     reportPartChanges(now, effects);
     for (Call call : new ArrayList<>(calls.values())) {
       if (now >= call.deadline) {
@@ -519,10 +516,10 @@
 
   private void sweepAttempts(long now, List<CallEffect> effects, Call call) {
     if (call.backup != null && isOutdated(now, call, call.backup)) {
-      dropBackup(effects, call, "endpoint still holds a superseded version");
+      dropBackup(now, effects, call, "endpoint still holds a superseded version");
     }
     if (isOutdated(now, call, call.current)) {
-      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+      cancel(now, effects, call, call.current);
       call.mayHaveExecuted = true;
       long version = call.current.endpoint.version;
       handleLostResponse(now, effects, call, "endpoint still holds superseded version " + version);
@@ -713,7 +710,10 @@
     endpoint.ownCalls++;
     endpoint.recentDispatches.add(now);
     crashEvidence.recordDispatch(now, call.spec.sharedParts());
-    return new Attempt(call.lastAttempt, endpoint, call.streaming, call.lastEventId, now);
+    Attempt attempt =
+        new Attempt(call.lastAttempt, endpoint, call.streaming, call.lastEventId, now);
+    crashDetector.recordDispatch(now, attempt);
+    return attempt;
   }
 
   private void addDispatch(long now, List<CallEffect> effects, Call call, Attempt attempt) {
@@ -752,7 +752,7 @@
       endpointPool.recordFailure(now, call.backup.endpoint);
       removeBackup(effects, call, reason);
     } else {
-      dropBackup(effects, call, reason);
+      dropBackup(now, effects, call, reason);
     }
   }
 
@@ -772,9 +772,10 @@
   }
 
   /** Cancels the second of two attempts, if there is one; its endpoint may have executed it. */
-  private void dropBackup(List<CallEffect> effects, Call call, String reason) {
+  private void dropBackup(long now, List<CallEffect> effects, Call call, String reason) {
     if (call.backup != null) {
       call.mayHaveExecuted = true;
+      crashDetector.recordEnd(now, call, call.backup, true);
       removeBackup(effects, call, reason);
     }
   }
@@ -879,15 +880,15 @@
     Attempt current = call.current;
     long lastDataAt = Math.max(current.endpoint.lastReceivedAt, current.dispatchedAt);
     return call.route.kind() == CallKind.STREAM
-        && now - current.lastProgressAt >= STREAM_IDLE_TIMEOUT_MILLIS
-        && now - lastDataAt >= STREAM_IDLE_TIMEOUT_MILLIS;
+        && now - current.lastProgressAt >= CrashDetector.MAX_SILENCE_MILLIS
+        && now - lastDataAt >= CrashDetector.MAX_SILENCE_MILLIS;
   }
 
   // Final responses
 
   private void expire(long now, List<CallEffect> effects, Call call) {
     call.mayHaveExecuted |= call.current != null;
-    cancelAttempts(effects, call);
+    cancelAttempts(now, effects, call);
     if (call.streaming) {
       abortResponse(effects, call, "deadline exceeded");
     } else {
@@ -952,13 +953,19 @@
 
   // Helpers
 
-  private void cancelAttempts(List<CallEffect> effects, Call call) {
-    dropBackup(effects, call, "the call ends");
+  private void cancelAttempts(long now, List<CallEffect> effects, Call call) {
+    dropBackup(now, effects, call, "the call ends");
     if (call.current != null) {
-      effects.add(new CallEffect.CancelAttempt(call.spec.number(), call.current.number));
+      cancel(now, effects, call, call.current);
     }
   }
 
+  /** Cancels an attempt that its endpoint may still work on. */
+  private void cancel(long now, List<CallEffect> effects, Call call, Attempt attempt) {
+    effects.add(new CallEffect.CancelAttempt(call.spec.number(), attempt.number));
+    crashDetector.recordEnd(now, call, attempt, true);
+  }
+
   private static void releaseCurrent(Call call) {
     if (call.current != null) {
       call.current.endpoint.ownCalls--;
--- a/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
@@ -8,14 +8,17 @@
 /**
  * Decides whether endpoints ended while they worked on attempts, in whatever way that shows.
  *
- * <p>A success response that breaks off is evidence at once. An attempt without one that ends has
- * other possible causes, as a reset connection. It is kept until its endpoint sends something
- * again, which refutes the crash, or until the directory, a connection that cannot be opened or a
- * crash that any entry reports confirms that the endpoint ended. What the attempt had received does
- * not matter.
+ * <p>A success response that breaks off is evidence at once. An attempt without one that ends, or
+ * that is silent, has other possible causes: a reset connection, a cut link, an endpoint that falls
+ * silent and goes on. It is kept until its endpoint sends something again, which refutes the crash,
+ * or until the directory, a connection that cannot be opened or a crash that any entry reports
+ * confirms that the endpoint ended. What the attempt had received does not matter.
  */
 final class CrashDetector {
 
+  /** Time without data from an endpoint that a sound one may take. */
+  static final long MAX_SILENCE_MILLIS = 900;
+
   /** Time for which an ended attempt waits for a sign of what became of its endpoint. */
   private static final long RETENTION_MILLIS = 5_000;
 
@@ -32,6 +35,12 @@
    */
   private static final long MAX_LINK_SILENCE_MILLIS = 200;
 
+  /** Time between two checks from which on this process was stalled itself. */
+  private static final long MIN_STALL_MILLIS = 400;
+
+  /** Maximum age of an attempt as far as it is reported. */
+  private static final long MAX_OPEN_MILLIS = 10_000;
+
   private static final int MAX_ENDED_ATTEMPTS = 512;
 
   private final CrashEvidence evidence;
@@ -41,6 +50,11 @@
   /** Time at which any endpoint last sent something. */
   private long heardAt;
 
+  private long checkedAt;
+
+  /** End of the latest stall of this process. */
+  private long stalledUntil;
+
   CrashDetector(CrashEvidence evidence, CallLog callLog) {
     this.evidence = evidence;
     this.callLog = callLog;
@@ -51,6 +65,11 @@
     return !ended.isEmpty();
   }
 
+  /** Records that an attempt is dispatched. */
+  void recordDispatch(long now, Attempt attempt) {
+    attempt.endpoint.vitality.recordDispatch(now);
+  }
+
   /** Records that the listed incarnation of an endpoint sent something. */
   void recordHeard(long now, Endpoint endpoint) {
     heardAt = now;
@@ -64,43 +83,72 @@
     }
   }
 
-  /** Records that an attempt ended which may have reached its endpoint. */
-  void recordEnd(long now, Call call, Attempt attempt) {
-    if (call.spec.sharedParts().isEmpty()) {
+  /**
+   * Records that an attempt ended which may have reached its endpoint.
+   *
+   * @param canceled whether this entry ended it, rather than its connection
+   */
+  void recordEnd(long now, Call call, Attempt attempt, boolean canceled) {
+    boolean respondsNow = canceled && attempt.lastProgressAt == now;
+    if (attempt.crashRecorded || respondsNow || call.spec.sharedParts().isEmpty()) {
       return;
     }
-    if (attempt.hasBegun()) {
+    if (attempt.hasBegun() && !canceled) {
       record(now, call, attempt, attempt.dispatchedAt, now);
       return;
     }
     if (ended.size() >= MAX_ENDED_ATTEMPTS) {
       ended.removeFirst();
     }
-    ended.addLast(new EndedAttempt(call, attempt, now));
+    ended.addLast(new EndedAttempt(call, attempt, now, canceled));
   }
 
-  /** Records the crashes that are confirmed by now. */
-  void check(long now, List<CallEffect> effects) {
+  /** Records the crashes that are confirmed by now, also those of attempts that are still open. */
+  void check(long now, List<CallEffect> effects, Iterable<Call> openCalls) {
+    if (now - checkedAt >= MIN_STALL_MILLIS) {
+      stalledUntil = now;
+    }
+    checkedAt = now;
+    for (Call call : openCalls) {
+      checkSilent(now, effects, call, call.current);
+      checkSilent(now, effects, call, call.backup);
+    }
     ended.removeIf(e -> isRefuted(now, e) || checkEnded(now, effects, e));
   }
 
   /** Checks an ended attempt and returns whether it needs no further checks. */
   private boolean checkEnded(long now, List<CallEffect> effects, EndedAttempt candidate) {
     Attempt attempt = candidate.attempt;
-    if (now - candidate.endedAt < JUDGEMENT_DELAY_MILLIS || !hasEnded(attempt)) {
-      return false;
+    if (candidate.canceled) {
+      checkSilent(now, effects, candidate.call, attempt);
+    } else if (now - candidate.endedAt >= JUDGEMENT_DELAY_MILLIS && hasEnded(attempt)) {
+      record(now, candidate.call, attempt, attempt.dispatchedAt, candidate.endedAt);
+      effects.add(callLog.crashed(candidate.call, attempt, "closed without a response"));
+    }
+    return attempt.crashRecorded;
+  }
+
+  private void checkSilent(long now, List<CallEffect> effects, Call call, Attempt attempt) {
+    if (attempt != null
+        && !attempt.crashRecorded
+        && !call.spec.sharedParts().isEmpty()
+        && isSilent(now, attempt)
+        && hasEnded(attempt)) {
+      recordSilent(now, effects, call, attempt);
     }
-    record(now, candidate.call, attempt, attempt.dispatchedAt, candidate.endedAt);
-    effects.add(callLog.crashed(candidate.call, attempt, "closed without a response"));
-    return true;
   }
 
   private static boolean isRefuted(long now, EndedAttempt candidate) {
-    long heardAt = candidate.attempt.endpoint.vitality.heardAt();
-    return heardAt > candidate.endedAt + READ_DELAY_MILLIS
+    long delay = candidate.canceled ? 0 : READ_DELAY_MILLIS;
+    return candidate.attempt.endpoint.vitality.heardAt() > candidate.endedAt + delay
         || now - candidate.endedAt > RETENTION_MILLIS;
   }
 
+  private boolean isSilent(long now, Attempt attempt) {
+    long since = Math.max(attempt.lastProgressAt, attempt.endpoint.vitality.heardAt());
+    return now - Math.max(since, stalledUntil) >= MAX_SILENCE_MILLIS;
+  }
+
   private boolean hasEnded(Attempt attempt) {
     Endpoint endpoint = attempt.endpoint;
     return !endpoint.spec.draining()
@@ -108,11 +156,37 @@
             || evidence.hasCrashedSince(endpoint.incarnation(), attempt.dispatchedAt));
   }
 
+  /**
+   * Records the crash of a silent endpoint. Only bounds of its time are known; with them, all that
+   * is observed of one crash is taken for one, whichever entry observes it.
+   *
+   * <p>A call may be sent from one endpoint to another that was dark before, where its prompt
+   * cannot have mattered, so that only the first of its silent attempts counts.
+   */
+  private void recordSilent(long now, List<CallEffect> effects, Call call, Attempt attempt) {
+    if (call.silentCrashRecorded) {
+      attempt.crashRecorded = true;
+      return;
+    }
+    call.silentCrashRecorded = true;
+    Vitality vitality = attempt.endpoint.vitality;
+    long latestEnd = Math.min(now, vitality.earliestEnd() + MAX_SILENCE_MILLIS);
+    long sentAt = Math.min(attempt.dispatchedAt, vitality.heardAt());
+    record(now, call, attempt, Math.max(sentAt, latestEnd - MAX_OPEN_MILLIS), latestEnd);
+    effects.add(
+        callLog.crashed(call, attempt, "silent for " + (now - vitality.earliestEnd()) + " ms"));
+  }
+
   private void record(long now, Call call, Attempt attempt, long sentAt, long endedAt) {
+    attempt.crashRecorded = true;
     evidence.recordCrash(
         now, attempt.endpoint.incarnation(), sentAt, endedAt, call.spec.sharedParts());
   }
 
-  /** An attempt that ended without a complete response. */
-  private record EndedAttempt(Call call, Attempt attempt, long endedAt) {}
+  /**
+   * An attempt that ended without a complete response.
+   *
+   * @param canceled whether this entry ended it, rather than its connection
+   */
+  private record EndedAttempt(Call call, Attempt attempt, long endedAt, boolean canceled) {}
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/Vitality.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Vitality.java
@@ -6,6 +6,9 @@
   /** Time at which the incarnation last sent something, 0 if it never did. */
   private long heardAt;
 
+  /** Time of the first dispatch after {@link #heardAt}, 0 if there was none yet. */
+  private long awaitedSince;
+
   /** Time at which a connection to it could last not be opened, 0 if that never happened. */
   private long unreachableAt;
 
@@ -16,10 +19,21 @@
     return heardAt;
   }
 
+  /** Returns a time before which the incarnation cannot have ended, if it is silent since. */
+  long earliestEnd() {
+    return Math.max(heardAt, awaitedSince);
+  }
+
   void recordHeard(long now) {
     heardAt = now;
   }
 
+  void recordDispatch(long now) {
+    if (awaitedSince <= heardAt) {
+      awaitedSince = now;
+    }
+  }
+
   void recordUnreachable(long now) {
     unreachableAt = now;
   }
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashWithoutResponseTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashWithoutResponseTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Engines that crash on a part of a prompt before the entry has a response from them, and engines
- * that end or go silent for other reasons; virtual time.
+ * Engines that crash on a part of a prompt before the entry has a response from them, or go silent
+ * with their VM, and engines that end or go silent for other reasons; virtual time.
  */
 class CrashWithoutResponseTest {
 
@@ -74,6 +74,49 @@
     assertContainsHarmfulCalls(entries, engines, seed, 1.4, () -> CrashMode.BEFORE_HEAD);
   }
 
+  // Failure: as above, with replicas that go silent, since only closed connections were counted
+  // (review/3).
+  @ParameterizedTest
+  @CsvSource({"3, 8, 1", "3, 8, 2", "6, 16, 3", "13, 30, 4", "40, 110, 5", "60, 110, 6"})
+  void stopsSendingCallsThatSilenceEngines(int entries, int engines, long seed) {
+    assertContainsHarmfulCalls(entries, engines, seed, 1.4, () -> CrashMode.SILENT);
+  }
+
+  // Failure: as above, with ends that show in a different way each time.
+  @ParameterizedTest
+  @CsvSource({
+    "3, 8, 1, 1.4",
+    "3, 8, 2, 4",
+    "3, 8, 3, 0.7",
+    "6, 16, 4, 4",
+    "13, 30, 5, 4",
+    "40, 110, 6, 4"
+  })
+  void stopsSendingCallsThatEndEnginesInAnyWay(
+      int entries, int engines, long seed, double perSecond) {
+    Random random = new Random(seed);
+    CrashMode[] modes = CrashMode.values();
+    assertContainsHarmfulCalls(
+        entries, engines, seed, perSecond, () -> modes[random.nextInt(modes.length)]);
+  }
+
+  // Failure: as above, with a part that calls were served with before.
+  @ParameterizedTest
+  @CsvSource({"3, 8, 1, 1.4", "6, 16, 2, 4", "13, 30, 3, 4", "40, 110, 4, 4"})
+  void stopsSendingCallsWithPartThatWasServedBefore(
+      int entries, int engines, long seed, double perSecond) {
+    EngineSimulation simulation = simulation(entries, engines, seed);
+    Random random = new Random(seed);
+    CrashMode[] modes = CrashMode.values();
+    simulation.crashMode = () -> modes[random.nextInt(modes.length)];
+    simulation.sendCalls(
+        0, END_MILLIS, perSecond, () -> List.of(7L, HARMFUL), simulation::anyEntry);
+    simulation.at(HARM_FROM_MILLIS, () -> simulation.harmfulParts.add(HARMFUL));
+    simulation.run(END_MILLIS);
+    CrashingPromptPartTest.assertContained(simulation, HARMFUL);
+    CrashingPromptPartTest.assertSoundCallsServed(simulation, HARMFUL, -1);
+  }
+
   // Guards against: parts that all calls share are blocked because engines end, go silent with or
   // without coming back, or lose connections, for reasons that lie in no prompt.
   @ParameterizedTest
@@ -101,8 +144,8 @@
   void servesSoundCallsBesideHarmfulOnesAndOtherDisruptions(int entries, int engines, long seed) {
     EngineSimulation simulation = simulation(entries, engines, seed);
     Random random = new Random(seed);
-    simulation.crashMode =
-        () -> random.nextBoolean() ? CrashMode.BEFORE_HEAD : CrashMode.AFTER_HEAD;
+    CrashMode[] modes = CrashMode.values();
+    simulation.crashMode = () -> modes[random.nextInt(modes.length)];
     sendHarmfulCalls(simulation, 1.4);
     scheduleDisruptions(simulation, entries, engines, random);
     simulation.run(END_MILLIS);
