Name workspaces to endpoints in UTF-8

Cause: CallDuty set the name as header text. The encoder of headers writes one byte a char, and a question mark for each char beyond that.

Ruled out: the decoding of the configuration; names arrive whole in PlatformDecoder (PlatformDecoderTest reads them as UTF-8).

Why this mends it: the header holds the bytes of the name in UTF-8, in which names that differ have bytes that differ. Names in ASCII are sent as before.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -428,7 +428,7 @@
     requestHeaders.set(headerNames.deadline(), Long.toString(dispatch.remainingMillis()));
     requestHeaders.set(headerNames.expectedInstance(), dispatch.endpoint().id());
     if (!dispatch.workspace().isEmpty()) {
-      requestHeaders.set(headerNames.workspace(), dispatch.workspace());
+      HeaderCopier.setText(requestHeaders, headerNames.workspace(), dispatch.workspace());
     }
     if (dispatch.priority() >= 0) {
       requestHeaders.set(
--- a/entry/src/main/java/org/cornelchute/entry/direct/HeaderCopier.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/HeaderCopier.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
@@ -58,6 +59,15 @@
     }
   }
 
+  /**
+   * Sets a header to a text of any letters, in UTF-8. The encoder of headers writes one byte a char
+   * and a question mark for each char beyond that.
+   */
+  static void setText(HttpHeaders headers, String name, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    headers.set(name, new String(bytes, StandardCharsets.ISO_8859_1));
+  }
+
   /** Copies the headers of an endpoint's response to the response to a caller. */
   void copyResponseHeaders(HttpHeaders from, HttpHeaders to) {
     Set<String> connectionHeaders = headersNamedByConnection(from);
--- a/entry/src/test/java/org/cornelchute/entry/direct/ScriptedEndpoint.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/ScriptedEndpoint.java
@@ -19,7 +19,10 @@
 /** An endpoint that answers each request with the bytes and pauses of a script. */
 final class ScriptedEndpoint implements AutoCloseable {
 
-  /** Requests that arrived completely, as header values by lower-case name. */
+  /** Name under which requests hold their request line. */
+  static final String REQUEST_LINE = "";
+
+  /** Requests that arrived completely, as header values by lower-case name, one char a byte. */
   final List<Map<String, String>> requests = new CopyOnWriteArrayList<>();
 
   private final List<Socket> sockets = Collections.synchronizedList(new CopyOnWriteArrayList<>());
@@ -99,7 +102,7 @@
       new Output(socket.getOutputStream()).write(greeting);
       BufferedReader reader =
           new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
       Map<String, String> request = readRequest(reader);
       while (request != null) {
         requests.add(request);
@@ -118,6 +121,7 @@
       return null;
     }
     Map<String, String> headers = new TreeMap<>();
+    headers.put(REQUEST_LINE, line);
     for (line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
       int colon = line.indexOf(':');
       headers.put(
