Forward raw bytes in the path of a call unchanged

Cause: the decoder of requests makes one char of each byte, the encoder writes the target in UTF-8.

Test: ForwardedTextTest.forwardsRawBytesInPathsUnchangedOrNotAtAll failed before.

--- a/entry/src/test/java/org/cornelchute/entry/direct/ForwardedTextTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/ForwardedTextTest.java
@@ -91,6 +91,20 @@
     assertThat(lastRequest().get("x-other")).isEqualTo(header);
   }
 
+  // Guards against: a path with raw bytes, which is no valid one, reaches an endpoint as another.
+  @Test
+  void forwardsRawBytesInPathsUnchangedOrNotAtAll() throws Exception {
+    String path = "/order/" + toText(0xc4, 0x8d);
+    String response = call("key0", path, "plain");
+    if (response.startsWith("HTTP/1.1 200")) {
+      assertThat(lastRequest().get(ScriptedEndpoint.REQUEST_LINE))
+          .isEqualTo("POST " + path + " HTTP/1.1");
+    } else {
+      assertThat(response).startsWith("HTTP/1.1 400");
+      assertThat(endpoint.requests).isEmpty();
+    }
+  }
+
   /** Returns a text with one char a byte. */
   private static String toText(int... bytes) {
     return new String(bytes, 0, bytes.length);
--- a/net/src/main/java/org/cornelchute/net/wire/WireClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -88,7 +87,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder());
+                channel.pipeline().addLast(connection.decoder(), new RequestEncoder());
               }
             })
         .connect(
