End bodies without end in the clients of the product's own interfaces

From the newest report of other operators: a replica sends bytes without end, and the process that called it keeps them all until it has no memory left, so that the requests of its other callers end too.

It could happen here on the product's own path: EngineClient collected the answer to a load for up to five minutes and that to a status request for a second, TableClient answers of the table service for two seconds, cornelctl pages of an operator port; none had a bound. An answer to a forwarded request was passed on part by part without a bound either. The readers on the users' platform have bounds (WireFloodTest, EndpointFloodTest, ServerFloodTest).

ResponseBodies reads a body up to a maximum and fails beyond it, which closes the connection: 64 KiB for states, 16 MiB for answers, tables and pages.

--- a/ctl/src/main/java/org/cornelchute/ctl/MembersClient.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/MembersClient.java
@@ -22,12 +22,16 @@
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.frame.FrameClient;
 import org.cornelchute.net.frame.MessageCodec;
+import org.cornelchute.net.util.ResponseBodies;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
 /** Lists the members through the operator port of one member and sends requests to members. */
 final class MembersClient {
 
+  /** Maximum size of a page of an operator port. */
+  private static final long MAX_PAGE_BYTES = 16_777_216;
+
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
   private final String operatorUrl;
@@ -109,9 +113,8 @@
   private Either<Failure, String> get(String path) {
     return http.get()
         .uri(operatorUrl + path)
-        .responseContent()
-        .aggregate()
-        .asString()
+        .response((response, body) -> ResponseBodies.text(body, MAX_PAGE_BYTES))
+        .single()
         .map(Either::<Failure, String>right)
         .timeout(REQUEST_TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))))
--- a/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
+++ b/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
@@ -10,11 +10,11 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import org.cornelchute.core.message.ServingMessage.Dispatch;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.util.ResponseBodies;
 import org.cornelchute.policy.placement.EngineState;
 import org.cornelchute.policy.weights.Manifest;
 import reactor.core.Disposable;
@@ -50,6 +50,13 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
   private static final int MAX_CONNECTIONS = 256;
+
+  /** Maximum size of the body of an answer to a request. */
+  private static final long MAX_ANSWER_BYTES = 16_777_216;
+
+  /** Maximum size of other answers, which are short. */
+  private static final long MAX_STATE_BYTES = 65_536;
+
   private static final Duration MAX_IDLE = Duration.ofSeconds(10);
 
   private final HttpClient statusClient;
@@ -79,7 +86,8 @@
     return statusClient
         .get()
         .uri("/engine/status")
-        .responseSingle((response, body) -> body.asString(StandardCharsets.UTF_8))
+        .response((response, body) -> ResponseBodies.text(body, MAX_STATE_BYTES))
+        .single()
         .map(this::parseState)
         .timeout(STATUS_TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))));
@@ -104,11 +112,11 @@
         .post()
         .uri(uri)
         .send(Flux.fromIterable(chunks).map(Unpooled::wrappedBuffer))
-        .responseSingle(
+        .response(
             (response, body) ->
-                body.asString()
-                    .defaultIfEmpty("")
+                ResponseBodies.text(body, MAX_STATE_BYTES)
                     .map(text -> checkLoadStatus(response.status().code(), text)))
+        .single()
         .timeout(LOAD_TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))))
         .flatMap(
@@ -146,7 +154,7 @@
               String manifest = response.responseHeaders().get(MANIFEST_HEADER, "");
               String type = response.responseHeaders().get("Content-Type", "");
               listener.onHead(response.status().code(), type, manifest);
-              return body.asByteArray();
+              return ResponseBodies.parts(body, MAX_ANSWER_BYTES);
             })
         .subscribe(
             listener::onPart,
--- a/net/src/main/java/org/cornelchute/net/platform/TableClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -14,7 +14,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.UnknownHostException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +23,7 @@
 import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.util.Addresses;
+import org.cornelchute.net.util.ResponseBodies;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
@@ -47,6 +47,10 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_WRITE_CONNECTIONS = 256;
   private static final int MAX_LOGGED_CHARS = 64;
+
+  /** Maximum size of an answer; the longest is the list of all VMs. */
+  private static final long MAX_ANSWER_BYTES = 16_777_216;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_CONFLICT = 409;
@@ -89,11 +93,11 @@
   public Mono<Either<Failure, Optional<TableRow>>> read(String key) {
     return http.get()
         .uri("/table/" + key)
-        .responseSingle(
+        .response(
             (response, body) ->
-                body.asString(StandardCharsets.UTF_8)
-                    .defaultIfEmpty("")
+                ResponseBodies.text(body, MAX_ANSWER_BYTES)
                     .map(text -> parseRow(response.status().code(), text)))
+        .single()
         .timeout(TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))));
   }
@@ -108,9 +112,9 @@
    * order.
    */
   public Mono<Either<Failure, List<Long>>> commit(List<TableWrite> writes) {
-    byte[] body;
+    byte[] request;
     try {
-      body = mapper.writeValueAsBytes(Map.of("writes", writes));
+      request = mapper.writeValueAsBytes(Map.of("writes", writes));
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("writes cannot be encoded", e);
     }
@@ -118,13 +122,12 @@
         .headers(h -> h.set("Content-Type", "application/json"))
         .post()
         .uri("/table")
-        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-        .responseSingle(
-            (response, content) ->
-                content
-                    .asString(StandardCharsets.UTF_8)
-                    .defaultIfEmpty("")
+        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(request)))
+        .response(
+            (response, body) ->
+                ResponseBodies.text(body, MAX_ANSWER_BYTES)
                     .map(text -> parseCommit(response.status().code(), text, writes.size())))
+        .single()
         .timeout(TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))));
   }
@@ -135,11 +138,11 @@
   public Mono<Either<Failure, List<String>>> listAddresses() {
     return http.get()
         .uri("/vms")
-        .responseSingle(
+        .response(
             (response, body) ->
-                body.asString(StandardCharsets.UTF_8)
-                    .defaultIfEmpty("")
+                ResponseBodies.text(body, MAX_ANSWER_BYTES)
                     .map(text -> parseAddresses(response.status().code(), text)))
+        .single()
         .timeout(TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))));
   }
--- a/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelchute.core.message.ServingMessage.Dispatch;
 import org.cornelchute.core.model.Generation;
+import org.cornelchute.net.wire.FloodServer;
 import org.cornelchute.net.wire.ScriptedServer;
 import org.cornelchute.policy.weights.Manifest;
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,9 @@
   private static final String FENCED = "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}";
   private static final Manifest MANIFEST = Manifest.of("m", "2", new byte[8], 4);
 
+  /** Bytes that a server may send until it notices the close, mostly in socket buffers. */
+  private static final long MAX_SENT_BYTES = 48L * 1_024 * 1_024;
+
   private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
 
   /**
@@ -65,6 +69,22 @@
     }
   }
 
+  /**
+   * Failure: an answer without end was passed on part by part, faster than entries take it, until
+   * the process of the agent had no memory left.
+   */
+  @Test
+  void endsAnswersWithoutEnd() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    try (FloodServer server = new FloodServer(head, "a")) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      assertThat(forward(client, "a")).isEqualTo("200 failed notRun=false");
+      assertThat(server.sentBytes().poll(10, TimeUnit.SECONDS))
+          .isNotNull()
+          .isLessThan(MAX_SENT_BYTES);
+    }
+  }
+
   /** Refuses the first request; before all others on its connection, repeats the refusal. */
   private static List<String> refusesThenRepeats(int connection, String id) {
     if (id.equals("a")) {
--- a/net/src/test/java/org/cornelchute/net/wire/FloodServer.java
+++ b/net/src/test/java/org/cornelchute/net/wire/FloodServer.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 
 /** Answers each request with a prefix and then the same bytes again until the client closes. */
-final class FloodServer implements AutoCloseable {
+public final class FloodServer implements AutoCloseable {
 
   private static final int BATCH_BYTES = 16_384;
 
@@ -20,7 +20,8 @@
   private final byte[] batch;
   private final BlockingQueue<Long> sentBytes = new LinkedBlockingQueue<>();
 
-  FloodServer(String prefix, String pattern) throws IOException {
+  /** Starts a server with the bytes before and within the flood. */
+  public FloodServer(String prefix, String pattern) throws IOException {
     this.prefix = prefix.getBytes(StandardCharsets.US_ASCII);
     this.batch =
         pattern
@@ -30,12 +31,13 @@
     startDaemon(this::accept);
   }
 
-  String address() {
+  /** Returns the address of the server, {@code host:port}. */
+  public String address() {
     return "127.0.0.1:" + server.getLocalPort();
   }
 
   /** Returns the number of bytes sent on each connection that the client has closed, in order. */
-  BlockingQueue<Long> sentBytes() {
+  public BlockingQueue<Long> sentBytes() {
     return sentBytes;
   }
 
