--- a/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
@@ -160,7 +160,7 @@
    * Records the crash of a silent endpoint. Only bounds of its time are known; with them, all that
    * is observed of one crash is taken for one, whichever entry observes it.
    *
-   * <p>A call may be sent from one endpoint to another that was dark before, where its prompt
+   * <p>The second attempt of a call may go to an endpoint that had ended before, where its prompt
    * cannot have mattered, so that only the first of its silent attempts counts.
    */
   private void recordSilent(long now, List<CallEffect> effects, Call call, Attempt attempt) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashWithoutResponseTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashWithoutResponseTest.java
@@ -158,7 +158,7 @@
       int slot = random.nextInt(engines);
       switch (random.nextInt(6)) {
         case 0 -> simulation.killEngines(at, 0.3);
-        case 1 -> simulation.darkenEngines(at, 0.3);
+        case 1 -> simulation.endEnginesSilently(at, 0.3);
         case 2 -> simulation.silenceEngine(at, at + 800 + random.nextInt(700), slot);
         case 3 -> simulation.resetConnections(at, slot, 0.7);
         case 4 ->
--- a/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EngineSimulation.java
@@ -221,7 +221,7 @@
   }
 
   /** Ends engines at a time without closing their connections, each with a probability. */
-  void darkenEngines(long atMillis, double share) {
+  void endEnginesSilently(long atMillis, double share) {
     at(
         atMillis,
         () -> {
