Move what CallDecider tells the evidence on crashes into CrashDetector

One class now answers what an entry learns about crashes from its attempts: dispatches, served responses, ends and silence, and the lines and rows that follow. No logic changes; Crash*Test, BegunResponseTest, BackupAttemptTest, CallDeciderTest and CallEndingsTest pass.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.crash.CrashEvidence;
-import org.cornelchute.policy.crash.CrashEvidence.PartChange;
 import org.cornelchute.policy.forward.CallAdmission.Refusal;
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
@@ -33,9 +32,6 @@
   /** Time for which a call may be on its way to an endpoint that did not respond in time lately. */
   private static final long MAX_DELIVERY_MILLIS = 2_500;
 
-  /** Time from the start of a response from which on its end is not taken for a crash. */
-  private static final long MIN_SERVICE_MILLIS = 1_000;
-
   /** Minimum remaining time for a retry; with less, it is unlikely to complete in time. */
   private static final long MIN_RETRY_TIME_MILLIS = 60;
 
@@ -408,10 +404,7 @@
       dropBackup(now, effects, call, "no event after the last one that was delivered");
       return effects;
     }
-    if (provesService(now, ended)) {
-      crashEvidence.recordServed(ended.begunAt, call.spec.sharedParts());
-      reportPartChanges(now, effects);
-    }
+    crashDetector.recordServed(now, effects, call, ended);
     if (ended.resumes && call.lastEventId <= ended.resumedAfter) {
       call.mayHaveExecuted = true;
       handleLostResponse(now, effects, call, "resumed stream ended without a new event");
@@ -446,7 +439,7 @@
       call.mayHaveExecuted = true;
       effects.add(callLog.broken(call, failed, reason));
       crashDetector.recordEnd(now, call, failed, false);
-      reportPartChanges(now, effects);
+      crashDetector.reportChanges(now, effects);
     }
     if (failed == call.backup) {
       removeBackup(effects, call, reason);
@@ -493,7 +486,7 @@
     List<CallEffect> effects = new ArrayList<>();
     endpointPool.removeExpired(now);
     crashDetector.check(now, effects, calls.values());
-    reportPartChanges(now, effects);
+    crashDetector.reportChanges(now, effects);
     for (Call call : new ArrayList<>(calls.values())) {
       if (now >= call.deadline) {
         expire(now, effects, call);
@@ -709,10 +702,9 @@
     call.triedEndpoints.add(endpoint.spec.id());
     endpoint.ownCalls++;
     endpoint.recentDispatches.add(now);
-    crashEvidence.recordDispatch(now, call.spec.sharedParts());
     Attempt attempt =
         new Attempt(call.lastAttempt, endpoint, call.streaming, call.lastEventId, now);
-    crashDetector.recordDispatch(now, attempt);
+    crashDetector.recordDispatch(now, call, attempt);
     return attempt;
   }
 
@@ -982,15 +974,6 @@
     calls.remove(call.spec.number());
   }
 
-  /**
-   * Returns whether the end of a response proves that the endpoint survived it. A response that
-   * ends on the close of its connection may have been ended by a crash shortly after its start.
-   */
-  private static boolean provesService(long now, Attempt attempt) {
-    return attempt.hasBegun()
-        && (!attempt.endsOnClose || now - attempt.begunAt >= MIN_SERVICE_MILLIS);
-  }
-
   /** Records the limit that an endpoint names in a response and logs that it changed. */
   private void recordNamedLimit(
       long now, List<CallEffect> effects, Endpoint endpoint, NamedLimit limit) {
@@ -1001,16 +984,4 @@
     endpoint.namedLimit = limit;
     effects.add(callLog.namedLimit(endpoint, limit));
   }
-
-  /** Logs parts of prompts that became blocked or were cleared, and stores those of this entry. */
-  private void reportPartChanges(long now, List<CallEffect> effects) {
-    for (PartChange change : crashEvidence.takeChanges(now)) {
-      if (change.own()) {
-        effects.add(
-            new CallEffect.StoreBlockedPart(
-                change.part(), change.blocked() ? change.crashCount() : 0));
-      }
-      effects.add(callLog.partChange(change));
-    }
-  }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import org.cornelchute.policy.crash.CrashEvidence;
+import org.cornelchute.policy.crash.CrashEvidence.PartChange;
 
 /**
  * Decides whether endpoints ended while they worked on attempts, in whatever way that shows.
@@ -38,6 +39,9 @@
   /** Time between two checks from which on this process was stalled itself. */
   private static final long MIN_STALL_MILLIS = 400;
 
+  /** Time from the start of a response from which on its end is not taken for a crash. */
+  private static final long MIN_SERVICE_MILLIS = 1_000;
+
   /** Maximum age of an attempt as far as it is reported. */
   private static final long MAX_OPEN_MILLIS = 10_000;
 
@@ -66,7 +70,8 @@
   }
 
   /** Records that an attempt is dispatched. */
-  void recordDispatch(long now, Attempt attempt) {
+  void recordDispatch(long now, Call call, Attempt attempt) {
+    evidence.recordDispatch(now, call.spec.sharedParts());
     attempt.endpoint.vitality.recordDispatch(now);
   }
 
@@ -83,6 +88,30 @@
     }
   }
 
+  /**
+   * Records the end of a complete response, which proves that the endpoint survived it. One that
+   * ends on the close of its connection may have been ended by a crash shortly after its start.
+   */
+  void recordServed(long now, List<CallEffect> effects, Call call, Attempt attempt) {
+    if (attempt.hasBegun()
+        && (!attempt.endsOnClose || now - attempt.begunAt >= MIN_SERVICE_MILLIS)) {
+      evidence.recordServed(attempt.begunAt, call.spec.sharedParts());
+      reportChanges(now, effects);
+    }
+  }
+
+  /** Logs parts of prompts that became blocked or were cleared, and stores those of this entry. */
+  void reportChanges(long now, List<CallEffect> effects) {
+    for (PartChange change : evidence.takeChanges(now)) {
+      if (change.own()) {
+        effects.add(
+            new CallEffect.StoreBlockedPart(
+                change.part(), change.blocked() ? change.crashCount() : 0));
+      }
+      effects.add(callLog.partChange(change));
+    }
+  }
+
   /**
    * Records that an attempt ended which may have reached its endpoint.
    *
