Name the start of an endpoint's silence for what it is

Read as a newcomer: Vitality.earliestEnd claimed a time before which an endpoint cannot have ended. It is the last data or the first dispatch since; an endpoint that got a call after its end had ended before that. The name and the comment say so now; no behaviour changes, and nothing in tests.

Ruled out as worth a change now: the repeated set-up of ForwardedTextTest, which eight socket tests share in shape.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CrashDetector.java
@@ -199,11 +199,11 @@
     }
     call.silentCrashRecorded = true;
     Vitality vitality = attempt.endpoint.vitality;
-    long latestEnd = Math.min(now, vitality.earliestEnd() + MAX_SILENCE_MILLIS);
+    long latestEnd = Math.min(now, vitality.silentSince() + MAX_SILENCE_MILLIS);
     long sentAt = Math.min(attempt.dispatchedAt, vitality.heardAt());
     record(now, call, attempt, Math.max(sentAt, latestEnd - MAX_OPEN_MILLIS), latestEnd);
     effects.add(
-        callLog.crashed(call, attempt, "silent for " + (now - vitality.earliestEnd()) + " ms"));
+        callLog.crashed(call, attempt, "silent for " + (now - vitality.silentSince()) + " ms"));
   }
 
   private void record(long now, Call call, Attempt attempt, long sentAt, long endedAt) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/Vitality.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Vitality.java
@@ -19,8 +19,8 @@
     return heardAt;
   }
 
-  /** Returns a time before which the incarnation cannot have ended, if it is silent since. */
-  long earliestEnd() {
+  /** Returns the time of the last data or, if later, of the first dispatch since, 0 if none. */
+  long silentSince() {
     return Math.max(heardAt, awaitedSince);
   }
 
