Write one line and one count for each end of a request that was read whole

Callers saw: nothing new; but of some ends the log told nothing. No line had: a call that a draining entry rejects, a caller that leaves before the entry decides on its call (after a stall), requests that wait behind another one on their connection when it closes, and requests rejected as malformed, too large or one too many. A connection that an internal failure closed looked like a caller that left (gone); it is a cut now.

Now each request that was read whole ends in one line answered, refuse, cut or gone with its id; counters calls.read and calls.ended.KIND and the gauge calls.open balance at any time, as the gauge counts the requests themselves.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -33,6 +33,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.cornelchute.core.log.Decision;
 import org.cornelchute.core.log.DecisionLog;
 import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.net.wire.WireClient;
@@ -86,6 +87,7 @@
   private final LongSupplier clockMillis;
   private final Optional<OpenCallsReporter> openCallsReporter;
   private final ServingStateSource stateSource;
+  private final CallCounts counts;
   private final Map<Long, OpenCall> openCalls = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private final ResponseBudget responseBudget =
@@ -119,6 +121,7 @@
     this.openCallsReporter = openCallsReporter;
     this.stateSource = stateSource;
     this.metrics = metrics;
+    this.counts = new CallCounts(metrics);
     this.headerCopier = new HeaderCopier(headerNames);
     this.arrivedMeter = metrics.meter("calls.arrived");
     this.answeredMeter = metrics.meter("calls.answered");
@@ -159,6 +162,15 @@
     return openCalls.size();
   }
 
+  /** Returns the number of requests that were read whole and have no end yet. */
+  int unendedRequestCount() {
+    int waiting = 0;
+    for (CallerConnection connection : connections) {
+      waiting += connection.waitingRequestCount();
+    }
+    return openCalls.size() + waiting;
+  }
+
   /** Returns the number of calls whose responses have not been sent completely. */
   int unfinishedCallCount() {
     int sending = 0;
@@ -210,6 +222,7 @@
     rejectNewCalls();
     apply(decider.onShutdown(clockMillis.getAsLong()));
     for (OpenCall call : List.copyOf(openCalls.values())) {
+      logEnd("refuse", call.request.headers(), Rejection.NOT_READY + ": the process ends");
       rejectCall(call, Rejection.NOT_READY, 0);
     }
   }
@@ -242,8 +255,29 @@
   }
 
   @Override
-  public void onMalformedRequest(int status) {
+  public void onRequestRead() {
+    counts.recordRead();
+  }
+
+  @Override
+  public void onRequestRejected(HttpHeaders headers, int status, boolean wasRead) {
     metrics.meter("calls.malformed." + status).mark();
+    if (wasRead) {
+      counts.recordEnd(CallCounts.End.REFUSED);
+    }
+    logEnd("refuse", headers, "MALFORMED: status=" + status + " whole=" + wasRead);
+  }
+
+  @Override
+  public void onRequestDropped(HttpHeaders headers, String closeReason) {
+    lostMeter.mark();
+    if (closeReason.isEmpty()) {
+      counts.recordEnd(CallCounts.End.GONE);
+      logEnd("gone", headers, "caller disconnected before the response to an earlier request");
+    } else {
+      counts.recordEnd(CallCounts.End.CUT);
+      logEnd("cut", headers, closeReason);
+    }
   }
 
   @Override
@@ -262,6 +296,7 @@
     openCalls.put(call.number, call);
     connection.setCurrentCall(call);
     if (rejectingNewCalls) {
+      logEnd("refuse", request.headers(), Rejection.NOT_READY + ": the entry drains");
       rejectCall(call, Rejection.NOT_READY, 0);
       return;
     }
@@ -277,6 +312,7 @@
 
   private void submitCall(OpenCall call) {
     if (openCalls.containsKey(call.number)) {
+      call.submitted = true;
       apply(decider.onCall(clockMillis.getAsLong(), toCallSpec(call)));
     }
   }
@@ -292,10 +328,22 @@
   }
 
   @Override
-  public void onCallerDisconnect(OpenCall call) {
+  public void onDisconnect(OpenCall call, String closeReason) {
     lostMeter.mark();
-    apply(decider.onCallerDisconnect(clockMillis.getAsLong(), call.number));
-    removeCall(call);
+    long now = clockMillis.getAsLong();
+    boolean gone = closeReason.isEmpty();
+    if (call.submitted) {
+      apply(
+          gone
+              ? decider.onCallerDisconnect(now, call.number)
+              : decider.onConnectionClose(now, call.number, closeReason));
+    } else {
+      logEnd(
+          gone ? "gone" : "cut",
+          call.request.headers(),
+          gone ? "caller disconnected after ms=" + (now - call.arrivedAt) : closeReason);
+    }
+    removeCall(call, gone ? CallCounts.End.GONE : CallCounts.End.CUT);
   }
 
   @Override
@@ -491,7 +539,7 @@
     answeredMeter.mark();
     latencyHistogram.update(clockMillis.getAsLong() - call.arrivedAt);
     if (call.responseStarted) {
-      removeCall(call);
+      removeCall(call, CallCounts.End.ANSWERED);
       call.callerConnection.completeResponse();
       return;
     }
@@ -502,7 +550,7 @@
             call.current.body().retainedDuplicate());
     headerCopier.copyResponseHeaders(call.current.head.headers(), response.headers());
     int reservedBytes = call.current.takeReservedBytes();
-    removeCall(call);
+    removeCall(call, CallCounts.End.ANSWERED);
     call.callerConnection
         .writeResponse(response)
         .addListener(future -> responseBudget.release(reservedBytes));
@@ -532,7 +580,7 @@
               HttpHeaderNames.RETRY_AFTER,
               String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
     }
-    removeCall(call);
+    removeCall(call, CallCounts.End.REFUSED);
     call.callerConnection.writeResponse(response);
   }
 
@@ -540,7 +588,7 @@
     OpenCall call = openCalls.get(effect.call());
     if (call != null) {
       lostMeter.mark();
-      removeCall(call);
+      removeCall(call, CallCounts.End.CUT);
       call.callerConnection.abortResponse();
     }
   }
@@ -572,12 +620,26 @@
         SharedPartsParser.parse(headers.get(headerNames.promptParts(), "")));
   }
 
-  private void removeCall(OpenCall call) {
+  private void removeCall(OpenCall call, CallCounts.End end) {
     if (openCalls.remove(call.number) != null) {
+      counts.recordEnd(end);
       call.release();
     }
   }
 
+  /** Writes the line on the end of a request that the decider did not get or no longer holds. */
+  private void logEnd(String kind, HttpHeaders headers, String reason) {
+    DecisionLog.write(
+        new Decision(
+            kind,
+            headers.get(headerNames.requestId(), ""),
+            "",
+            List.of(),
+            "",
+            reason,
+            decider.config().version()));
+  }
+
   private void sweep() {
     observeClocks(clockMillis.getAsLong());
     if (decider.needsSweep()) {
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -53,8 +54,11 @@
   private boolean closing;
   private boolean keepAlive;
 
-  /** Status for a request that cannot be handled, sent after all earlier responses; may be null. */
-  private HttpResponseStatus pendingRejection;
+  /** Rejection that is sent after all earlier responses; may be null. */
+  private PendingRejection pendingRejection;
+
+  /** Why the entry closed the connection, empty if it did not. */
+  private String closeReason = "";
 
   /** Completed once all that was written is sent, null if nothing was written yet. */
   private ChannelFuture lastWrite;
@@ -106,6 +110,7 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
       LOG.error("closing a caller connection, internal failure open={}", !isIdle(), cause);
+      closeReason = "internal failure";
     }
     ctx.close();
   }
@@ -114,14 +119,21 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     closing = true;
     discardPartialRequest();
-    pipelinedRequests.forEach(ReferenceCountUtil::release);
-    pipelinedRequests.clear();
     listener.onConnectionClosed(this);
     if (currentCall != null) {
       OpenCall call = currentCall;
       currentCall = null;
-      listener.onCallerDisconnect(call);
+      listener.onDisconnect(call, closeReason);
+    }
+    for (FullHttpRequest request : pipelinedRequests) {
+      listener.onRequestDropped(request.headers(), closeReason);
+      request.release();
     }
+    pipelinedRequests.clear();
+    if (pendingRejection != null && pendingRejection.wasRead()) {
+      listener.onRequestDropped(pendingRejection.headers(), closeReason);
+    }
+    pendingRejection = null;
   }
 
   // Responses
@@ -178,6 +190,7 @@
   void abortResponse() {
     currentCall = null;
     closing = true;
+    closeReason = "the response to an earlier request was aborted";
     channel.close();
   }
 
@@ -194,6 +207,12 @@
     return currentCall == null && requestHead == null && !isSending();
   }
 
+  /** Returns the number of requests that were read and wait for the responses to earlier ones. */
+  int waitingRequestCount() {
+    boolean rejectionWaits = pendingRejection != null && pendingRejection.wasRead();
+    return pipelinedRequests.size() + (rejectionWaits ? 1 : 0);
+  }
+
   /** Returns whether a response has ended of which parts are not sent yet. */
   boolean isSending() {
     return lastWrite != null && !lastWrite.isDone();
@@ -211,7 +230,7 @@
       close();
     } else if (requestHead != null
         && now - waitingSince > headerTimeoutMillis + idleTimeoutMillis) {
-      rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
+      rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT, requestHead.headers(), false);
     }
   }
 
@@ -222,6 +241,7 @@
           channel.bytesBeforeWritable());
     }
     closing = true;
+    closeReason = "the entry closed the connection";
     channel.close();
   }
 
@@ -235,7 +255,9 @@
       rejectRequest(
           headersTooLarge
               ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-              : HttpResponseStatus.BAD_REQUEST);
+              : HttpResponseStatus.BAD_REQUEST,
+          request.headers(),
+          false);
       return;
     }
     requestHead = request;
@@ -248,12 +270,12 @@
 
   private void appendBody(HttpContent content) {
     if (content.decoderResult().isFailure()) {
-      rejectRequest(HttpResponseStatus.BAD_REQUEST);
+      rejectRequest(HttpResponseStatus.BAD_REQUEST, requestHead.headers(), false);
       return;
     }
     int size = content.content().readableBytes();
     if (requestBody.readableBytes() + size > listener.maxBodyBytes()) {
-      rejectRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      rejectRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, requestHead.headers(), false);
       return;
     }
     if (size > 0) {
@@ -274,13 +296,14 @@
       request.setProtocolVersion(requestHead.protocolVersion());
       requestHead = null;
       requestBody = null;
+      listener.onRequestRead();
       if (currentCall == null) {
         startRequest(request);
       } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
         pipelinedRequests.add(request);
       } else {
         request.release();
-        rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, request.headers(), true);
       }
     }
   }
@@ -304,6 +327,7 @@
     waitingSince = listener.currentMillis();
     if (!keepAlive) {
       closing = true;
+      closeReason = "the connection ended with the response to an earlier request";
       writeFuture.addListener(ChannelFutureListener.CLOSE);
       return;
     }
@@ -311,19 +335,26 @@
     if (next != null) {
       startRequest(next);
     } else if (pendingRejection != null) {
-      rejectRequest(pendingRejection);
+      PendingRejection rejection = pendingRejection;
+      pendingRejection = null;
+      rejectRequest(rejection.status(), rejection.headers(), rejection.wasRead());
     }
   }
 
-  /** Rejects the request after the responses to earlier ones, and reads no further requests. */
-  private void rejectRequest(HttpResponseStatus status) {
+  /**
+   * Rejects the request after the responses to earlier ones, and reads no further requests.
+   *
+   * @param headers headers that were received, maybe not all of them
+   * @param wasRead whether the request was read whole
+   */
+  private void rejectRequest(HttpResponseStatus status, HttpHeaders headers, boolean wasRead) {
     discardPartialRequest();
     closing = true;
     if (currentCall != null) {
-      pendingRejection = status;
+      pendingRejection = new PendingRejection(status, headers, wasRead);
       return;
     }
-    listener.onMalformedRequest(status.code());
+    listener.onRequestRejected(headers, status.code(), wasRead);
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     HttpUtil.setContentLength(response, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -338,6 +369,15 @@
     }
   }
 
+  /**
+   * Rejection of a request behind others.
+   *
+   * @param headers headers of the request that were received
+   * @param wasRead whether the request was read whole
+   */
+  private record PendingRejection(
+      HttpResponseStatus status, HttpHeaders headers, boolean wasRead) {}
+
   /** Receives the requests of callers and the events of their connections. */
   interface Listener {
 
@@ -356,20 +396,41 @@
     /** Handles the end of a connection. */
     void onConnectionClosed(CallerConnection connection);
 
-    /** Handles a complete request; the listener must release it. */
+    /**
+     * Handles that a request was read whole. Unless the listener fails, it is followed by one call
+     * of {@link #onRequest}, {@link #onRequestRejected} or {@link #onRequestDropped}.
+     */
+    void onRequestRead();
+
+    /** Handles a complete request in its turn; the listener must release it. */
     void onRequest(CallerConnection connection, FullHttpRequest request);
 
-    /** Handles a caller that disconnected before the response to its call was complete. */
-    void onCallerDisconnect(OpenCall call);
+    /**
+     * Handles the end of a connection before the response to its call was complete.
+     *
+     * @param closeReason why the entry closed it, empty if the caller did
+     */
+    void onDisconnect(OpenCall call, String closeReason);
+
+    /**
+     * Handles the end of a connection before the turn of a request that was read whole.
+     *
+     * @param headers headers of the request
+     * @param closeReason why the entry closed it, empty if the caller did
+     */
+    void onRequestDropped(HttpHeaders headers, String closeReason);
 
     /** Handles a change of whether the caller of a call has read most of what was written. */
     void onWritabilityChanged(OpenCall call);
 
     /**
-     * Handles a request that was malformed, too large or not received in time.
+     * Handles a request that was malformed, too large, not received in time or one too many on its
+     * connection.
      *
+     * @param headers headers of the request, maybe not all of them
      * @param status HTTP status that was returned to the caller
+     * @param wasRead whether the request was read whole
      */
-    void onMalformedRequest(int status);
+    void onRequestRejected(HttpHeaders headers, int status, boolean wasRead);
   }
 }
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -113,7 +113,7 @@
             openCallsReporter,
             stateSource,
             metrics);
-    metrics.register("calls.open", (Gauge<Integer>) duty::openCallCount);
+    metrics.register("calls.open", (Gauge<Integer>) duty::unendedRequestCount);
     ProcessGauges.register(metrics);
   }
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
@@ -21,6 +21,9 @@
   /** Attempt that goes on beside the current one, null if there is none. */
   OpenAttempt backup;
 
+  /** Whether the decider was asked about the call. */
+  boolean submitted;
+
   /** Whether the head of the response was sent to the caller, by any attempt. */
   boolean responseStarted;
 
--- a/entry/src/test/java/org/cornelchute/entry/direct/CallerConnectionTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/CallerConnectionTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -85,12 +86,18 @@
     }
 
     @Override
-    public void onCallerDisconnect(OpenCall call) {}
+    public void onRequestRead() {}
+
+    @Override
+    public void onDisconnect(OpenCall call, String closeReason) {}
+
+    @Override
+    public void onRequestDropped(HttpHeaders headers, String closeReason) {}
 
     @Override
     public void onWritabilityChanged(OpenCall call) {}
 
     @Override
-    public void onMalformedRequest(int status) {}
+    public void onRequestRejected(HttpHeaders headers, int status, boolean wasRead) {}
   }
 }
--- a/entry/src/test/java/org/cornelchute/entry/direct/PipelinedRequestTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/PipelinedRequestTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
@@ -137,7 +138,13 @@
     }
 
     @Override
-    public void onCallerDisconnect(OpenCall call) {
+    public void onRequestRead() {}
+
+    @Override
+    public void onRequestDropped(HttpHeaders headers, String closeReason) {}
+
+    @Override
+    public void onDisconnect(OpenCall call, String closeReason) {
       call.release();
       current = null;
     }
@@ -146,7 +153,7 @@
     public void onWritabilityChanged(OpenCall call) {}
 
     @Override
-    public void onMalformedRequest(int status) {
+    public void onRequestRejected(HttpHeaders headers, int status, boolean wasRead) {
       malformed.add(status);
     }
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -466,6 +466,22 @@
     return effects;
   }
 
+  /**
+   * Handles the end of a caller's connection that the entry closed before the final response.
+   *
+   * @param reason why it was closed
+   */
+  public List<CallEffect> onConnectionClose(long now, long number, String reason) {
+    List<CallEffect> effects = new ArrayList<>(2);
+    Call call = calls.get(number);
+    if (call != null) {
+      cancelAttempts(now, effects, call);
+      abortResponse(effects, call, reason);
+      dispatchQueued(now, effects);
+    }
+    return effects;
+  }
+
   /** Ends all calls, because the process ends before their responses are complete. */
   public List<CallEffect> onShutdown(long now) {
     List<CallEffect> effects = new ArrayList<>();
