End each call whose step fails with an unexpected exception

Callers could see: neither a response nor a rejection, until the deadline or until they left. When one effect of a batch threw, the others were dropped though the decider had removed their calls; an exception while a response was handled, in the task after a failed attempt, or after the delay that follows a stall, left the call to itself (the last without a line); one Error stopped a periodic task for good; a response that could not be written left its connection open; a failure to read a request closed the connection under the call before it.

Cause: the decider and the duty each hold the call, and nothing joined them again after an exception. Read and ruled out: overflow of deadlines and token counts, lists of parts, names of limits and notices.

A failure to read a request is answered 503 after the responses before it.

The two new cases of PipelinedRequestTest failed on (2 of 7), 7 of 7 pass now.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -142,7 +142,7 @@
         () -> {
           try {
             task.run();
-          } catch (RuntimeException e) {
+          } catch (RuntimeException | Error e) {
             LOG.error("periodic task failed, will run again", e);
           }
         },
@@ -220,10 +220,11 @@
    */
   void endOpenCalls() {
     rejectNewCalls();
-    apply(decider.onShutdown(clockMillis.getAsLong()));
-    for (OpenCall call : List.copyOf(openCalls.values())) {
-      logEnd("refuse", call.request.headers(), Rejection.NOT_READY + ": the process ends");
-      rejectCall(call, Rejection.NOT_READY, 0);
+    try {
+      apply(decider.onShutdown(clockMillis.getAsLong()));
+    } finally {
+      List.copyOf(openCalls.values())
+          .forEach(call -> run(call, () -> endCall(call, "the process ends")));
     }
   }
 
@@ -295,16 +296,21 @@
             now);
     openCalls.put(call.number, call);
     connection.setCurrentCall(call);
+    run(call, () -> startCall(call, now));
+  }
+
+  private void startCall(OpenCall call, long now) {
     if (rejectingNewCalls) {
-      logEnd("refuse", request.headers(), Rejection.NOT_READY + ": the entry drains");
-      rejectCall(call, Rejection.NOT_READY, 0);
+      endCall(call, "the entry drains");
+      recordRejection(Rejection.NOT_READY);
       return;
     }
     observeClocks(now);
     if (stallDetector.isProcessingBacklog(now)) {
       // The caller may have disconnected during the stall; the delay lets the event loop read that
       // first.
-      loop.schedule(() -> submitCall(call), BACKLOG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(
+          () -> run(call, () -> submitCall(call)), BACKLOG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     } else {
       submitCall(call);
     }
@@ -332,18 +338,21 @@
     lostMeter.mark();
     long now = clockMillis.getAsLong();
     boolean gone = closeReason.isEmpty();
-    if (call.submitted) {
-      apply(
-          gone
-              ? decider.onCallerDisconnect(now, call.number)
-              : decider.onConnectionClose(now, call.number, closeReason));
-    } else {
-      logEnd(
-          gone ? "gone" : "cut",
-          call.request.headers(),
-          gone ? "caller disconnected after ms=" + (now - call.arrivedAt) : closeReason);
+    try {
+      if (call.submitted) {
+        apply(
+            gone
+                ? decider.onCallerDisconnect(now, call.number)
+                : decider.onConnectionClose(now, call.number, closeReason));
+      } else {
+        logEnd(
+            gone ? "gone" : "cut",
+            call.request.headers(),
+            gone ? "caller disconnected after ms=" + (now - call.arrivedAt) : closeReason);
+      }
+    } finally {
+      removeCall(call, gone ? CallCounts.End.GONE : CallCounts.End.CUT);
     }
-    removeCall(call, gone ? CallCounts.End.GONE : CallCounts.End.CUT);
   }
 
   @Override
@@ -418,33 +427,103 @@
 
   // Effects
 
+  /**
+   * Applies the effects of a decision. One that fails ends its call, of which no further effects
+   * are applied, and not the other calls.
+   */
   private void apply(List<CallEffect> effects) {
+    Set<Long> failedCalls = Set.of();
     for (CallEffect effect : effects) {
-      if (effect instanceof CallEffect.Log log) {
-        DecisionLog.write(log.decision());
-      } else if (effect instanceof CallEffect.Dispatch dispatch) {
-        dispatch(dispatch);
-      } else if (effect instanceof CallEffect.CancelAttempt cancel) {
-        cancelAttempt(cancel);
-      } else if (effect instanceof CallEffect.PromoteBackup promote) {
-        promoteBackup(promote);
-      } else if (effect instanceof CallEffect.StartStream start) {
-        startStream(start);
-      } else if (effect instanceof CallEffect.Complete complete) {
-        completeCall(complete);
-      } else if (effect instanceof CallEffect.Reject reject) {
-        OpenCall call = openCalls.get(reject.call());
-        if (call != null) {
-          rejectCall(call, reject.rejection(), reject.retryAfterMillis());
+      if (failedCalls.contains(effect.call())) {
+        continue;
+      }
+      try {
+        apply(effect);
+      } catch (RuntimeException | Error e) {
+        OpenCall call = openCalls.get(effect.call());
+        if (call == null) {
+          LOG.error("effect failed effect={}", effect, e);
+        } else {
+          failedCalls = new HashSet<>(failedCalls);
+          failedCalls.add(call.number);
+          endFailedCall(call, e);
         }
-      } else if (effect instanceof CallEffect.AbortResponse abort) {
-        abortResponse(abort);
-      } else if (effect instanceof CallEffect.StoreBlockedPart blocked) {
-        stateSource.storeBlockedPart(blocked.part(), blocked.crashCount());
       }
     }
   }
 
+  private void apply(CallEffect effect) {
+    if (effect instanceof CallEffect.Log log) {
+      DecisionLog.write(log.decision());
+    } else if (effect instanceof CallEffect.Dispatch dispatch) {
+      dispatch(dispatch);
+    } else if (effect instanceof CallEffect.CancelAttempt cancel) {
+      cancelAttempt(cancel);
+    } else if (effect instanceof CallEffect.PromoteBackup promote) {
+      promoteBackup(promote);
+    } else if (effect instanceof CallEffect.StartStream start) {
+      startStream(start);
+    } else if (effect instanceof CallEffect.Complete complete) {
+      completeCall(complete);
+    } else if (effect instanceof CallEffect.Reject reject) {
+      OpenCall call = openCalls.get(reject.call());
+      if (call != null) {
+        rejectCall(call, reject.rejection(), reject.retryAfterMillis());
+      }
+    } else if (effect instanceof CallEffect.AbortResponse abort) {
+      abortResponse(abort);
+    } else if (effect instanceof CallEffect.StoreBlockedPart blocked) {
+      stateSource.storeBlockedPart(blocked.part(), blocked.crashCount());
+    }
+  }
+
+  /** Runs a step of a call; one that fails ends the call, which may have no other end. */
+  private void run(OpenCall call, Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      endFailedCall(call, e);
+    }
+  }
+
+  /** Ends a call, unless it has ended, and makes the decider forget it. */
+  private void endFailedCall(OpenCall call, Throwable cause) {
+    LOG.error(
+        "internal failure of a call id={} open={}",
+        call.request.headers().get(headerNames.requestId()),
+        openCalls.containsKey(call.number),
+        cause);
+    if (!openCalls.containsKey(call.number)) {
+      return;
+    }
+    try {
+      endCall(call, "internal failure");
+    } catch (RuntimeException | Error e) {
+      LOG.error("closing the connection of a call that cannot be rejected", e);
+      abortResponse(call);
+    }
+    try {
+      apply(decider.abandon(clockMillis.getAsLong(), call.number));
+    } catch (RuntimeException | Error e) {
+      LOG.error("the decider cannot forget a call", e);
+    }
+  }
+
+  /**
+   * Gives a call that the decider does not hold its final response: a rejection that tells whether
+   * an endpoint may have executed it, or a visible break if its response has begun.
+   */
+  private void endCall(OpenCall call, String reason) {
+    if (call.responseStarted) {
+      logEnd("cut", call.request.headers(), reason);
+      abortResponse(call);
+      return;
+    }
+    Rejection rejection = call.mayBeSent ? Rejection.ANSWER_LOST : Rejection.NOT_READY;
+    logEnd("refuse", call.request.headers(), rejection + ": " + reason);
+    writeRejection(call, rejection, 0);
+  }
+
   private void dispatch(CallEffect.Dispatch dispatch) {
     OpenCall call = openCalls.get(dispatch.call());
     if (call == null) {
@@ -454,20 +533,23 @@
         dispatch.backup()
             ? call.startBackup(dispatch.attempt())
             : call.startAttempt(dispatch.attempt());
+    WireRequest request = toWireRequest(call, dispatch);
+    request.message().retain();
+    call.mayBeSent = true;
     // A send that fails immediately is handled later on the event loop, after the remaining
     // effects.
     attempt.exchange =
-        client.send(
-            toWireRequest(call, dispatch), new AttemptListener(call, attempt, dispatch.endpoint()));
+        client.send(request, new AttemptListener(call, attempt, dispatch.endpoint()));
   }
 
+  /** Returns the request of an attempt, which shares its content with the call's. */
   private WireRequest toWireRequest(OpenCall call, CallEffect.Dispatch dispatch) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             call.request.method(),
             call.request.uri(),
-            call.request.content().retainedDuplicate(),
+            call.request.content().duplicate(),
             DefaultHttpHeadersFactory.headersFactory().newHeaders(),
             EmptyHttpHeaders.INSTANCE);
     HttpHeaders requestHeaders = request.headers();
@@ -557,7 +639,15 @@
   }
 
   private void rejectCall(OpenCall call, Rejection rejection, long retryAfterMillis) {
+    recordRejection(rejection);
+    writeRejection(call, rejection, retryAfterMillis);
+  }
+
+  private void recordRejection(Rejection rejection) {
     metrics.meter("calls.rejected." + rejection.name().toLowerCase(Locale.ROOT)).mark();
+  }
+
+  private void writeRejection(OpenCall call, Rejection rejection, long retryAfterMillis) {
     HttpResponseStatus status =
         switch (rejection) {
           case UNKNOWN_ROUTE -> HttpResponseStatus.NOT_FOUND;
@@ -587,12 +677,16 @@
   private void abortResponse(CallEffect.AbortResponse effect) {
     OpenCall call = openCalls.get(effect.call());
     if (call != null) {
-      lostMeter.mark();
-      removeCall(call, CallCounts.End.CUT);
-      call.callerConnection.abortResponse();
+      abortResponse(call);
     }
   }
 
+  private void abortResponse(OpenCall call) {
+    lostMeter.mark();
+    removeCall(call, CallCounts.End.CUT);
+    call.callerConnection.abortResponse();
+  }
+
   // Helpers
 
   private CallSpec toCallSpec(OpenCall call) {
@@ -641,13 +735,26 @@
   }
 
   private void sweep() {
-    observeClocks(clockMillis.getAsLong());
-    if (decider.needsSweep()) {
-      recordPausedStreams();
-      apply(decider.sweep(clockMillis.getAsLong()));
+    long now = clockMillis.getAsLong();
+    try {
+      observeClocks(now);
+      if (decider.needsSweep()) {
+        recordPausedStreams();
+        apply(decider.sweep(now));
+      }
+    } finally {
+      endOverdueCalls(now);
     }
   }
 
+  /** Ends calls that the decider forgot or failed to end, which have no other end. */
+  private void endOverdueCalls(long now) {
+    openCalls.values().stream()
+        .filter(call -> call.submitted && decider.isOverdue(now, call.number))
+        .toList()
+        .forEach(call -> endFailedCall(call, new IllegalStateException("call without an end")));
+  }
+
   /** Records which streams wait for their callers, so that none of them counts as stalled. */
   private void recordPausedStreams() {
     long now = clockMillis.getAsLong();
@@ -692,6 +799,10 @@
 
     @Override
     public void onHead(HttpResponse head) {
+      run(call, () -> handleHead(head));
+    }
+
+    private void handleHead(HttpResponse head) {
       handleNotice(head);
       if (attempt.resumed && isOtherContent(head)) {
         // The caller has the head of an event stream, or may get it from another attempt.
@@ -752,6 +863,10 @@
 
     @Override
     public void onContent(ByteBuf bytes) {
+      run(call, () -> handleContent(bytes));
+    }
+
+    private void handleContent(ByteBuf bytes) {
       if (!isOpen()) {
         return;
       }
@@ -797,6 +912,10 @@
 
     @Override
     public void onEnd() {
+      run(call, this::handleEnd);
+    }
+
+    private void handleEnd() {
       if (!isOpen()) {
         return;
       }
@@ -812,11 +931,13 @@
 
     @Override
     public void onFailure(boolean sent, String reason) {
-      loop.execute(
-          () ->
-              apply(
-                  decider.onAttemptFailure(
-                      clockMillis.getAsLong(), call.number, attempt.number, sent, reason)));
+      loop.execute(() -> run(call, () -> handleFailure(sent, reason)));
+    }
+
+    private void handleFailure(boolean sent, String reason) {
+      apply(
+          decider.onAttemptFailure(
+              clockMillis.getAsLong(), call.number, attempt.number, sent, reason));
     }
   }
 }
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -108,11 +109,12 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      LOG.error("closing a caller connection, internal failure open={}", !isIdle(), cause);
-      closeReason = "internal failure";
+    if (cause instanceof IOException) {
+      ctx.close();
+      return;
     }
-    ctx.close();
+    LOG.error("closing a caller connection, internal failure open={}", !isIdle(), cause);
+    rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, EmptyHttpHeaders.INSTANCE, false);
   }
 
   @Override
@@ -120,11 +122,6 @@
     closing = true;
     discardPartialRequest();
     listener.onConnectionClosed(this);
-    if (currentCall != null) {
-      OpenCall call = currentCall;
-      currentCall = null;
-      listener.onDisconnect(call, closeReason);
-    }
     for (FullHttpRequest request : pipelinedRequests) {
       listener.onRequestDropped(request.headers(), closeReason);
       request.release();
@@ -134,6 +131,11 @@
       listener.onRequestDropped(pendingRejection.headers(), closeReason);
     }
     pendingRejection = null;
+    if (currentCall != null) {
+      OpenCall call = currentCall;
+      currentCall = null;
+      listener.onDisconnect(call, closeReason);
+    }
   }
 
   // Responses
@@ -322,7 +324,7 @@
 
   private void finishResponse(ChannelFuture writeFuture) {
     lastWrite = writeFuture;
-    writeFuture.addListener(future -> waitingSince = listener.currentMillis());
+    writeFuture.addListener(this::onResponseWritten);
     currentCall = null;
     waitingSince = listener.currentMillis();
     if (!keepAlive) {
@@ -341,6 +343,17 @@
     }
   }
 
+  /** Closes a connection whose response failed, for which its caller would wait. */
+  private void onResponseWritten(Future<? super Void> write) {
+    waitingSince = listener.currentMillis();
+    if (!write.isSuccess() && channel.isOpen() && !(write.cause() instanceof IOException)) {
+      LOG.error("closing a caller connection, its response cannot be written", write.cause());
+      closeReason = "internal failure";
+      closing = true;
+      channel.close();
+    }
+  }
+
   /**
    * Rejects the request after the responses to earlier ones, and reads no further requests.
    *
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCall.java
@@ -24,6 +24,9 @@
   /** Whether the decider was asked about the call. */
   boolean submitted;
 
+  /** Whether any endpoint may have received the call. */
+  boolean mayBeSent;
+
   /** Whether the head of the response was sent to the caller, by any attempt. */
   boolean responseStarted;
 
--- a/entry/src/test/java/org/cornelchute/entry/direct/CallEndLogTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/CallEndLogTest.java
@@ -125,6 +125,7 @@
     try (Socket caller = connect()) {
       TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
       entryLoop.get().execute(() -> pause(STALL_MILLIS));
+      TimeUnit.MILLISECONDS.sleep(STALL_MILLIS / 4);
       send(caller, StreamFixture.request("left", true));
     }
     assertThat(awaitEnds(1)).containsExactly("gone left");
--- a/entry/src/test/java/org/cornelchute/entry/direct/PipelinedRequestTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/PipelinedRequestTest.java
@@ -4,6 +4,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -11,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -94,6 +98,35 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  /** Failure: a call ended without response, as the entry failed to read what followed it. */
+  @Test
+  void answersCallBeforeInternalFailure() {
+    send(REQUEST);
+    channel.pipeline().fireExceptionCaught(new IllegalStateException("for the test"));
+    assertThat(channel.isOpen()).isTrue();
+    listener.answer();
+    assertThat(receive()).containsExactly(200, 503);
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Failure: a caller waited on an open connection for a response that could not be encoded. */
+  @Test
+  void closesConnectionWhoseResponseCannotBeWritten() {
+    channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                promise.setFailure(new IllegalStateException("for the test"));
+              }
+            });
+    send(REQUEST);
+    listener.answer();
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   /** Keeps each call open until the test answers it. */
   private static final class ManualListener implements CallerConnection.Listener {
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -482,6 +482,27 @@
     return effects;
   }
 
+  /** Forgets a call that the duty has ended, since a step of it failed. */
+  public List<CallEffect> abandon(long now, long number) {
+    List<CallEffect> effects = new ArrayList<>(2);
+    Call call = calls.get(number);
+    if (call != null) {
+      cancelAttempts(now, effects, call);
+      remove(call);
+      dispatchQueued(now, effects);
+    }
+    return effects;
+  }
+
+  /**
+   * Returns whether a call that was handled should have its final response: it is not held any
+   * more, or its deadline has passed. After {@link #sweep} at the same time, none should.
+   */
+  public boolean isOverdue(long now, long number) {
+    Call call = calls.get(number);
+    return call == null || now > call.deadline;
+  }
+
   /** Ends all calls, because the process ends before their responses are complete. */
   public List<CallEffect> onShutdown(long now) {
     List<CallEffect> effects = new ArrayList<>();
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallEffect.java
@@ -5,6 +5,11 @@
 /** An action that a {@link CallDecider} requests from its duty. */
 public sealed interface CallEffect {
 
+  /** Returns the number of the call that the action concerns, 0 if none. */
+  default long call() {
+    return 0;
+  }
+
   /**
    * Send a call to an endpoint.
    *
@@ -59,6 +64,10 @@
    */
   record StoreBlockedPart(long part, int crashCount) implements CallEffect {}
 
-  /** Write a decision to the decision log. */
-  record Log(Decision decision) implements CallEffect {}
+  /**
+   * Write a decision to the decision log.
+   *
+   * @param call number of the call that it concerns, 0 if none
+   */
+  record Log(long call, Decision decision) implements CallEffect {}
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
@@ -27,6 +27,7 @@
   CallEffect attempt(String kind, Call call, Attempt attempt, String reason) {
     int number = attempt == null ? call.lastAttempt : attempt.number;
     return new CallEffect.Log(
+        call.spec.number(),
         new Decision(
             kind,
             call.spec.id(),
@@ -65,7 +66,7 @@
             + refusal.reason()
             + " ageMs="
             + Math.min(ageMillis, Integer.MAX_VALUE);
-    return line("refuse", spec.id(), reason);
+    return line(spec.number(), "refuse", spec.id(), reason);
   }
 
   /** Returns a line on the limit that an endpoint names. */
@@ -95,7 +96,11 @@
   }
 
   private CallEffect line(String kind, String subject, String reason) {
+    return line(0, kind, subject, reason);
+  }
+
+  private CallEffect line(long call, String kind, String subject, String reason) {
     return new CallEffect.Log(
-        new Decision(kind, subject, "", List.of(), "", reason, configVersion));
+        call, new Decision(kind, subject, "", List.of(), "", reason, configVersion));
   }
 }
