Drain a process that gets its termination signal while it starts

Callers could see: a connection that closes under a call, if the signal came between the opening of the sockets and the end of the start. The shutdown hook was installed after Daemon.start(), so the signal ended the process at once.

Ruled out: a drain beside a start, which the daemons are not made for; the hook waits for the start, at most 1 s. A start that fails ends the process as before.

DaemonRunnerTest (a process with a slow start, SIGTERM in the middle) failed on ("Expecting ListN: [] to contain: [drained]"), passes now, one run each. That calls were cut by it in the field is not shown: the window is a few ms.

--- a/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
+++ b/core/src/main/java/org/cornelchute/core/cli/DaemonRunner.java
@@ -2,6 +2,7 @@
 
 import ch.qos.logback.classic.LoggerContext;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -10,6 +11,9 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(DaemonRunner.class);
 
+  /** Time for which the end of a process that has not started yet is delayed. */
+  private static final long MAX_START_MILLIS = 1_000;
+
   private DaemonRunner() {}
 
   /** Runs a daemon; returns only when the process ends. */
@@ -24,19 +28,13 @@
    */
   public static void run(String name, Daemon daemon, Runnable reload) {
     SighupHandler.install(reload);
+    CountDownLatch started = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> shutDown(name, daemon, started), "shutdown"));
     if (!start(name, daemon)) {
       Runtime.getRuntime().halt(ExitCode.FAILED);
     }
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  boolean drained = daemon.drain();
-                  daemon.close();
-                  LOG.info("{} stopped, all requests ended in time: {}", name, drained);
-                  flushLog();
-                },
-                "shutdown"));
+    started.countDown();
     LOG.info("{} started", name);
     try {
       new CountDownLatch(1).await();
@@ -45,6 +43,21 @@
     }
   }
 
+  /** Drains and closes a daemon; one that is being started first, as its sockets may be open. */
+  private static void shutDown(String name, Daemon daemon, CountDownLatch started) {
+    try {
+      if (!started.await(MAX_START_MILLIS, TimeUnit.MILLISECONDS)) {
+        LOG.warn("{} is stopped before it has started", name);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    boolean drained = daemon.drain();
+    daemon.close();
+    LOG.info("{} stopped, all requests ended in time: {}", name, drained);
+    flushLog();
+  }
+
   /**
    * Starts a daemon. One that fails must not stay, half started, where only its end would make the
    * platform start it again.
