Test that calls outlive changes of a split, services, regions and a workspace

CallEndingsTest drew routes, timeouts, keys and evacuations beside silences, but each route had one service, so that no change of a split or of a service could end a call. Each route now splits its calls between two services, and the drawn events include: a split that moves, a service with weight 0, dropped from the split, removed from the configuration with and without its endpoints, regions of routes, another workspace behind the key, a shorter idle timeout.

The oracle is stricter: a call must end by the deadline that it was admitted with (before: by the longest one), callers wait longer than the routes' timeout, so that the longer timeout when a change is reversed is covered, and over its seeds each sort of event must meet calls at each stage: queued, dispatched, head received, events delivered, retried, second attempt begun.

Quotas are left out: ServingConfig does not know them, and no class of the project does.

--- a/policy/src/test/java/org/cornelchute/policy/forward/CallEndingsSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallEndingsSimulation.java
@@ -1,7 +1,9 @@
 package org.cornelchute.policy.forward;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,17 +25,30 @@
 
   static final long TIMEOUT_MILLIS = 4_000;
 
+  /** Service that each kind of endpoint belongs to, with the services that share its calls. */
+  static final List<String> ENGINE_SERVICES = List.of("engines", "engines-b");
+
+  static final List<String> PLAIN_SERVICES = List.of("plain", "plain-b");
+
+  /** Time that callers wait, more than the timeout of the routes unless that is changed. */
+  private static final long CALLER_DEADLINE_MILLIS = 2 * TIMEOUT_MILLIS;
+
   private static final long SWEEP_MILLIS = 50;
   private static final long NETWORK_MILLIS = 2;
   private static final long STEP_MILLIS = 80;
   private static final int STREAM_EVENTS = 12;
-  private static final int ENGINES = 6;
-  private static final int PLAIN = 3;
+  private static final int MAX_ATTEMPTS = 2;
+  private static final int ENGINES = 8;
+  private static final int PLAIN = 4;
 
   /** Number of calls that were not rejected, by kind of route. */
   final Map<String, Integer> servedByRoute = new HashMap<>();
 
   final List<String> violations = new ArrayList<>();
+
+  /** Stages of calls that were open at some event. */
+  final Set<Stage> stagesAtEvents = EnumSet.noneOf(Stage.class);
+
   final Random random;
   final List<SimulatedEndpoint> endpoints = new ArrayList<>();
 
@@ -45,6 +60,20 @@
   /** Whether the store confirms the configuration. */
   boolean storeAvailable = true;
 
+  /** Settings of the configuration that {@link #publishConfig} sends to the entry. */
+  final Set<String> removedRoutes = new HashSet<>();
+
+  final Set<String> removedServices = new HashSet<>();
+
+  /** Weights of the two services of each route; a service with a negative one is not listed. */
+  List<Double> weights = List.of(1.0, 1.0);
+
+  long timeoutMillis = TIMEOUT_MILLIS;
+  boolean withKey = true;
+  List<String> routeRegions = List.of();
+  WorkspaceSpec workspace = new WorkspaceSpec("w", 1, List.of());
+  long idleTimeoutMillis = ServingConfig.CallerLimits.DEFAULTS.idleTimeoutMillis();
+
   long now = 1_000_000;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Map<Long, SimulatedCall> calls = new HashMap<>();
@@ -75,12 +104,13 @@
             0);
     decider.recordFirstStart();
     for (int i = 0; i < ENGINES; i++) {
-      endpoints.add(new SimulatedEndpoint(Fixture.engine("engine" + i, "d" + i % 2, 1)));
+      endpoints.add(
+          new SimulatedEndpoint(spec("engine" + i, ENGINE_SERVICES.get(i / 2 % 2), i, 1)));
     }
     for (int i = 0; i < PLAIN; i++) {
-      endpoints.add(new SimulatedEndpoint(Fixture.plain("plain" + i)));
+      endpoints.add(new SimulatedEndpoint(spec("plain" + i, PLAIN_SERVICES.get(i / 2 % 2), i, 0)));
     }
-    updateConfig(Set.of(), TIMEOUT_MILLIS, true);
+    publishConfig();
     decider.updateEvacuatedDomains(Set.of());
     decider.updateEntries(List.of("e1"));
     listEndpoints();
@@ -89,41 +119,80 @@
 
   // Inputs
 
-  /** Replaces the configuration by one without some routes, and perhaps without the key. */
-  void updateConfig(Set<String> removedRoutes, long timeoutMillis, boolean withKey) {
+  /** Sends the configuration with the current settings to the entry. */
+  void publishConfig() {
     List<RouteSpec> routes = new ArrayList<>();
-    routes.add(route("resumable", CallKind.STREAM, true, "engines", 2, timeoutMillis));
-    routes.add(route("stream", CallKind.STREAM, false, "engines", 2, timeoutMillis));
-    routes.add(route("check", CallKind.IDEMPOTENT, false, "plain", 2, timeoutMillis));
-    routes.add(route("order", CallKind.NON_IDEMPOTENT, false, "plain", 2, timeoutMillis));
+    routes.add(route("resumable", CallKind.STREAM, true, ENGINE_SERVICES));
+    routes.add(route("stream", CallKind.STREAM, false, ENGINE_SERVICES));
+    routes.add(route("check", CallKind.IDEMPOTENT, false, PLAIN_SERVICES));
+    routes.add(route("order", CallKind.NON_IDEMPOTENT, false, PLAIN_SERVICES));
     routes.removeIf(r -> removedRoutes.contains(r.name()));
-    Map<String, WorkspaceSpec> keys =
-        withKey ? Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of())) : Map.of();
+    List<ServiceSpec> services = new ArrayList<>();
+    ENGINE_SERVICES.forEach(name -> services.add(service(name, Fixture.ENGINES)));
+    PLAIN_SERVICES.forEach(name -> services.add(service(name, Fixture.PLAIN)));
+    services.removeIf(service -> removedServices.contains(service.name()));
+    ServingConfig.CallerLimits limits = ServingConfig.CallerLimits.DEFAULTS;
     decider.updateConfig(
         new ServingConfig(
             ++configVersion,
             routes,
-            List.of(Fixture.ENGINES, Fixture.PLAIN),
+            services,
             true,
-            keys,
-            ServingConfig.CallerLimits.DEFAULTS));
+            withKey ? Map.of(Fixture.KEY, workspace) : Map.of(),
+            new ServingConfig.CallerLimits(
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                limits.headerTimeoutMillis(),
+                idleTimeoutMillis)));
   }
 
-  private static RouteSpec route(
-      String name, CallKind kind, boolean resumable, String service, int attempts, long timeout) {
+  private RouteSpec route(String name, CallKind kind, boolean resumable, List<String> services) {
+    List<RouteSpec.WeightedService> split = new ArrayList<>();
+    for (int i = 0; i < services.size(); i++) {
+      if (weights.get(i) >= 0) {
+        split.add(new RouteSpec.WeightedService(services.get(i), weights.get(i)));
+      }
+    }
     return new RouteSpec(
         name,
         "h",
         "/" + name + "/",
         kind,
         resumable,
-        timeout,
+        timeoutMillis,
         Fixture.TARGET_MILLIS,
         1,
-        attempts,
+        MAX_ATTEMPTS,
+        false,
+        routeRegions,
+        split);
+  }
+
+  private static ServiceSpec service(String name, ServiceSpec like) {
+    return new ServiceSpec(
+        name,
+        like.maxConnections(),
+        like.coldStartMillis(),
+        like.coldCallsPerSecond(),
+        like.engine());
+  }
+
+  private static EndpointSpec spec(String id, String service, int index, long version) {
+    EndpointSpec like = version > 0 ? Fixture.engine(id, "", version) : Fixture.plain(id);
+    String domain = "d" + index % 2;
+    return new EndpointSpec(
+        id,
+        service,
+        like.address(),
+        domain,
+        domain,
+        like.slots(),
         false,
-        List.of(),
-        List.of(new RouteSpec.WeightedService(service, 1)));
+        0,
+        like.startedAtMillis(),
+        like.model(),
+        version,
+        0);
   }
 
   /** Sends the list of endpoints, without those that are missing, to the entry. */
@@ -181,6 +250,15 @@
     }
   }
 
+  /** Records at which stages calls are open now. */
+  void recordStages() {
+    for (SimulatedCall call : calls.values()) {
+      if (!call.ended) {
+        stagesAtEvents.add(call.stage());
+      }
+    }
+  }
+
   private void arrive(String route) {
     SimulatedCall call = new SimulatedCall(++lastNumber, route, now);
     calls.put(call.number, call);
@@ -193,7 +271,7 @@
                 "h",
                 "/" + route + "/",
                 Fixture.KEY,
-                TIMEOUT_MILLIS,
+                CALLER_DEADLINE_MILLIS,
                 977,
                 94,
                 0,
@@ -262,7 +340,7 @@
     }
     call.ended = true;
     long elapsed = now - call.arrivedAt;
-    if (elapsed > TIMEOUT_MILLIS + 2 * SWEEP_MILLIS) {
+    if (elapsed > call.timeoutMillis + 2 * SWEEP_MILLIS) {
       violations.add(call + " ended after " + elapsed + " ms: " + how);
     }
     if (how.equals("complete") || elapsed >= call.timeoutMillis) {
@@ -466,7 +544,23 @@
       this.arrivedAt = arrivedAt;
       Optional<RouteSpec> spec = decider.config().findRoute("h", "/" + route + "/");
       this.timeoutMillis =
-          Math.min(TIMEOUT_MILLIS, spec.map(RouteSpec::timeoutMillis).orElse(TIMEOUT_MILLIS));
+          Math.min(
+              CALLER_DEADLINE_MILLIS, spec.map(RouteSpec::timeoutMillis).orElse(TIMEOUT_MILLIS));
+    }
+
+    Stage stage() {
+      Job job = jobs.get(current);
+      if (job == null) {
+        return Stage.QUEUED;
+      }
+      if (jobs.size() > 1) {
+        boolean begun = jobs.values().stream().anyMatch(j -> j.attempt > 1 && j.headSent);
+        return begun ? Stage.SECOND_ATTEMPT_BEGUN : Stage.RETRIED;
+      }
+      if (!job.headSent) {
+        return Stage.DISPATCHED;
+      }
+      return deliveredEvents > 0 ? Stage.EVENTS_DELIVERED : Stage.HEAD_RECEIVED;
     }
 
     boolean isStream() {
@@ -479,6 +573,16 @@
     }
   }
 
+  /** How far a call has come. */
+  enum Stage {
+    QUEUED,
+    DISPATCHED,
+    HEAD_RECEIVED,
+    EVENTS_DELIVERED,
+    RETRIED,
+    SECOND_ATTEMPT_BEGUN
+  }
+
   private record Event(long time, long sequence, Runnable action) implements Comparable<Event> {
 
     @Override
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallEndingsTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallEndingsTest.java
@@ -4,9 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import org.cornelchute.policy.forward.CallEndingsSimulation.SimulatedEndpoint;
+import org.cornelchute.policy.forward.CallEndingsSimulation.Stage;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -30,12 +32,26 @@
   /** Time around a silence in which other events are drawn. */
   private static final int OVERLAP_MILLIS = 1_000;
 
+  /** Services that are removed in some runs; each shares the calls of its routes with another. */
+  private static final Set<String> REMOVABLE_SERVICES =
+      Set.of(
+          CallEndingsSimulation.ENGINE_SERVICES.get(0),
+          CallEndingsSimulation.PLAIN_SERVICES.get(0));
+
   /** What happens beside a silence. */
   enum Beside {
     NOTHING,
     ROUTE_REMOVED,
     TIMEOUT_CHANGED,
     KEY_REMOVED,
+    SPLIT_MOVED,
+    SPLIT_WEIGHT_ZERO,
+    SERVICE_DROPPED_FROM_SPLIT,
+    SERVICE_REMOVED,
+    SERVICE_REMOVED_WITH_ENDPOINTS,
+    ROUTE_REGIONS_CHANGED,
+    WORKSPACE_CHANGED,
+    IDLE_TIMEOUT_SHORTENED,
     DOMAIN_EVACUATED,
     VERSION_ASSIGNED,
     ENDPOINT_DRAINING,
@@ -49,11 +65,14 @@
   @ParameterizedTest
   @EnumSource(Beside.class)
   void everyCallHasOneTrueEnd(Beside beside) {
+    Set<Stage> stages = EnumSet.noneOf(Stage.class);
     for (long seed = 1; seed <= SEEDS_PER_EVENT; seed++) {
       CallEndingsSimulation simulation = run(seed, List.of(beside));
       assertThat(simulation.violations).as(beside + ", seed " + seed).isEmpty();
       assertThat(simulation.servedByRoute).as("routes with complete responses").hasSize(4);
+      stages.addAll(simulation.stagesAtEvents);
     }
+    assertThat(stages).as("stages of calls at events").containsExactlyInAnyOrder(Stage.values());
   }
 
   /** Failure: as above, with all events drawn in one run. */
@@ -92,22 +111,63 @@
   }
 
   private static void happen(CallEndingsSimulation s, Beside event) {
+    s.recordStages();
     SimulatedEndpoint endpoint = s.endpoints.get(s.random.nextInt(s.endpoints.size()));
     long timeout = CallEndingsSimulation.TIMEOUT_MILLIS;
     long duration = 1_000 + s.random.nextInt(1_000);
     switch (event) {
       case NOTHING -> {}
-      case ROUTE_REMOVED -> {
-        s.updateConfig(Set.of("resumable", "order"), timeout, true);
-        s.at(duration, () -> s.updateConfig(Set.of(), timeout, true));
+      case ROUTE_REMOVED ->
+          change(
+              s,
+              duration,
+              () -> s.removedRoutes.addAll(Set.of("resumable", "order")),
+              s.removedRoutes::clear);
+      case TIMEOUT_CHANGED ->
+          change(s, duration, () -> s.timeoutMillis = timeout / 2, () -> s.timeoutMillis = timeout);
+      case KEY_REMOVED -> change(s, duration, () -> s.withKey = false, () -> s.withKey = true);
+      case SPLIT_MOVED -> changeWeights(s, duration, 0.1, 0.9);
+      case SPLIT_WEIGHT_ZERO -> changeWeights(s, duration, 0, 1);
+      case SERVICE_DROPPED_FROM_SPLIT -> changeWeights(s, duration, -1, 1);
+      case SERVICE_REMOVED ->
+          change(
+              s,
+              duration,
+              () -> s.removedServices.addAll(REMOVABLE_SERVICES),
+              s.removedServices::clear);
+      case SERVICE_REMOVED_WITH_ENDPOINTS -> {
+        List<SimulatedEndpoint> removed =
+            s.endpoints.stream()
+                .filter(e -> REMOVABLE_SERVICES.contains(e.spec.service()))
+                .toList();
+        change(
+            s,
+            duration,
+            () -> {
+              s.removedServices.addAll(REMOVABLE_SERVICES);
+              s.unlisted.addAll(removed);
+              s.listEndpoints();
+            },
+            () -> {
+              s.removedServices.clear();
+              s.unlisted.removeAll(removed);
+              s.listEndpoints();
+            });
       }
-      case TIMEOUT_CHANGED -> {
-        s.updateConfig(Set.of(), timeout / 2, true);
-        s.at(duration, () -> s.updateConfig(Set.of(), timeout, true));
+      case ROUTE_REGIONS_CHANGED ->
+          change(
+              s, duration, () -> s.routeRegions = List.of("d0"), () -> s.routeRegions = List.of());
+      case WORKSPACE_CHANGED -> {
+        WorkspaceSpec before = s.workspace;
+        change(
+            s,
+            duration,
+            () -> s.workspace = new WorkspaceSpec("w2", 0, List.of("d1")),
+            () -> s.workspace = before);
       }
-      case KEY_REMOVED -> {
-        s.updateConfig(Set.of(), timeout, false);
-        s.at(duration, () -> s.updateConfig(Set.of(), timeout, true));
+      case IDLE_TIMEOUT_SHORTENED -> {
+        long before = s.idleTimeoutMillis;
+        change(s, duration, () -> s.idleTimeoutMillis = 1, () -> s.idleTimeoutMillis = before);
       }
       case DOMAIN_EVACUATED -> {
         s.decider.updateEvacuatedDomains(Set.of("d" + s.random.nextInt(2)));
@@ -156,6 +216,28 @@
     }
   }
 
+  /** Publishes a change of the configuration, and its reversal after a time. */
+  private static void change(
+      CallEndingsSimulation s, long millis, Runnable change, Runnable reversal) {
+    change.run();
+    s.publishConfig();
+    s.at(
+        millis,
+        () -> {
+          reversal.run();
+          s.publishConfig();
+        });
+  }
+
+  /**
+   * Changes the weights of the services of all routes; a service with a negative one is dropped.
+   */
+  private static void changeWeights(
+      CallEndingsSimulation s, long millis, double first, double second) {
+    change(
+        s, millis, () -> s.weights = List.of(first, second), () -> s.weights = List.of(1.0, 1.0));
+  }
+
   /** All engines load the assigned weights one after the other; running calls are completed. */
   private static void loadVersion(CallEndingsSimulation s) {
     for (SimulatedEndpoint endpoint : s.endpoints) {
