Take calls for first tries after the timeout of their route is shortened

Cause: an entry recognizes the retry of a caller by a deadline that is shorter than the longest one seen on the route. That one was kept across changes of the route's timeout, which bounds all deadlines, so that each later call seemed to have waited for the difference.

Ruled out: calls that were open before the change (they keep their route), and a timeout that becomes longer (the longest deadline follows).

Retries after the change still leave slots free.

The longest deadline now starts again with the first call under another timeout, so that it is always one that callers can have under the current configuration.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallAdmission.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallAdmission.java
@@ -28,7 +28,7 @@
   private final OtherEntries otherEntries;
   private final EndpointPool endpointPool;
   private final Random random;
-  private final Map<String, Long> longestDeadlineByRoute = new HashMap<>();
+  private final Map<String, LongestDeadline> longestDeadlineByRoute = new HashMap<>();
 
   CallAdmission(
       CallOptions options,
@@ -139,12 +139,16 @@
   /**
    * Estimates how long the caller already waited in earlier tries of the same call. A caller that
    * retries shortens its deadline by that time, so the estimate is the difference to the longest
-   * deadline seen on the route.
+   * deadline seen on the route since its timeout changed.
    */
   private long estimateEarlierWait(RouteSpec route, CallSpec spec) {
     long deadlineMillis = Math.min(spec.deadlineMillis(), route.timeoutMillis());
-    long longest = longestDeadlineByRoute.merge(route.name(), deadlineMillis, Math::max);
-    long waited = longest - deadlineMillis;
+    LongestDeadline longest =
+        longestDeadlineByRoute.merge(
+            route.name(),
+            new LongestDeadline(route.timeoutMillis(), deadlineMillis),
+            LongestDeadline::update);
+    long waited = longest.deadlineMillis() - deadlineMillis;
     return waited > DEADLINE_TOLERANCE_MILLIS ? waited : 0;
   }
 
@@ -182,6 +186,22 @@
     return regions;
   }
 
+  /**
+   * Longest deadline of the calls on a route.
+   *
+   * @param timeoutMillis timeout of the route, which bounds the deadlines
+   * @param deadlineMillis longest deadline since the route has this timeout
+   */
+  private record LongestDeadline(long timeoutMillis, long deadlineMillis) {
+
+    /** Returns the longest deadline after a call, starting again if the timeout has changed. */
+    LongestDeadline update(LongestDeadline latest) {
+      return latest.timeoutMillis == timeoutMillis && latest.deadlineMillis <= deadlineMillis
+          ? this
+          : latest;
+    }
+  }
+
   /**
    * Rejection of a call that arrived.
    *
