Let the oracle of call endings note complete responses that are not delivered

CallEndingsSimulation noted a call that ended while a sound endpoint still worked on it, but not one that got a rejection, or was broken off, at the very end of a complete response: an attempt that has finished did not count as given up. "Neither a response nor a rejection" begins there.

It is a violation now, unless the response tells the caller nothing new: the end of a resumed stream after the last event cannot be told from that of an endpoint that fails.

--- a/policy/src/test/java/org/cornelchute/policy/forward/CallEndingsSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallEndingsSimulation.java
@@ -350,6 +350,9 @@
       if (job.wasLost()) {
         violations.add(call + " ended after " + elapsed + " ms at a sound endpoint: " + how);
       }
+      if (job.finished && !job.errorResponse && job.hasNews()) {
+        violations.add(call + " ended after the complete response of an endpoint: " + how);
+      }
     }
   }
 
@@ -390,6 +393,10 @@
     final int attempt;
     final SimulatedEndpoint endpoint;
     final boolean errorResponse = random.nextInt(40) == 0;
+
+    /** Id of the last event that the caller had when the attempt was sent, 0 if none. */
+    final long lastEventIdBefore;
+
     long nextEvent;
     boolean headSent;
     boolean finished;
@@ -412,6 +419,7 @@
       this.call = call;
       this.attempt = attempt;
       this.endpoint = endpoint;
+      this.lastEventIdBefore = lastEventId;
       this.nextEvent = lastEventId + 1;
     }
 
@@ -422,6 +430,11 @@
       return givenUpAt > 0 && sound && !superseded && !replaced && !backup;
     }
 
+    /** Returns whether the response tells the caller more than it had before this attempt. */
+    boolean hasNews() {
+      return !call.isStream() || lastEventIdBefore < STREAM_EVENTS;
+    }
+
     void cancel() {
       if (!finished && !broken && givenUpAt == 0) {
         givenUpAt = now;
