Keep the times of a weights switch in one place

Entries held two margins before the limit for new weights and agents a fraction of it, in two modules, though the agents' cutover must come just before the time from which entries send calls to the new weights only. Both now read SwitchTimes; the times are unchanged (7,200, 7,400 and 7,600 ms of 8,000), and no test is changed.

--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -20,6 +20,7 @@
 import org.cornelchute.net.wire.WireClient;
 import org.cornelchute.policy.weights.LoadDecider;
 import org.cornelchute.policy.weights.SwarmOptions;
+import org.cornelchute.policy.weights.SwitchTimes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,15 +50,11 @@
   private static final long MAX_FETCH_DELAY_MILLIS = 2_500;
 
   /**
-   * Cutover time of {@link LoadDecider.LoadOptions} as a fraction of the time within which a
-   * version must be in force.
+   * Supersede window of {@link LoadDecider.LoadOptions} as a fraction of the limit for versions.
    */
-  private static final double CUTOVER_FRACTION = 0.9;
-
-  /** Supersede window of {@link LoadDecider.LoadOptions} as a fraction of the same time. */
   private static final double SUPERSEDE_WINDOW_FRACTION = 0.57;
 
-  /** Supersede grace of {@link LoadDecider.LoadOptions} as a fraction of the same time. */
+  /** Supersede grace of {@link LoadDecider.LoadOptions} as a fraction of the same limit. */
   private static final double SUPERSEDE_GRACE_FRACTION = 0.55;
 
   /** Time within which a version is to be in force if the settings give no limit. */
@@ -85,7 +82,7 @@
     LoadDecider decider =
         new LoadDecider(
             new LoadDecider.LoadOptions(
-                (long) (versionMillis * CUTOVER_FRACTION),
+                SwitchTimes.of(versionMillis).cutoverMillis(),
                 (long) (versionMillis * SUPERSEDE_WINDOW_FRACTION),
                 (long) (versionMillis * SUPERSEDE_GRACE_FRACTION),
                 RETRY_DELAY_MILLIS,
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -21,6 +21,7 @@
 import org.cornelchute.net.wire.WireClient;
 import org.cornelchute.policy.forward.CallDecider;
 import org.cornelchute.policy.forward.CallOptions;
+import org.cornelchute.policy.weights.SwitchTimes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,12 +36,6 @@
   /** Safety margin on time limits, for the latency of messages and for timers that fire late. */
   private static final long TIMING_MARGIN_MILLIS = 300;
 
-  /** Time before the limit for new weights from which calls are sent to these weights only. */
-  private static final long VERSION_GRACE_MARGIN_MILLIS = 600;
-
-  /** Time before that limit at which calls that have not started on older weights are canceled. */
-  private static final long VERSION_CUTOFF_MARGIN_MILLIS = 400;
-
   /** Longer than the age of any version, also of one whose age is unknown. */
   private static final long NO_VERSION_LIMIT_MILLIS = Long.MAX_VALUE / 2;
 
@@ -200,18 +195,15 @@
   }
 
   private static CallOptions toCallOptions(DirectSettings settings) {
+    SwitchTimes times = SwitchTimes.of(settings.versionMillis());
     return new CallOptions(
         settings.name(),
         settings.domain(),
         settings.region(),
         settings.keyAgeMillis() - TIMING_MARGIN_MILLIS,
         settings.configMillis() + TIMING_MARGIN_MILLIS,
-        settings.versionMillis() > 0
-            ? settings.versionMillis() - VERSION_GRACE_MARGIN_MILLIS
-            : NO_VERSION_LIMIT_MILLIS,
-        settings.versionMillis() > 0
-            ? settings.versionMillis() - VERSION_CUTOFF_MARGIN_MILLIS
-            : NO_VERSION_LIMIT_MILLIS,
+        settings.versionMillis() > 0 ? times.graceMillis() : NO_VERSION_LIMIT_MILLIS,
+        settings.versionMillis() > 0 ? times.cutoffMillis() : NO_VERSION_LIMIT_MILLIS,
         settings.retryRatio() * RETRY_SAFETY_FACTOR,
         settings.retryAllowance() * RETRY_SAFETY_FACTOR,
         settings.retryWindowMillis(),
