Stop sending to superseded weights a silence before the limit

Cause: a call that was sent cannot be taken back. The margins (stop sending 600 ms, cancel 400 ms before the limit) were made for delays of messages, not for an engine that reads neither calls nor closes for a second.

Ruled out by reading: the expected version (the engine still holds the older one), the deadline, closing the connection, a probe before each call. Ruled out by trials in virtual time: always stopping 1.0 s earlier (a second without any service in each late rollout: 753 to 1,209 rejections of 3,365 calls), and only preferring engines with newer weights (late starts remain above half load).

Change: entries take both steps 900 ms earlier as soon as an engine that holds the newer version may serve the call, as before while none does; the second half of the engines switches up to 900 ms earlier if the first should be back.

Evidence: RolloutTest#startsNoCallOnOlderWeightsAfterTheLimit failed 8 of 8 cases before (8 to 32 late starts, the last at 8,300 to 8,583 ms), none now.

Why it works: the last call to older weights leaves 1.5 s, the last cancellation 1.3 s before the limit.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -15,6 +15,7 @@
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.forward.OtherEntries.Availability;
+import org.cornelchute.policy.weights.SwitchTimes;
 
 /**
  * Decides on the calls of one entry and gives each call exactly one final response.
@@ -668,18 +669,35 @@
         call.service,
         call.regions,
         minVersion,
-        requiredVersion(now + MAX_DELIVERY_MILLIS, call),
+        versionAt(now + MAX_DELIVERY_MILLIS, call, versionGate::requiredVersion),
         call.streaming ? call.streamVersion : 0,
         maxLoad,
         call.triedEndpoints,
         0);
   }
 
-  /** Returns the minimum version of the weights that a call may start on at a time. */
-  private long requiredVersion(long time, Call call) {
+  /** Returns the minimum version of the weights that a call may start on. */
+  private long requiredVersion(long now, Call call) {
+    return versionInTime(now, call, versionGate::requiredVersion);
+  }
+
+  /**
+   * Returns the version at the time until which an engine may leave a call unread if an endpoint
+   * that holds it may serve the call, and the current one otherwise; see {@link SwitchTimes}.
+   */
+  private long versionInTime(long now, Call call, VersionLookup lookup) {
+    long current = versionAt(now, call, lookup);
+    long later = versionAt(now + SwitchTimes.MAX_UNREAD_MILLIS, call, lookup);
+    return later > current
+            && endpointPool.hasEligible(now, requirements(now, call, maxLoadPerSlot(call), later))
+        ? later
+        : current;
+  }
+
+  private long versionAt(long time, Call call, VersionLookup lookup) {
     return call.service
         .engine()
-        .map(e -> versionGate.requiredVersion(time, e.model(), options.versionGraceMillis()))
+        .map(e -> lookup.version(time, e.model(), options.versionGraceMillis()))
         .orElse(0L);
   }
 
@@ -691,9 +709,7 @@
     if (call.service.engine().isEmpty()) {
       return false;
     }
-    long certain =
-        versionGate.certainVersion(
-            now, call.service.engine().get().model(), options.versionGraceMillis());
+    long certain = versionInTime(now, call, versionGate::certainVersion);
     return certain < requiredVersion(now, call)
         && chooseEndpoint(now, call, maxLoad, certain).endpoint().isPresent();
   }
@@ -898,10 +914,11 @@
       return false;
     }
     long required =
-        call.service
-            .engine()
-            .map(e -> versionGate.cutoffVersion(now, e.model(), options.versionCutoffMillis()))
-            .orElse(0L);
+        versionInTime(
+            now,
+            call,
+            (time, model, graceMillis) ->
+                versionGate.cutoffVersion(time, model, options.versionCutoffMillis()));
     return attempt.endpoint.version < required;
   }
 
@@ -1021,4 +1038,9 @@
     endpoint.namedLimit = limit;
     effects.add(callLog.namedLimit(endpoint, limit));
   }
+
+  /** Lookup of a version in {@link VersionGate}. */
+  private interface VersionLookup {
+    long version(long time, String model, long graceMillis);
+  }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -351,6 +351,16 @@
     return chooseLeastLoaded(now, requirements, healthy.isEmpty() ? inBackoff : healthy);
   }
 
+  /** Returns whether an endpoint may serve a call, with or without a free slot. */
+  boolean hasEligible(long now, Requirements requirements) {
+    for (Endpoint endpoint : byService.getOrDefault(requirements.service().name(), List.of())) {
+      if (isEligible(now, endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private Choice chooseLeastLoaded(long now, Requirements requirements, List<Endpoint> candidates) {
     Endpoint best = null;
     double lowestScore = Double.MAX_VALUE;
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -17,7 +17,8 @@
  * <p>An engine that switches versions accepts no calls until its running calls have ended. The
  * engines of a region therefore switch in two halves: the first half as soon as the agent holds the
  * complete version, the second half at the cutover, when calls may no longer start on the older
- * version. A version that is superseded soon is loaded by the first half only; the second half
+ * version, or up to {@link SwitchTimes#MAX_UNREAD_MILLIS} earlier if the first half should be back
+ * by then. A version that is superseded soon is loaded by the first half only; the second half
  * waits for the newer version. Apart from that wait, an engine that may not serve any call loads at
  * once.
  */
@@ -26,6 +27,9 @@
   /** Time after which a staging without a result is abandoned. */
   private static final long STAGING_TIMEOUT_MILLIS = 8_000;
 
+  /** Time after which an engine that holds a complete version has usually switched to it. */
+  private static final long SWITCH_MILLIS = 1_500;
+
   /**
    * Versions assigned within the supersede window divided by this number count as assigned
    * together.
@@ -310,7 +314,10 @@
         assignedAtByVersion.tailMap(engine.version(), false).entrySet()) {
       cutoverAt = Math.min(cutoverAt, e.getValue() + options.cutoverMillis());
     }
-    return Math.max(completeAt, cutoverAt);
+    // The entries stop using this engine that much earlier once one of the first half is back.
+    long earliestAt = Math.max(completeAt, cutoverAt - SwitchTimes.MAX_UNREAD_MILLIS);
+    long firstHalfBackAt = completeAt + SWITCH_MILLIS;
+    return Math.max(earliestAt, Math.min(firstHalfBackAt, cutoverAt));
   }
 
   /** Returns whether this engine is in the first half for a version; the halves alternate. */
@@ -363,7 +370,7 @@
    * Limits of switching versions; immutable.
    *
    * @param cutoverMillis time from the assignment of a version until new calls must start on it;
-   *     the second half of the engines switches then
+   *     the second half of the engines switches then at the latest
    * @param supersedeWindowMillis time after its assignment within which a newer version must be
    *     assigned for the second half to wait for the newer one
    * @param supersedeGraceMillis longest time after {@code cutoverMillis} that the second half waits
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwitchTimes.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwitchTimes.java
@@ -4,18 +4,30 @@
  * Times of the steps in which the engines of a model switch to a version of its weights, in
  * milliseconds from its assignment. Agents and entries go by the same ones.
  *
- * @param cutoverMillis time at which the second half of the engines switches
- * @param graceMillis time from which entries send calls only to engines that hold the version
- * @param cutoffMillis time from which entries cancel calls that have not started on older weights
+ * <p>A call that was sent cannot be taken back, and a sound engine may leave it unread for {@link
+ * #MAX_UNREAD_MILLIS}. All steps are therefore taken up to that much earlier: the entries do so as
+ * soon as an engine that holds the version can serve the call, and the second half of the engines
+ * when the first half should be back. While no engine holds the version, only the limit itself ends
+ * the service on older weights.
+ *
+ * @param cutoverMillis latest time at which the second half of the engines switches if it holds the
+ *     version
+ * @param graceMillis latest time from which entries send calls only to engines that hold the
+ *     version
+ * @param cutoffMillis latest time from which entries cancel calls that have not started on older
+ *     weights
  */
 public record SwitchTimes(long cutoverMillis, long graceMillis, long cutoffMillis) {
 
-  /** Cutover as a fraction of the limit. */
-  private static final double CUTOVER_FRACTION = 0.9;
+  /** Time for which a sound engine may leave a call unread that it was sent, and its close. */
+  public static final long MAX_UNREAD_MILLIS = 900;
 
   private static final long GRACE_MARGIN_MILLIS = 600;
   private static final long CUTOFF_MARGIN_MILLIS = 400;
 
+  /** Time for the entries to learn that an engine is about to switch. */
+  private static final long ANNOUNCEMENT_MILLIS = 200;
+
   /**
    * Returns the times for a limit.
    *
@@ -23,9 +35,8 @@
    *     older one
    */
   public static SwitchTimes of(long limitMillis) {
+    long grace = limitMillis - GRACE_MARGIN_MILLIS;
     return new SwitchTimes(
-        (long) (limitMillis * CUTOVER_FRACTION),
-        limitMillis - GRACE_MARGIN_MILLIS,
-        limitMillis - CUTOFF_MARGIN_MILLIS);
+        Math.max(0, grace - ANNOUNCEMENT_MILLIS), grace, limitMillis - CUTOFF_MARGIN_MILLIS);
   }
 }
