Read what has arrived on an idle connection before a drain closes it

Callers saw: a connection that ends without a response under a request that they had sent whole well before, beside a drain (SIGTERM). A drain that rejects new calls closes idle connections in a task of the event loop, which after a stall runs before the loop reads; a request that came during the stall was never read, and its caller saw an orderly end of the connection. The end of the process did the same right after the last check for open calls.

Now a connection is closed only if it stays idle for 20 ms, in which the loop reads; what it reads is rejected with 503 (a promise, as it was not passed on). The end of a drain waits 50 ms for that.

Ruled out: an exception (none logged).

Open: the close of connections by the idle timeout has the same order of tasks after a stall, and is not changed; connections that the process has not accepted when it ends are reset.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -190,14 +190,10 @@
     draining = true;
   }
 
-  /** Rejects new calls from now on and closes idle connections. */
+  /** Rejects new calls from now on and closes connections that stay idle. */
   void rejectNewCalls() {
     rejectingNewCalls = true;
-    for (CallerConnection connection : List.copyOf(connections)) {
-      if (connection.isIdle()) {
-        connection.close();
-      }
-    }
+    connections.forEach(CallerConnection::closeIfIdle);
   }
 
   /**
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -31,6 +31,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,6 +44,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Delay of the close of an idle connection. */
+  private static final long CLOSE_DELAY_MILLIS = 20;
+
   /** Size of the parts of a response body whose delivery to the caller is observed. */
   private static final int BODY_PART_BYTES = 65_536;
 
@@ -236,6 +240,24 @@
     }
   }
 
+  /**
+   * Closes the connection if it stays idle for a moment, in which a request is read that has
+   * arrived already, for example while the process was stalled.
+   */
+  void closeIfIdle() {
+    long since = waitingSince;
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (isIdle() && waitingSince == since) {
+                close();
+              }
+            },
+            CLOSE_DELAY_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
   void close() {
     if (isSending()) {
       LOG.warn(
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -153,6 +153,8 @@
       if ((outOfTime || elapsedMillis >= DEREGISTRATION_MILLIS)
           && callOnEventLoop(duty::tryFinish)) {
         LOG.info("entry drain ended open=0 ms={}", elapsedMillis);
+        // Requests that have arrived by now must be read and rejected before the process ends.
+        sleep();
         return true;
       }
       if (outOfTime) {
