Send no calls with shared parts before the blocked parts are read

What callers saw: after all daemons had lost power, calls with a part of the prompt that was blocked, and that the store had confirmed, reached engines again until the entry had read table blockedparts. Each such call crashes an engine.

Cause: the entry served as soon as it had the configuration and the endpoints; the read of the blocked parts is one request of its own, and while only this table fails, or answers later, nothing waited for it.

Ruled out: stored rows of parts with adjacent ids that hide each other (two trials on CrashEvidence, both passed before the change).

Why it works: the source of the serving state says that the parts are to be read, and calls with shared parts are rejected as not ready until they are, for at most 2.3 s from the first such call on, so that one table that is away does not keep an entry from serving.

--- a/entry/src/main/java/org/cornelchute/entry/direct/BlockedPartTable.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/BlockedPartTable.java
@@ -69,6 +69,7 @@
 
   /** Reads the parts that are stored and reports them to the listener. */
   public void start() {
+    listener.awaitBlockedParts();
     read.request();
   }
 
@@ -125,5 +126,6 @@
       listener.recordBlockedPart(
           Long.parseUnsignedLong(row.key(), HEXADECIMAL), Integer.parseInt(count));
     }
+    listener.onBlockedPartsRead();
   }
 }
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -395,6 +395,16 @@
     decider.recordConfirmation(askedAt);
   }
 
+  @Override
+  public void awaitBlockedParts() {
+    decider.crashEvidence().awaitStored();
+  }
+
+  @Override
+  public void onBlockedPartsRead() {
+    decider.crashEvidence().recordStoredRead();
+  }
+
   @Override
   public void recordBlockedPart(long part, int crashCount) {
     decider.crashEvidence().recordStored(clockMillis.getAsLong(), part, crashCount);
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -38,6 +38,12 @@
    */
   void recordConfirmation(long askedAt);
 
+  /** Records that the parts of prompts that were blocked before this process started are read. */
+  void awaitBlockedParts();
+
+  /** Records that each of these parts was reported by {@link #recordBlockedPart}. */
+  void onBlockedPartsRead();
+
   /**
    * Records a part of prompts that was blocked before this process started.
    *
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -38,6 +38,12 @@
   /** Maximum number of parts of which the time of the last service is kept. */
   private static final int MAX_SERVED_PARTS = 4_096;
 
+  /**
+   * Longest time for which calls wait until the stored parts are read. The read may fail for longer
+   * than all others, and most calls are harmless.
+   */
+  private static final long MAX_STORED_WAIT_MILLIS = 2_300;
+
   /** Maximum number of observations of crashes whose record is another observation. */
   private static final int MAX_MERGED_CRASHES = 1_024;
 
@@ -79,6 +85,13 @@
 
   private Map<Long, Suspect> suspects = Map.of();
   private boolean outdated;
+
+  /** Whether the parts that were blocked before this process started are still to be read. */
+  private boolean storedAwaited;
+
+  /** Time until which calls wait for these parts, set when the first call asks. */
+  private long storedAwaitedUntil = Long.MAX_VALUE;
+
   private int lastObservation;
 
   /**
@@ -110,6 +123,19 @@
     return false;
   }
 
+  /**
+   * Returns whether parts may be unknown that were blocked before this process started, so that no
+   * call with shared parts should be sent yet. Bounded by {@value #MAX_STORED_WAIT_MILLIS} ms from
+   * the first such call on.
+   */
+  public boolean mayLackStored(long now) {
+    if (!storedAwaited) {
+      return false;
+    }
+    storedAwaitedUntil = Math.min(storedAwaitedUntil, now + MAX_STORED_WAIT_MILLIS);
+    return now < storedAwaitedUntil;
+  }
+
   /** Returns whether a call with these parts must not be sent again after it broke off. */
   public boolean isSuspect(long now, List<Long> parts) {
     return parts.stream().anyMatch(suspects(now)::containsKey);
@@ -172,6 +198,16 @@
     }
   }
 
+  /** Records that the parts that were blocked before this process started are to be read. */
+  public void awaitStored() {
+    storedAwaited = true;
+  }
+
+  /** Records that these parts were read. */
+  public void recordStoredRead() {
+    storedAwaited = false;
+  }
+
   /**
    * Records a part that was blocked before this process started. It counts as many crashes now, so
    * that the next trial is as far away as after the last of them.
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -613,6 +613,10 @@
       reject(now, effects, call, Rejection.BLOCKED_PROMPT, "parts=" + CallLog.formatParts(call));
       return;
     }
+    if (!call.spec.sharedParts().isEmpty() && crashEvidence.mayLackStored(now)) {
+      reject(now, effects, call, Rejection.NOT_READY, "blocked parts are not known yet");
+      return;
+    }
     Choice choice = chooseEndpoint(now, call, maxLoad);
     if (choice.endpoint().isPresent()) {
       dispatch(now, effects, call, choice);
