Refuse connections before the process ends, and answer those just accepted

Callers saw: a connection that was accepted and ended without a response under the call that followed, at the end of a planned stop.

Cause: the socket for callers stayed open until the process ended, and all connections closed in the same moment, those included whose call was on its way.

Ruled out: calls that were sent on (each had its end in the log and was answered).

Why it works: first the socket closes, so that no connection comes any more, then calls are read and rejected for 150 ms, then the rest closes.

--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -56,6 +56,9 @@
 
   private static final long POLL_INTERVAL_MILLIS = 50;
 
+  /** Time in which calls on connections that were just accepted are read and rejected. */
+  private static final long ACCEPTED_MILLIS = 150;
+
   private final DirectSettings settings;
   private final ServingStateSource stateSource;
   private final MetricRegistry metrics = new MetricRegistry();
@@ -65,6 +68,7 @@
   private final WireClient client;
   private final Optional<OpenCallsReporter> openCallsReporter;
   private final CallDuty duty;
+  private volatile Channel callerSocket;
 
   /**
    * Creates an entry; {@link #start()} opens its sockets.
@@ -118,7 +122,7 @@
     client.start();
     openCallsReporter.ifPresent(OpenCallsReporter::start);
     loop.execute(duty::start);
-    ServerSockets.listen(group, settings.callers(), this::initCallerChannel);
+    callerSocket = ServerSockets.listen(group, settings.callers(), this::initCallerChannel);
     ServerSockets.listen(
         group,
         settings.readiness(),
@@ -154,7 +158,7 @@
           && callOnEventLoop(duty::tryFinish)) {
         LOG.info("entry drain ended open=0 ms={}", elapsedMillis);
         // Requests that have arrived by now must be read and rejected before the process ends.
-        sleep();
+        sleep(POLL_INTERVAL_MILLIS);
         return true;
       }
       if (outOfTime) {
@@ -166,7 +170,7 @@
               return 0;
             });
         // The rejections must be sent before the process ends.
-        sleep();
+        sleep(POLL_INTERVAL_MILLIS);
         return false;
       }
       if (!rejecting
@@ -179,12 +183,21 @@
               return 0;
             });
       }
-      sleep();
+      sleep(POLL_INTERVAL_MILLIS);
     }
   }
 
+  /**
+   * Closes the socket for callers first, so that connections are refused from then on, and the
+   * connections a moment later. A connection that ends without a response would leave its caller
+   * unsure whether the call was executed.
+   */
   @Override
   public void close() {
+    if (callerSocket != null && callerSocket.isOpen()) {
+      callerSocket.close().syncUninterruptibly();
+      sleep(ACCEPTED_MILLIS);
+    }
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
@@ -235,9 +248,9 @@
     }
   }
 
-  private static void sleep() {
+  private static void sleep(long millis) {
     try {
-      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(millis);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/net/src/main/java/org/cornelchute/net/wire/ServerSockets.java
+++ b/net/src/main/java/org/cornelchute/net/wire/ServerSockets.java
@@ -22,10 +22,12 @@
    * @param group event loops that accept and serve the connections
    * @param address address as {@code ip:port}
    * @param initializer initializes the channel of each accepted connection
+   * @return the listening socket
    */
-  public static void listen(EventLoopGroup group, String address, Consumer<Channel> initializer) {
+  public static Channel listen(
+      EventLoopGroup group, String address, Consumer<Channel> initializer) {
     int colon = address.lastIndexOf(':');
-    new ServerBootstrap()
+    return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -41,6 +43,7 @@
         .bind(
             new InetSocketAddress(
                 address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
-        .syncUninterruptibly();
+        .syncUninterruptibly()
+        .channel();
   }
 }
