Reject the one request too many during a drain as well

Callers saw: of requests that were read behind each other on one connection, the one beyond the limit got no rejection if the entry drained; its connection closed after the response before it.

Cause: a drain lets a connection close after its last response if no request waits, and looked at the waiting requests only, not at the rejection that waits.

A malformed request behind a call takes the same way.

Ruled out: the same without a drain (answersCallsBeforeTooManyRequests).

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallerConnection.java
@@ -334,7 +334,7 @@
 
   /** Lets the connection close if it may not stay open and no request waits that was read whole. */
   private void closeAfterLastResponse() {
-    if (!listener.allowsKeepAlive() && pipelinedRequests.isEmpty()) {
+    if (!listener.allowsKeepAlive() && pipelinedRequests.isEmpty() && pendingRejection == null) {
       keepAlive = false;
     }
   }
--- a/entry/src/test/java/org/cornelchute/entry/direct/PipelinedRequestTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/PipelinedRequestTest.java
@@ -98,6 +98,21 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  /** Failure: a request that was read during a drain got no rejection, as too many came with it. */
+  @Test
+  void rejectsTheOneTooManyDuringDrain() {
+    send(REQUEST.repeat(20));
+    listener.draining = true;
+    int answered = 0;
+    while (listener.current != null) {
+      listener.answer();
+      answered++;
+    }
+    List<Integer> statuses = receive();
+    assertThat(statuses).hasSize(answered + 1).endsWith(503);
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   /** Failure: a call ended without response, as the entry failed to read what followed it. */
   @Test
   void answersCallBeforeInternalFailure() {
