--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -61,6 +61,11 @@
   private Collection<Member> agents = List.of();
   private long newestCompleteVersion;
 
+  /** Times of the first read and of the last response of the newest read-back. */
+  private long firstReadAt;
+
+  private long lastReadAt;
+
   /** Whether the engine was reachable when its state was last logged. */
   private boolean engineReachable;
 
@@ -272,6 +277,7 @@
 
   /** Reads the staged chunks back and reports to the decider whether all match the manifest. */
   private void verifyChunks(Manifest manifest, LoadEffect.Stage stage) {
+    firstReadAt = clockMillis.getAsLong();
     new ChunkBatch(manifest.chunks().size()) {
       @Override
       void processChunk(int chunk) {
@@ -292,12 +298,25 @@
                   + " not match the manifest version={}",
               stage.version());
         }
-        execute(decider.onStagingResult(clockMillis.getAsLong(), stage.stagingId(), succeeded));
+        lastReadAt = clockMillis.getAsLong();
+        LOG.info(
+            "chunks read back from the engine's store version={} matching={} readMs={}",
+            stage.version(),
+            succeeded,
+            lastReadAt - firstReadAt);
+        execute(decider.onStagingResult(lastReadAt, stage.stagingId(), succeeded));
       }
     }.start();
   }
 
   private void startLoad(LoadEffect.StartLoad command) {
+    long sentAt = clockMillis.getAsLong();
+    LOG.info(
+        "sending the load command version={} sequence={} oldestReadMs={} newestReadMs={}",
+        command.version(),
+        command.sequence(),
+        sentAt - firstReadAt,
+        sentAt - lastReadAt);
     platform
         .engine()
         .startLoad(
@@ -306,8 +325,11 @@
             command.sequence(),
             response -> {
               LOG.info(
-                  "engine responded to the load command version={} result={}",
+                  "engine responded to the load command version={} sentMs={} oldestReadMs={}"
+                      + " result={}",
                   command.version(),
+                  clockMillis.getAsLong() - sentAt,
+                  clockMillis.getAsLong() - firstReadAt,
                   response.fold(Failure::message, accepted -> accepted ? "accepted" : "refused"));
               execute(decider.onLoadResponse(clockMillis.getAsLong(), response.getOrElse(false)));
             });
