Load weights only on fresh evidence, and again if it was not

What callers saw: answers made with layers whose chunks had been bad for over 3 s, or were of another version.

A bound alone would keep a slow engine from loading for ever. So: - the evidence carries the time of its oldest read, taken when the read was sent; the command leaves only while that is at most 2 s old; - calls to the store follow its throughput (CallLimit), 4 to 48 at once; - if one pass still takes longer, the layers are loaded a few at a time, each on fresh evidence; the engine rejects calls until it holds all; - a command without a response is repeated with the same sequence number and no other version is staged meanwhile; if its acceptance is noticed over 3 s after the oldest read, or a write of another version may still arrive, all chunks are read once more, and layers that are not proven are released and loaded again; - one writer: a staging that is superseded ends before the next begins.

LoadEvidenceTest (virtual time, 400 drawn runs) and StagedWeightsTest (processes).

Tests changed: onStagingResult and onLoadResponse have become several methods; learnsOutcomeOfUnansweredLoadFromEngineReport now expects the announcement of a load whose response was lost, where it expected none; stand-ins report layers, so that LocalEngineClientTest compares them too. The stand-in engine answers 421 while it holds a part of the layers.

--- a/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/WeightsDuty.java
@@ -193,11 +193,22 @@
 
   /** Passes the chunks of a version to a consumer; does nothing if the version is not complete. */
   public void withCompleteVersion(String digest, Consumer<List<byte[]>> consumer) {
+    withCompleteVersion(digest, consumer, () -> {});
+  }
+
+  /**
+   * Passes the chunks of a version to a consumer, or runs another action if the version is not
+   * complete.
+   */
+  public void withCompleteVersion(
+      String digest, Consumer<List<byte[]>> consumer, Runnable incomplete) {
     duty.offer(
         () -> {
           HeldVersion version = versionByDigest.get(digest);
           if (version != null && version.decider.isComplete()) {
             consumer.accept(version.allChunks());
+          } else {
+            incomplete.run();
           }
         });
   }
--- a/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LoadDuty.java
@@ -16,9 +16,11 @@
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.policy.forward.WeightsSwitch;
+import org.cornelchute.policy.weights.Evidence;
 import org.cornelchute.policy.weights.LoadDecider;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
 import org.cornelchute.policy.weights.LoadEffect;
+import org.cornelchute.policy.weights.LoadResponse;
 import org.cornelchute.policy.weights.Manifest;
 import org.cornelchute.policy.weights.SwitchRank;
 import org.slf4j.Logger;
@@ -42,7 +44,7 @@
   /** Poll interval while the engine serves the target version. */
   private static final long IDLE_POLL_INTERVAL_MILLIS = 700;
 
-  /** Maximum number of concurrent reads or writes of chunks in the engine's store. */
+  /** Maximum number of chunks that are recovered from the engine's store concurrently. */
   private static final int MAX_CONCURRENT_CHUNKS = 4;
 
   private final EventLoop loop;
@@ -55,17 +57,17 @@
   private final Map<Long, Manifest> manifestByVersion = new HashMap<>();
   private WeightsDuty weightsDuty;
 
+  /** Staging of the load in progress; null before the first one. */
+  private EngineStaging staging;
+
+  private long stagingId;
+
   /** Model that the engine serves, empty until it is known. */
   private String model = "";
 
   private Collection<Member> agents = List.of();
   private long newestCompleteVersion;
 
-  /** Times of the first read and of the last response of the newest read-back. */
-  private long firstReadAt;
-
-  private long lastReadAt;
-
   /** Whether the engine was reachable when its state was last logged. */
   private boolean engineReachable;
 
@@ -93,6 +95,7 @@
 
   /** Starts to poll the engine. */
   void start() {
+    decider.onStart(clockMillis.getAsLong());
     pollEngine();
   }
 
@@ -178,6 +181,12 @@
         announce(announcement.version());
       } else if (effect instanceof LoadEffect.Stage stage) {
         stage(stage);
+      } else if (effect instanceof LoadEffect.RefreshStaging refresh) {
+        staging.refresh(refresh.layers());
+      } else if (effect instanceof LoadEffect.RecheckStaging recheck) {
+        staging.recheck(recheck.orderedAt());
+      } else if (effect instanceof LoadEffect.CancelStaging) {
+        cancelStaging();
       } else if (effect instanceof LoadEffect.StartLoad command) {
         startLoad(command);
       } else if (effect instanceof LoadEffect.Log log) {
@@ -203,6 +212,7 @@
       return;
     }
     manifestByVersion.put(version, manifest);
+    decider.setLayers(version, manifest.layers());
     manifestByVersion.keySet().removeIf(v -> !decider.isNeeded(v));
     weightsDuty.startFetch(manifest);
     if (decider.engine().version() == version) {
@@ -223,6 +233,7 @@
             .readChunk(
                 manifest,
                 chunk,
+                false,
                 result -> {
                   result.peek(bytes -> weightsDuty.addLocalChunk(manifest, chunk, bytes));
                   onChunkProcessed(result.isRight());
@@ -241,98 +252,81 @@
 
   /** Starts to write the chunks of a version to the engine's store and to verify them there. */
   private void stage(LoadEffect.Stage stage) {
+    staging = null;
+    stagingId = stage.stagingId();
     Manifest manifest = manifestByVersion.get(stage.version());
     if (manifest == null) {
-      LOG.warn("staging failed because the manifest is no longer held version={}", stage.version());
-      execute(decider.onStagingResult(clockMillis.getAsLong(), stage.stagingId(), false));
+      endStaging(stage, "the manifest is no longer held");
       return;
     }
     weightsDuty.withCompleteVersion(
-        manifest.digest(), chunks -> loop.execute(() -> writeChunks(manifest, stage, chunks)));
+        manifest.digest(),
+        chunks -> loop.execute(() -> startStaging(stage, manifest, chunks)),
+        () -> loop.execute(() -> endStaging(stage, "the chunks are no longer held")));
   }
 
-  private void writeChunks(Manifest manifest, LoadEffect.Stage stage, List<byte[]> chunks) {
-    new ChunkBatch(chunks.size()) {
-      @Override
-      void processChunk(int chunk) {
-        platform
-            .engine()
-            .writeChunk(
-                model, chunk, chunks.get(chunk), result -> onChunkProcessed(result.isRight()));
-      }
-
-      @Override
-      void onAllProcessed(boolean succeeded) {
-        if (succeeded) {
-          verifyChunks(manifest, stage);
-        } else {
-          LOG.warn(
-              "staging failed because the engine's store did not accept every chunk version={}",
-              stage.version());
-          execute(decider.onStagingResult(clockMillis.getAsLong(), stage.stagingId(), false));
-        }
-      }
-    }.start();
+  private void startStaging(LoadEffect.Stage stage, Manifest manifest, List<byte[]> chunks) {
+    if (stage.stagingId() != stagingId) {
+      return;
+    }
+    staging =
+        new EngineStaging(
+            loop,
+            platform.engine(),
+            manifest,
+            chunks,
+            manifestByVersion::values,
+            clockMillis,
+            new StagingListener(stage));
+    staging.start();
   }
 
-  /** Reads the staged chunks back and reports to the decider whether all match the manifest. */
-  private void verifyChunks(Manifest manifest, LoadEffect.Stage stage) {
-    firstReadAt = clockMillis.getAsLong();
-    new ChunkBatch(manifest.chunks().size()) {
-      @Override
-      void processChunk(int chunk) {
-        platform
-            .engine()
-            .readChunk(
-                manifest,
-                chunk,
-                result ->
-                    onChunkProcessed(result.isRight() && manifest.verifies(chunk, result.get())));
-      }
+  private void cancelStaging() {
+    if (staging != null) {
+      staging.cancel("cancelled");
+    } else {
+      // The chunks are not there yet; they are ignored when they are.
+      long cancelled = stagingId;
+      stagingId = 0;
+      loop.execute(() -> execute(decider.onStagingEnded(clockMillis.getAsLong(), cancelled)));
+    }
+  }
 
-      @Override
-      void onAllProcessed(boolean succeeded) {
-        if (!succeeded) {
-          LOG.warn(
-              "staging failed because chunks read back from the engine's store were missing or did"
-                  + " not match the manifest version={}",
-              stage.version());
-        }
-        lastReadAt = clockMillis.getAsLong();
-        LOG.info(
-            "chunks read back from the engine's store version={} matching={} readMs={}",
-            stage.version(),
-            succeeded,
-            lastReadAt - firstReadAt);
-        execute(decider.onStagingResult(lastReadAt, stage.stagingId(), succeeded));
-      }
-    }.start();
+  private void endStaging(LoadEffect.Stage stage, String cause) {
+    LOG.warn("staging ended version={} cause={}", stage.version(), cause);
+    execute(decider.onStagingEnded(clockMillis.getAsLong(), stage.stagingId()));
   }
 
   private void startLoad(LoadEffect.StartLoad command) {
     long sentAt = clockMillis.getAsLong();
-    LOG.info(
-        "sending the load command version={} sequence={} oldestReadMs={} newestReadMs={}",
-        command.version(),
-        command.sequence(),
-        sentAt - firstReadAt,
-        sentAt - lastReadAt);
     platform
         .engine()
         .startLoad(
             model,
             command.version(),
             command.sequence(),
-            response -> {
-              LOG.info(
-                  "engine responded to the load command version={} sentMs={} oldestReadMs={}"
-                      + " result={}",
-                  command.version(),
-                  clockMillis.getAsLong() - sentAt,
-                  clockMillis.getAsLong() - firstReadAt,
-                  response.fold(Failure::message, accepted -> accepted ? "accepted" : "refused"));
-              execute(decider.onLoadResponse(clockMillis.getAsLong(), response.getOrElse(false)));
-            });
+            command.layers(),
+            response -> handleLoadResponse(command, sentAt, response));
+  }
+
+  private void handleLoadResponse(
+      LoadEffect.StartLoad command, long sentAt, Either<Failure, Boolean> response) {
+    long now = clockMillis.getAsLong();
+    LoadResponse outcome =
+        response.fold(
+            failure ->
+                failure.code() == Failure.Code.UNKNOWN
+                    ? LoadResponse.UNKNOWN
+                    : LoadResponse.REFUSED,
+            accepted -> accepted ? LoadResponse.ACCEPTED : LoadResponse.REFUSED);
+    LOG.info(
+        "engine responded to the load command version={} sequence={} sentMs={} result={} cause={}",
+        command.version(),
+        command.sequence(),
+        now - sentAt,
+        outcome,
+        response.fold(Failure::message, accepted -> ""));
+    execute(decider.onLoadResponse(now, outcome));
   }
 
   // Periodic work
@@ -378,6 +372,40 @@
     }
   }
 
+  /** Passes results of a staging to the decider. */
+  private final class StagingListener implements EngineStaging.Listener {
+
+    private final LoadEffect.Stage stage;
+
+    StagingListener(LoadEffect.Stage stage) {
+      this.stage = stage;
+    }
+
+    @Override
+    public void onVerified(Evidence evidence) {
+      long now = clockMillis.getAsLong();
+      LOG.info(
+          "all staged chunks are sound version={} {}", stage.version(), evidence.describe(now));
+      execute(decider.onStagingVerified(now, stage.stagingId(), evidence));
+    }
+
+    @Override
+    public void onRechecked(Set<Integer> changed, Set<Integer> foreign) {
+      execute(
+          decider.onStagingRechecked(clockMillis.getAsLong(), stage.stagingId(), changed, foreign));
+    }
+
+    @Override
+    public void onEnded(String cause) {
+      endStaging(stage, cause);
+    }
+
+    @Override
+    public void onWriteLost() {
+      decider.onWriteLost(clockMillis.getAsLong(), stage.version());
+    }
+  }
+
   /**
    * Processes every chunk of a version, a limited number of them concurrently, and reports whether
    * all succeeded.
--- a/agent/src/main/java/org/cornelchute/agent/direct/LocalEngine.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/LocalEngine.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.function.Consumer;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.policy.weights.LayerRange;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
 import org.cornelchute.policy.weights.Manifest;
 
@@ -16,16 +17,27 @@
   void writeChunk(
       String model, int chunk, byte[] bytes, Consumer<Either<Failure, Boolean>> callback);
 
-  /** Reads a chunk from the engine's store. */
-  void readChunk(Manifest manifest, int chunk, Consumer<Either<Failure, byte[]>> callback);
+  /**
+   * Reads a chunk from the engine's store.
+   *
+   * @param again whether the chunk was read before; the call then has a connection of its own, so
+   *     that no late copy of the response to the earlier read is mistaken for its response
+   */
+  void readChunk(
+      Manifest manifest, int chunk, boolean again, Consumer<Either<Failure, byte[]>> callback);
 
   /**
-   * Commands the engine to load a version from its store.
+   * Commands the engine to hold some layers of a version. It loads those that it does not hold from
+   * its store and releases all others.
    *
    * @param sequence number of load commands that the engine must have accepted so far; it refuses
    *     the command otherwise
    * @param callback receives whether the engine accepted the command
    */
   void startLoad(
-      String model, long version, long sequence, Consumer<Either<Failure, Boolean>> callback);
+      String model,
+      long version,
+      long sequence,
+      LayerRange layers,
+      Consumer<Either<Failure, Boolean>> callback);
 }
--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
@@ -20,19 +20,30 @@
 /** Sends requests with small responses, which it buffers in memory, with a timeout for each. */
 public final class SimpleHttpClient {
 
-  private static final int MAX_CONNECTIONS = 16;
+  private static final int DEFAULT_MAX_CONNECTIONS = 16;
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final long MAX_IDLE_MILLIS = 5_000;
 
   private final EventLoop loop;
   private final WireClient wireClient;
+  private final int maxConnections;
 
   /**
    * Creates a client that shares the connections of {@code wireClient} and runs on its event loop.
    */
   public SimpleHttpClient(EventLoop loop, WireClient wireClient) {
+    this(loop, wireClient, DEFAULT_MAX_CONNECTIONS);
+  }
+
+  /**
+   * Creates a client that shares the connections of {@code wireClient} and runs on its event loop.
+   *
+   * @param maxConnections maximum number of open connections to an address
+   */
+  public SimpleHttpClient(EventLoop loop, WireClient wireClient, int maxConnections) {
     this.loop = loop;
     this.wireClient = wireClient;
+    this.maxConnections = maxConnections;
   }
 
   /**
@@ -62,7 +73,7 @@
             request.address(),
             message,
             "",
-            MAX_CONNECTIONS,
+            maxConnections,
             CONNECT_TIMEOUT_MILLIS,
             MAX_IDLE_MILLIS);
     ResponseCollector collector = new ResponseCollector(request.maxBodyBytes(), callback);
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -1,6 +1,7 @@
 package org.cornelchute.policy.weights;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,9 +25,12 @@
  */
 public final class LoadDecider {
 
-  /** Time after which a staging without a result is abandoned. */
+  /** Time after which a staging without a result gives way to that of a newer version. */
   private static final long STAGING_TIMEOUT_MILLIS = 8_000;
 
+  /** Time for which a write without a response, or one of a process before, may still arrive. */
+  private static final long LATE_WRITE_MILLIS = 30_000;
+
   /** Time after which an engine that holds a complete version has usually switched to it. */
   private static final long SWITCH_MILLIS = 1_500;
 
@@ -50,13 +54,17 @@
   private final Set<Long> dropped = new HashSet<>();
   private int rank;
   private Engine engine = Engine.UNREACHABLE;
-  private Step step = Step.IDLE;
 
-  /** Version that is being staged or loaded. */
-  private long stepVersion;
+  /** Load in progress, null if there is none. */
+  private LoadAttempt attempt;
+
+  /** Number of layers, by version; 1 for versions without an entry. */
+  private final Map<Long, Integer> layersByVersion = new HashMap<>();
 
-  /** Engine incarnation for which the staging was started. */
-  private long stepEngineStartMillis;
+  /** Time until which a write without a response may still arrive, by version. */
+  private final Map<Long, Long> lateWriteUntilByVersion = new HashMap<>();
+
+  private long predecessorWritesUntil;
 
   /** Version whose fetch has not started yet, 0 if none. */
   private long deferredVersion;
@@ -70,6 +78,21 @@
     this.options = options;
   }
 
+  /** Handles the start of this process: writes of the one before may still arrive. */
+  public void onStart(long now) {
+    predecessorWritesUntil = now + LATE_WRITE_MILLIS;
+  }
+
+  /** Handles a write of a chunk that had no response, so that it may still arrive. */
+  public void onWriteLost(long now, long version) {
+    lateWriteUntilByVersion.put(version, now + LATE_WRITE_MILLIS);
+  }
+
+  /** Sets the number of layers of a version that the engine can load separately. */
+  public void setLayers(long version, int layers) {
+    layersByVersion.put(version, layers);
+  }
+
   /** Returns the newest version assigned by operators, 0 if none. */
   public long targetVersion() {
     return assignedAtByVersion.isEmpty() ? 0 : assignedAtByVersion.lastKey();
@@ -146,54 +169,77 @@
   public List<LoadEffect> onEngineReport(long now, Engine reported) {
     boolean restarted = reported.reachable() && isOfOtherIncarnation(reported);
     engine = reported.reachable() ? reported : engine.asUnreachable();
-    boolean staging = step == Step.STAGING || step == Step.STAGED;
-    boolean timedOut = staging && now - stagingStartedAt >= STAGING_TIMEOUT_MILLIS;
-    if (restarted || timedOut) {
-      step = Step.IDLE;
-    }
     List<LoadEffect> effects = new ArrayList<>(2);
-    if (step == Step.STAGED && engine.reachable()) {
-      startLoad(effects);
-    }
-    if (step == Step.LOADING && engine.reachable() && !engine.busy()) {
-      step = Step.IDLE;
-      boolean loaded = reported.version() == stepVersion;
-      retryAt = loaded ? 0 : now + options.retryDelayMillis();
-      if (loaded) {
-        effects.add(new LoadEffect.AnnounceLoaded(stepVersion));
-      }
+    if (attempt != null) {
+      effects.addAll(
+          restarted || isSuperseded(now) ? attempt.cancel() : attempt.onEngineReport(now, engine));
     }
+    finishAttempt(now, effects);
     effects.addAll(startStagingIfDue(now));
     startDeferredFetch(now, effects);
     return effects;
   }
 
-  /** Handles the result of the staging with an ID; ignores results of earlier stagings. */
-  public List<LoadEffect> onStagingResult(long now, long stagingId, boolean verified) {
-    List<LoadEffect> effects = new ArrayList<>(2);
-    if (step != Step.STAGING || stagingId != lastStagingId) {
-      return effects;
+  /** Returns whether a newer version is complete and the staging has taken too long. */
+  private boolean isSuperseded(long now) {
+    return attempt.isStaging()
+        && now - stagingStartedAt >= STAGING_TIMEOUT_MILLIS
+        && completeAtByVersion.lastKey() > attempt.version();
+  }
+
+  /** Handles a staging whose chunks are all sound; ignores that of an earlier attempt. */
+  public List<LoadEffect> onStagingVerified(long now, long stagingId, Evidence evidence) {
+    if (!isCurrent(stagingId)) {
+      return List.of();
     }
-    if (!verified || engine.startMillis() != stepEngineStartMillis) {
-      step = Step.IDLE;
-      retryAt = now + options.retryDelayMillis();
-      return effects;
+    List<LoadEffect> effects = new ArrayList<>(attempt.onVerified(now, evidence, engine));
+    finishAttempt(now, effects);
+    effects.addAll(startStagingIfDue(now));
+    return effects;
+  }
+
+  /** Handles a staging that has ended without a result; ignores that of an earlier attempt. */
+  public List<LoadEffect> onStagingEnded(long now, long stagingId) {
+    List<LoadEffect> effects = new ArrayList<>(2);
+    if (isCurrent(stagingId)) {
+      attempt.onStagingEnded(now);
+      finishAttempt(now, effects);
+      effects.addAll(startStagingIfDue(now));
     }
-    step = Step.STAGED;
-    if (engine.reachable()) {
-      startLoad(effects);
+    return effects;
+  }
+
+  /**
+   * Handles the result of reading all chunks once more after a load command was accepted; ignores
+   * that of an earlier attempt.
+   *
+   * @param changed layers with a chunk that did not match, or was written since the command
+   * @param foreign those of them with a chunk of another version
+   */
+  public List<LoadEffect> onStagingRechecked(
+      long now, long stagingId, Set<Integer> changed, Set<Integer> foreign) {
+    if (!isCurrent(stagingId)) {
+      return List.of();
     }
+    List<LoadEffect> effects = new ArrayList<>(attempt.onRechecked(now, changed, foreign, engine));
+    finishAttempt(now, effects);
     return effects;
   }
 
-  private void startLoad(List<LoadEffect> effects) {
-    step = Step.LOAD_REQUESTED;
-    effects.add(new LoadEffect.StartLoad(stepVersion, engine.sequence()));
-    log(
-        effects,
-        stepVersion,
-        "order",
-        "sequence=" + engine.sequence() + " loaded=" + engine.version());
+  private boolean isCurrent(long stagingId) {
+    return attempt != null && attempt.stagingId() == stagingId;
+  }
+
+  private void finishAttempt(long now, List<LoadEffect> effects) {
+    if (attempt == null || !attempt.hasEnded()) {
+      return;
+    }
+    boolean loaded = attempt.hasLoaded();
+    retryAt = loaded || attempt.wasCancelled() ? 0 : now + options.retryDelayMillis();
+    if (loaded) {
+      effects.add(new LoadEffect.AnnounceLoaded(attempt.version()));
+    }
+    attempt = null;
   }
 
   /** Returns whether a report is not of the incarnation of the last one. */
@@ -202,18 +248,14 @@
         || reported.sequence() < engine.sequence();
   }
 
-  /**
-   * Handles the response to a load command.
-   *
-   * @param accepted whether the engine accepted the command; false also if the response was lost,
-   *     since the next engine report shows the outcome
-   */
-  public List<LoadEffect> onLoadResponse(long now, boolean accepted) {
-    if (step == Step.LOAD_REQUESTED) {
-      step = accepted ? Step.LOADING : Step.IDLE;
-      retryAt = now + options.retryDelayMillis();
+  /** Handles the response to a load command, or its absence. */
+  public List<LoadEffect> onLoadResponse(long now, LoadResponse response) {
+    List<LoadEffect> effects = new ArrayList<>(2);
+    if (attempt != null) {
+      effects.addAll(attempt.onResponse(now, response));
+      finishAttempt(now, effects);
     }
-    return List.of();
+    return effects;
   }
 
   /**
@@ -267,24 +309,25 @@
   /** Stages the newest complete version if the engine is ready and its turn has come. */
   private List<LoadEffect> startStagingIfDue(long now) {
     List<LoadEffect> effects = new ArrayList<>(2);
-    if (step != Step.IDLE
-        || !engine.reachable()
-        || engine.busy()
-        || completeAtByVersion.isEmpty()) {
+    if (attempt != null || !engine.reachable() || engine.busy() || completeAtByVersion.isEmpty()) {
       return effects;
     }
     long version = completeAtByVersion.lastKey();
-    if (engine.version() >= version || now < retryAt || now < earliestStagingTime(version)) {
+    if (loadedVersion() >= version || now < retryAt || now < earliestStagingTime(version)) {
       return effects;
     }
-    step = Step.STAGING;
-    stepVersion = version;
-    stepEngineStartMillis = engine.startMillis();
-    if (engine.version() > 0) {
+    if (loadedVersion() > 0) {
       effects.add(new LoadEffect.AnnounceSwitch(version));
     }
     lastStagingId++;
     stagingStartedAt = now;
+    attempt =
+        new LoadAttempt(
+            version,
+            lastStagingId,
+            layersByVersion.getOrDefault(version, 1),
+            foreignWritesUntil(version),
+            options.retryDelayMillis());
     effects.add(new LoadEffect.Stage(version, lastStagingId));
     log(
         effects,
@@ -294,6 +337,22 @@
     return effects;
   }
 
+  /** Returns the version of which the engine holds all layers, 0 if none. */
+  private long loadedVersion() {
+    int layers = layersByVersion.getOrDefault(engine.version(), 1);
+    return engine.layers().covers(layers) ? engine.version() : 0;
+  }
+
+  private long foreignWritesUntil(long version) {
+    long until = predecessorWritesUntil;
+    for (Map.Entry<Long, Long> e : lateWriteUntilByVersion.entrySet()) {
+      if (e.getKey() != version) {
+        until = Math.max(until, e.getValue());
+      }
+    }
+    return until;
+  }
+
   /** Returns the earliest time at which this engine may stage a complete version. */
   private long earliestStagingTime(long version) {
     long completeAt = completeAtByVersion.get(version);
@@ -305,7 +364,7 @@
           completeAt,
           assignedAt(version) + options.cutoverMillis() + options.supersedeGraceMillis());
     }
-    if (engine.version() == 0 || isFirstHalf(version)) {
+    if (loadedVersion() == 0 || isFirstHalf(version)) {
       return completeAt;
     }
     // The engine may not serve calls after the earliest cutover to a newer version.
@@ -335,17 +394,6 @@
         new LoadEffect.Log(new Decision(kind, subject, "", List.of(), "engine", reason, 0)));
   }
 
-  private enum Step {
-    IDLE,
-    STAGING,
-
-    /** Every chunk is staged and verified, but the engine is unreachable. */
-    STAGED,
-
-    LOAD_REQUESTED,
-    LOADING
-  }
-
   /**
    * State of an engine as last reported.
    *
@@ -354,15 +402,27 @@
    * @param version version that it has loaded, 0 if none
    * @param busy whether a load is in progress
    * @param sequence number of load commands that it has accepted
+   * @param layers layers of the version that it has loaded; {@link LayerRange#ALL} if it does not
+   *     tell
    */
   public record Engine(
-      boolean reachable, long startMillis, long version, boolean busy, long sequence) {
+      boolean reachable,
+      long startMillis,
+      long version,
+      boolean busy,
+      long sequence,
+      LayerRange layers) {
 
     /** State of an engine that has not answered yet; also stands for a failed report. */
     public static final Engine UNREACHABLE = new Engine(false, 0, 0, false, 0);
 
+    /** Creates the state of an engine with all layers of its version. */
+    public Engine(boolean reachable, long startMillis, long version, boolean busy, long sequence) {
+      this(reachable, startMillis, version, busy, sequence, LayerRange.ALL);
+    }
+
     private Engine asUnreachable() {
-      return new Engine(false, startMillis, version, busy, sequence);
+      return new Engine(false, startMillis, version, busy, sequence, layers);
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadEffect.java
@@ -23,13 +23,42 @@
   record Stage(long version, long stagingId) implements LoadEffect {}
 
   /**
-   * Commands the engine to load the version from its store.
+   * Reads the staged chunks of some layers once more and writes those again that do not match.
+   *
+   * @param stagingId staging whose result is too old
+   * @param layers layers whose chunks are read
+   */
+  record RefreshStaging(long stagingId, LayerRange layers) implements LoadEffect {}
+
+  /**
+   * Reads the staged chunks once more after a load command was accepted, without writing any, to
+   * find out which of them were certainly sound when it was accepted.
+   *
+   * @param stagingId staging that the command was based on
+   * @param orderedAt time at which the command was first sent; a chunk that was written since is
+   *     not proven by a later read
+   */
+  record RecheckStaging(long stagingId, long orderedAt) implements LoadEffect {}
+
+  /** Starts no further call of a staging and reports its end once those in progress have ended. */
+  record CancelStaging(long stagingId) implements LoadEffect {}
+
+  /**
+   * Commands the engine to hold some layers of a version. It loads those that it does not hold from
+   * its store and releases all others.
    *
    * @param version version to load
    * @param sequence number of load commands that the engine must have accepted so far; it refuses
    *     the command otherwise
+   * @param layers layers to hold
    */
-  record StartLoad(long version, long sequence) implements LoadEffect {}
+  record StartLoad(long version, long sequence, LayerRange layers) implements LoadEffect {
+
+    /** Creates the command to load all layers. */
+    public StartLoad(long version, long sequence) {
+      this(version, sequence, LayerRange.ALL);
+    }
+  }
 
   /** Notifies the entries that the engine has loaded a version and accepts calls. */
   record AnnounceLoaded(long version) implements LoadEffect {}
--- a/policy/src/main/java/org/cornelchute/policy/weights/Manifest.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/Manifest.java
@@ -19,9 +19,17 @@
  * @param bytes size of the weights in bytes
  * @param chunkBytes size in bytes of every chunk but the last
  * @param chunks SHA-256 of each chunk, lower-case hex
+ * @param layers number of layers that engines can load separately, at least 1; not part of the text
+ *     form
  */
 public record Manifest(
-    String digest, String model, String version, long bytes, int chunkBytes, List<String> chunks) {
+    String digest,
+    String model,
+    String version,
+    long bytes,
+    int chunkBytes,
+    List<String> chunks,
+    int layers) {
 
   private static final int MAX_CHUNKS = 1 << 20;
   private static final int MAX_CHUNK_BYTES = 1 << 26;
@@ -33,17 +41,18 @@
       int end = Math.min(weights.length, offset + chunkBytes);
       chunks.add(Digests.sha256(weights, offset, end - offset));
     }
-    Manifest undigested = new Manifest("", model, version, weights.length, chunkBytes, chunks);
+    Manifest undigested = new Manifest("", model, version, weights.length, chunkBytes, chunks, 1);
     byte[] text = undigested.text().getBytes(StandardCharsets.UTF_8);
     return new Manifest(
-        Digests.sha256(text), model, version, weights.length, chunkBytes, List.copyOf(chunks));
+        Digests.sha256(text), model, version, weights.length, chunkBytes, List.copyOf(chunks), 1);
   }
 
   /** Creates a manifest from the digests of chunks of equal size. */
   public static Either<Failure, Manifest> ofDigests(
       String model, String version, int chunkBytes, List<String> digests) {
     Manifest undigested =
-        new Manifest("", model, version, (long) chunkBytes * digests.size(), chunkBytes, digests);
+        new Manifest(
+            "", model, version, (long) chunkBytes * digests.size(), chunkBytes, digests, 1);
     return parse(undigested.text());
   }
 
@@ -89,12 +98,27 @@
       }
       String digest = Digests.sha256(text.getBytes(StandardCharsets.UTF_8));
       return Either.right(
-          new Manifest(digest, head[0], head[1], bytes, chunkBytes, List.copyOf(chunks)));
+          new Manifest(digest, head[0], head[1], bytes, chunkBytes, List.copyOf(chunks), 1));
     } catch (NumberFormatException e) {
       return Either.left(Failure.invalid("manifest sizes (bytes chunkBytes) are not integers"));
     }
   }
 
+  /** Returns the same manifest for weights of a number of layers. */
+  public Manifest withLayers(int count) {
+    return new Manifest(digest, model, version, bytes, chunkBytes, chunks, count);
+  }
+
+  /** Returns the index of the first chunk that a layer needs. */
+  public int firstChunkOf(int layer) {
+    return (int) ((long) layer * chunks.size() / layers);
+  }
+
+  /** Returns the index after the last chunk that a layer needs; layers may share a chunk. */
+  public int chunkAfter(int layer) {
+    return (int) (((long) (layer + 1) * chunks.size() + layers - 1) / layers);
+  }
+
   /** Returns the text form. */
   public String text() {
     StringBuilder text = new StringBuilder(80 + 65 * chunks.size());
