Keep the endpoint closed and start no second load while a load is in flight

A load command that was sent may take effect until its result is known. A load whose chunks are no longer held now counts as failed; it had no result.

--- a/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
@@ -189,7 +189,9 @@
           .subscribe(
               fencingNumber ->
                   weightsDuty.withCompleteVersion(
-                      load.manifest().digest(), chunks -> startLoad(load, fencingNumber, chunks)));
+                      load.manifest().digest(),
+                      chunks -> startLoad(load, fencingNumber, chunks),
+                      () -> handleMissingChunks(load)));
     } else if (effect instanceof RolloutEffect.Log log) {
       DecisionLog.write(log.decision());
     }
@@ -207,6 +209,11 @@
                 duty.offer((d, now) -> d.onLoadResult(now, load.manifest().digest(), result)));
   }
 
+  private void handleMissingChunks(RolloutEffect.LoadVersion load) {
+    Failure failure = Failure.unavailable("chunks of the version are no longer held");
+    duty.offer((d, now) -> d.onLoadResult(now, load.manifest().digest(), Either.left(failure)));
+  }
+
   /** Changes that the duty makes in other parts of the agent; must not block. */
   interface Control {
 
--- a/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
@@ -19,6 +19,10 @@
  * <p>The endpoint is open only for a generation that the engine itself has reported. The response
  * to a load command may be lost, and an engine that ignores fencing numbers may load another
  * version, so that the command alone does not show what is loaded.
+ *
+ * <p>A load command cannot be taken back, and the engine may act on it at any time until its result
+ * is known. Until then the endpoint stays closed, whatever the engine reports and whichever version
+ * is assigned by then, and no other load starts.
  */
 public final class RolloutDecider {
 
@@ -32,6 +36,10 @@
   private EngineState engine;
   private Generation openGeneration = Generation.NONE;
   private Step step = Step.IDLE;
+
+  /** Whether a load was requested whose result is not known yet. */
+  private boolean loadInFlight;
+
   private long retryAtMillis;
   private long rulesVersion;
 
@@ -215,8 +223,9 @@
         }
         break;
       case DRAINING:
-        if (drained) {
+        if (drained && !loadInFlight) {
           step = Step.LOADING;
+          loadInFlight = true;
           effects.add(new RolloutEffect.LoadVersion(manifest));
         }
         break;
@@ -236,6 +245,7 @@
   public List<RolloutEffect> onLoadResult(
       long now, String digest, Either<Failure, EngineState> readBack) {
     List<RolloutEffect> effects = new ArrayList<>();
+    loadInFlight = false;
     if (readBack.isRight()) {
       engine = readBack.get();
     }
@@ -264,6 +274,7 @@
             && engine != null
             && engine.manifest().equals(manifest.digest())
             && openGeneration.equals(Generation.NONE)
+            && !loadInFlight
             && (step == Step.FETCHING || step == Step.WAITING_FOR_TURN || step == Step.IDLE);
     if (loaded) {
       openEndpoint(effects);
--- a/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
@@ -128,4 +128,53 @@
       assertThat(decider.tick(15, true, true)).contains(new RolloutEffect.LoadVersion(V2));
     }
   }
+
+  /** A load that was sent may take effect at any time until its result is known. */
+  @Nested
+  class WhileLoadIsInFlight {
+
+    private void serveV1AndStartLoadOfV2() {
+      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      assign(V1);
+      load(V1, engineState("b", V1.digest(), 7));
+      assign(V2);
+      decider.onFetchComplete(6, V2.digest());
+      decider.tick(7, true, true);
+      assertThat(decider.tick(8, true, true)).contains(new RolloutEffect.LoadVersion(V2));
+    }
+
+    @Test
+    void staysClosedThoughEngineStillReportsPreviousVersion() {
+      serveV1AndStartLoadOfV2();
+      assign(V1);
+      decider.onFetchComplete(9, V1.digest());
+      decider.onEngineState(10, Optional.of(engineState("b", V1.digest(), 7)));
+      assertThat(isOpen()).isFalse();
+      decider.onLoadResult(11, V2.digest(), Either.right(engineState("b", V2.digest(), 8)));
+      assertThat(isOpen()).isFalse();
+    }
+
+    @Test
+    void opensForPreviousVersionOnceLoadHasFailed() {
+      serveV1AndStartLoadOfV2();
+      assign(V1);
+      decider.onLoadResult(11, V2.digest(), Either.left(Failure.unavailable("refused")));
+      decider.onEngineState(12, Optional.of(engineState("b", V1.digest(), 7)));
+      assertThat(isOpen()).isTrue();
+    }
+
+    @Test
+    void startsNoSecondLoad() {
+      serveV1AndStartLoadOfV2();
+      decider.onEngineState(9, Optional.of(engineState("b", "", 8)));
+      assign(V1);
+      decider.onFetchComplete(10, V1.digest());
+      for (long now = 11; now < 3_000; now += 50) {
+        assertThat(decider.tick(now, true, true))
+            .noneMatch(e -> e instanceof RolloutEffect.LoadVersion);
+      }
+      decider.onLoadResult(3_000, V2.digest(), Either.right(engineState("b", V2.digest(), 8)));
+      assertThat(decider.tick(3_050, true, true)).contains(new RolloutEffect.LoadVersion(V1));
+    }
+  }
 }
