Send a load only if its version is still assigned once its number is known

The fencing number of a load takes up to 3 s. If another version was assigned meanwhile, the engine was still commanded to load the version that no rule named any more. The decider is now asked when the number arrives.

--- a/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
@@ -187,29 +187,30 @@
       fenceCounter
           .next(lastEngineState.fencingNumber())
           .subscribe(
-              fencingNumber ->
-                  weightsDuty.withCompleteVersion(
-                      load.manifest().digest(),
-                      chunks -> startLoad(load, fencingNumber, chunks),
-                      () -> handleMissingChunks(load)));
+              number -> duty.offer((d, now) -> d.onFencingNumber(now, load.manifest(), number)));
+    } else if (effect instanceof RolloutEffect.SendLoad load) {
+      weightsDuty.withCompleteVersion(
+          load.manifest().digest(),
+          chunks -> startLoad(load, chunks),
+          () -> handleMissingChunks(load));
     } else if (effect instanceof RolloutEffect.Log log) {
       DecisionLog.write(log.decision());
     }
   }
 
-  private void startLoad(RolloutEffect.LoadVersion load, long fencingNumber, List<byte[]> chunks) {
+  private void startLoad(RolloutEffect.SendLoad load, List<byte[]> chunks) {
     LOG.info(
         "commanding the engine to load version {} with fencing number {}",
         load.manifest().version(),
-        fencingNumber);
+        load.fencingNumber());
     engineClient
-        .load(load.manifest(), fencingNumber, chunks)
+        .load(load.manifest(), load.fencingNumber(), chunks)
         .subscribe(
             result ->
                 duty.offer((d, now) -> d.onLoadResult(now, load.manifest().digest(), result)));
   }
 
-  private void handleMissingChunks(RolloutEffect.LoadVersion load) {
+  private void handleMissingChunks(RolloutEffect.SendLoad load) {
     Failure failure = Failure.unavailable("chunks of the version are no longer held");
     duty.offer((d, now) -> d.onLoadResult(now, load.manifest().digest(), Either.left(failure)));
   }
--- a/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
@@ -55,7 +55,7 @@
     WAITING_FOR_TURN,
     /** The endpoint is closed; the requests in flight are completed. */
     DRAINING,
-    /** The engine has been instructed to load the version; its state is not read back yet. */
+    /** The engine is being instructed to load the version; its state is not read back yet. */
     LOADING
   }
 
@@ -235,6 +235,28 @@
     return effects;
   }
 
+  /**
+   * Handles the fencing number of a load. The load is sent only if its version is still the
+   * assigned one, because the rules may have changed while the number was obtained.
+   *
+   * @param wanted manifest of the version that was to be loaded when the number was requested
+   */
+  public List<RolloutEffect> onFencingNumber(long now, Manifest wanted, long fencingNumber) {
+    List<RolloutEffect> effects = new ArrayList<>();
+    if (step == Step.LOADING && manifest.digest().equals(wanted.digest())) {
+      effects.add(new RolloutEffect.SendLoad(wanted, fencingNumber));
+    } else {
+      loadInFlight = false;
+      log(
+          effects,
+          "load",
+          wanted.model() + ":" + wanted.version(),
+          "",
+          "not sent, the version is no longer the assigned one");
+    }
+    return effects;
+  }
+
   /**
    * Handles the outcome of a load command. The endpoint is opened if the engine reports the
    * manifest that it was to load; otherwise the load is retried after a delay.
--- a/policy/src/main/java/org/cornelchute/policy/placement/RolloutEffect.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/RolloutEffect.java
@@ -16,9 +16,12 @@
   /** Closes the endpoint: no more requests may be sent to it. */
   record CloseEndpoint() implements RolloutEffect {}
 
-  /** Instructs the engine to load a version, with the next fencing number. */
+  /** Obtains the next fencing number, with which the engine is to load a version. */
   record LoadVersion(Manifest manifest) implements RolloutEffect {}
 
+  /** Instructs the engine to load a version. */
+  record SendLoad(Manifest manifest, long fencingNumber) implements RolloutEffect {}
+
   /** Opens the endpoint for a generation that the engine has confirmed. */
   record OpenEndpoint(Generation generation) implements RolloutEffect {}
 
--- a/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
@@ -176,5 +176,24 @@
       decider.onLoadResult(3_000, V2.digest(), Either.right(engineState("b", V2.digest(), 8)));
       assertThat(decider.tick(3_050, true, true)).contains(new RolloutEffect.LoadVersion(V1));
     }
+
+    @Test
+    void sendsLoadWithFencingNumberOnlyIfVersionIsStillAssigned() {
+      serveV1AndStartLoadOfV2();
+      assertThat(decider.onFencingNumber(9, V2, 8))
+          .containsExactly(new RolloutEffect.SendLoad(V2, 8));
+      decider.onAssignment(10, Optional.of(new Assignment("m", "v1", 0, 1)), 2);
+      assertThat(decider.onFencingNumber(11, V2, 9))
+          .noneMatch(e -> e instanceof RolloutEffect.SendLoad);
+    }
+
+    @Test
+    void opensForPreviousVersionIfLoadWasNotSent() {
+      serveV1AndStartLoadOfV2();
+      assign(V1);
+      decider.onFencingNumber(10, V2, 8);
+      decider.onEngineState(12, Optional.of(engineState("b", V1.digest(), 7)));
+      assertThat(isOpen()).isTrue();
+    }
   }
 }
