Ignore engine reports that others have overtaken or that waited for over 2 s

Status requests are sent every 200 ms and may take 1 s, so their responses overtake each other, and a response waits in the ring while the agent stands still. A report of an incarnation that had ended opened the endpoint again after the report on the restart. The decider now gets the time at which each state was requested, also for the state read back after a load, for which EngineClient.load no longer fetches the state itself.

RolloutDeciderTest.WithOldReports failed before, all 3 (open, expected closed). The other tests only name the time of the request, the same as that of the report.

--- a/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
+++ b/agent/src/main/java/org/cornelchute/agent/RolloutDuty.java
@@ -152,14 +152,14 @@
   private List<RolloutEffect> tick(RolloutDecider decider, long now) {
     if (now >= nextStatusAt) {
       nextStatusAt = now + STATUS_INTERVAL_MILLIS;
-      engineClient.fetchStatus().subscribe(this::handleEngineStatus);
+      engineClient.fetchStatus().subscribe(status -> handleEngineStatus(now, status));
     }
     return decider.tick(
         now, endpointDrained.getAsBoolean(), placement.maySwitch(wantedDigest, members));
   }
 
-  private void handleEngineStatus(Either<Failure, EngineState> status) {
-    duty.offer((d, now) -> d.onEngineState(now, status.toJavaOptional()));
+  private void handleEngineStatus(long requestedAt, Either<Failure, EngineState> status) {
+    duty.offer((d, now) -> d.onEngineState(now, requestedAt, status.toJavaOptional()));
     if (status.isRight()) {
       lastEngineState = status.get();
       control.onEngineState(status.get());
@@ -206,13 +206,33 @@
     engineClient
         .load(load.manifest(), load.fencingNumber(), chunks)
         .subscribe(
-            result ->
-                duty.offer((d, now) -> d.onLoadResult(now, load.manifest().digest(), result)));
+            result -> {
+              if (result.isRight()) {
+                readBack(load);
+              } else {
+                handleLoadFailure(load, result.getLeft());
+              }
+            });
+  }
+
+  /** Reads the state of the engine after a load. */
+  private void readBack(RolloutEffect.SendLoad load) {
+    long requestedAt = clockMillis.getAsLong();
+    engineClient
+        .fetchStatus()
+        .subscribe(
+            state ->
+                duty.offer(
+                    (d, now) -> d.onLoadResult(now, load.manifest().digest(), requestedAt, state)));
   }
 
   private void handleMissingChunks(RolloutEffect.SendLoad load) {
-    Failure failure = Failure.unavailable("chunks of the version are no longer held");
-    duty.offer((d, now) -> d.onLoadResult(now, load.manifest().digest(), Either.left(failure)));
+    handleLoadFailure(load, Failure.unavailable("chunks of the version are no longer held"));
+  }
+
+  private void handleLoadFailure(RolloutEffect.SendLoad load, Failure failure) {
+    duty.offer(
+        (d, now) -> d.onLoadResult(now, load.manifest().digest(), now, Either.left(failure)));
   }
 
   /** Changes that the duty makes in other parts of the agent; must not block. */
--- a/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
+++ b/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
@@ -94,15 +94,15 @@
   }
 
   /**
-   * Makes the engine load a version.
+   * Makes the engine load a version. The response does not show what is loaded; its state must be
+   * fetched afterwards.
    *
    * @param manifest manifest of the version
    * @param fence fencing number of the load
    * @param chunks all chunks of the version in order, already verified
-   * @return the state that the engine reports after the load
+   * @return true once the engine has responded that the load is complete
    */
-  public Mono<Either<Failure, EngineState>> load(
-      Manifest manifest, long fence, List<byte[]> chunks) {
+  public Mono<Either<Failure, Boolean>> load(Manifest manifest, long fence, List<byte[]> chunks) {
     String uri =
         String.format(
             "/engine/load?model=%s&version=%s&chunkBytes=%d&fence=%d",
@@ -118,9 +118,7 @@
                     .map(text -> checkLoadStatus(response.status().code(), text)))
         .single()
         .timeout(LOAD_TIMEOUT)
-        .onErrorResume(error -> Mono.just(Either.left(toFailure(error))))
-        .flatMap(
-            result -> result.isLeft() ? Mono.just(Either.left(result.getLeft())) : fetchStatus());
+        .onErrorResume(error -> Mono.just(Either.left(toFailure(error))));
   }
 
   /**
--- a/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
@@ -29,11 +29,21 @@
   private static final long MANIFEST_RETRY_MILLIS = 500;
   private static final long LOAD_RETRY_MILLIS = 1_000;
 
+  /**
+   * Age from its request above which a report shows nothing about the engine. Requests time out
+   * after half of it; the rest passes only while the agent stands still.
+   */
+  private static final long MAX_REPORT_AGE_MILLIS = 2_000;
+
   private final String self;
   private Assignment assignment;
   private Manifest manifest;
   private boolean chunksComplete;
   private EngineState engine;
+
+  /** Time at which the last known state of the engine was requested. */
+  private long engineRequestedAt;
+
   private Generation openGeneration = Generation.NONE;
   private Step step = Step.IDLE;
 
@@ -152,24 +162,29 @@
   /**
    * Handles a status report of the engine. The endpoint is closed if the engine no longer holds the
    * generation that it is open for, for example after a restart of the engine or a load command
-   * from another client. A report that is older than the last known load command is ignored.
+   * from another client. A report is ignored if it is older than the last known load command, was
+   * requested before the last known state or is too old by itself: responses may overtake each
+   * other, and a report may wait while the agent stands still.
    *
+   * @param requestedAt time at which the report was requested
    * @param report state of the engine, or empty if the engine did not answer
    */
-  public List<RolloutEffect> onEngineState(long now, Optional<EngineState> report) {
+  public List<RolloutEffect> onEngineState(
+      long now, long requestedAt, Optional<EngineState> report) {
     List<RolloutEffect> effects = new ArrayList<>();
     if (report.isEmpty()) {
       return effects;
     }
     EngineState previous = engine;
-    boolean stale =
+    boolean beforeLastLoad =
         previous != null
             && previous.incarnation().equals(report.get().incarnation())
             && report.get().fencingNumber() < previous.fencingNumber();
-    if (stale) {
+    if (beforeLastLoad || isOutdated(now, requestedAt)) {
       return effects;
     }
     engine = report.get();
+    engineRequestedAt = requestedAt;
     boolean generationLost =
         !openGeneration.equals(Generation.NONE)
             && (!engine.manifest().equals(openGeneration.manifest())
@@ -262,33 +277,44 @@
    * manifest that it was to load; otherwise the load is retried after a delay.
    *
    * @param digest digest of the manifest that the engine was instructed to load
+   * @param requestedAt time at which the state was requested
    * @param readBack state that the engine reported after the command, or why it is not known
    */
   public List<RolloutEffect> onLoadResult(
-      long now, String digest, Either<Failure, EngineState> readBack) {
+      long now, String digest, long requestedAt, Either<Failure, EngineState> readBack) {
     List<RolloutEffect> effects = new ArrayList<>();
     loadInFlight = false;
-    if (readBack.isRight()) {
+    boolean known = readBack.isRight() && !isOutdated(now, requestedAt);
+    if (known) {
       engine = readBack.get();
+      engineRequestedAt = requestedAt;
     }
     if (step != Step.LOADING) {
       return effects;
     }
     boolean current = manifest != null && manifest.digest().equals(digest);
-    if (current && readBack.isRight() && engine.manifest().equals(digest)) {
+    if (current && known && engine.manifest().equals(digest)) {
       openEndpoint(effects);
       return effects;
     }
     String reason =
-        readBack.isLeft()
-            ? readBack.getLeft().message()
-            : "engine reports another manifest than the one to load";
+        readBack.fold(
+            Failure::message,
+            state ->
+                known
+                    ? "engine reports another manifest than the one to load"
+                    : "state of the engine read back was outdated when it arrived, ageMs="
+                        + (now - requestedAt));
     log(effects, "load", modelAndVersion(), "", reason);
     retryAtMillis = now + LOAD_RETRY_MILLIS;
     step = chunksComplete ? Step.WAITING_FOR_TURN : Step.FETCHING;
     return effects;
   }
 
+  private boolean isOutdated(long now, long requestedAt) {
+    return requestedAt < engineRequestedAt || now - requestedAt > MAX_REPORT_AGE_MILLIS;
+  }
+
   /** Opens the endpoint if it is closed and the engine has already loaded the assigned version. */
   private void openIfLoaded(List<RolloutEffect> effects) {
     boolean loaded =
--- a/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
@@ -31,7 +31,7 @@
     decider.onFetchComplete(2, manifest.digest());
     decider.tick(3, true, true);
     assertThat(decider.tick(4, true, true)).contains(new RolloutEffect.LoadVersion(manifest));
-    return decider.onLoadResult(5, manifest.digest(), Either.right(readBack));
+    return decider.onLoadResult(5, manifest.digest(), 5, Either.right(readBack));
   }
 
   private boolean isOpen() {
@@ -43,7 +43,7 @@
 
     @Test
     void afterEngineStateIsReadBack() {
-      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
       assign(V1);
       assertThat(isOpen()).isFalse();
       load(V1, engineState("b", V1.digest(), 7));
@@ -52,7 +52,7 @@
 
     @Test
     void notIfEngineThatIgnoresFencingNumbersHoldsAnotherVersion() {
-      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
       assign(V1);
       load(V1, engineState("b", V2.digest(), 7));
       assertThat(isOpen()).isFalse();
@@ -60,21 +60,21 @@
 
     @Test
     void onlyAfterNextReportIfLoadResponseIsLost() {
-      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
       assign(V1);
       decider.onFetchComplete(2, V1.digest());
       decider.tick(3, true, true);
       decider.tick(4, true, true);
-      decider.onLoadResult(5, V1.digest(), Either.left(Failure.unknown("timeout")));
+      decider.onLoadResult(5, V1.digest(), 5, Either.left(Failure.unknown("timeout")));
       assertThat(isOpen()).isFalse();
       // The next status report of the engine confirms the load.
-      decider.onEngineState(6, Optional.of(engineState("b", V1.digest(), 7)));
+      decider.onEngineState(6, 6, Optional.of(engineState("b", V1.digest(), 7)));
       assertThat(isOpen()).isTrue();
     }
 
     @Test
     void notForVersionReplacedDuringFetch() {
-      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
       assign(V1);
       assign(V2);
       decider.onFetchComplete(2, V1.digest());
@@ -87,7 +87,7 @@
   class Closes {
 
     private void serveV1() {
-      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
       assign(V1);
       load(V1, engineState("b", V1.digest(), 7));
     }
@@ -95,21 +95,21 @@
     @Test
     void whenEngineRestartsWithoutWeights() {
       serveV1();
-      assertThat(decider.onEngineState(9, Optional.of(engineState("c", "", 0))))
+      assertThat(decider.onEngineState(9, 9, Optional.of(engineState("c", "", 0))))
           .contains(new RolloutEffect.CloseEndpoint());
     }
 
     @Test
     void whenEngineReportsHigherFencingNumber() {
       serveV1();
-      assertThat(decider.onEngineState(9, Optional.of(engineState("b", V1.digest(), 8))))
+      assertThat(decider.onEngineState(9, 9, Optional.of(engineState("b", V1.digest(), 8))))
           .contains(new RolloutEffect.CloseEndpoint());
     }
 
     @Test
     void notOnReportOlderThanLoad() {
       serveV1();
-      decider.onEngineState(9, Optional.of(engineState("b", "", 3)));
+      decider.onEngineState(9, 9, Optional.of(engineState("b", "", 3)));
       assertThat(isOpen()).isTrue();
     }
 
@@ -134,7 +134,7 @@
   class WhileLoadIsInFlight {
 
     private void serveV1AndStartLoadOfV2() {
-      decider.onEngineState(0, Optional.of(engineState("b", "", 0)));
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
       assign(V1);
       load(V1, engineState("b", V1.digest(), 7));
       assign(V2);
@@ -148,9 +148,9 @@
       serveV1AndStartLoadOfV2();
       assign(V1);
       decider.onFetchComplete(9, V1.digest());
-      decider.onEngineState(10, Optional.of(engineState("b", V1.digest(), 7)));
+      decider.onEngineState(10, 10, Optional.of(engineState("b", V1.digest(), 7)));
       assertThat(isOpen()).isFalse();
-      decider.onLoadResult(11, V2.digest(), Either.right(engineState("b", V2.digest(), 8)));
+      decider.onLoadResult(11, V2.digest(), 11, Either.right(engineState("b", V2.digest(), 8)));
       assertThat(isOpen()).isFalse();
     }
 
@@ -158,22 +158,23 @@
     void opensForPreviousVersionOnceLoadHasFailed() {
       serveV1AndStartLoadOfV2();
       assign(V1);
-      decider.onLoadResult(11, V2.digest(), Either.left(Failure.unavailable("refused")));
-      decider.onEngineState(12, Optional.of(engineState("b", V1.digest(), 7)));
+      decider.onLoadResult(11, V2.digest(), 11, Either.left(Failure.unavailable("refused")));
+      decider.onEngineState(12, 12, Optional.of(engineState("b", V1.digest(), 7)));
       assertThat(isOpen()).isTrue();
     }
 
     @Test
     void startsNoSecondLoad() {
       serveV1AndStartLoadOfV2();
-      decider.onEngineState(9, Optional.of(engineState("b", "", 8)));
+      decider.onEngineState(9, 9, Optional.of(engineState("b", "", 8)));
       assign(V1);
       decider.onFetchComplete(10, V1.digest());
       for (long now = 11; now < 3_000; now += 50) {
         assertThat(decider.tick(now, true, true))
             .noneMatch(e -> e instanceof RolloutEffect.LoadVersion);
       }
-      decider.onLoadResult(3_000, V2.digest(), Either.right(engineState("b", V2.digest(), 8)));
+      decider.onLoadResult(
+          3_000, V2.digest(), 3_000, Either.right(engineState("b", V2.digest(), 8)));
       assertThat(decider.tick(3_050, true, true)).contains(new RolloutEffect.LoadVersion(V1));
     }
 
@@ -192,8 +193,46 @@
       serveV1AndStartLoadOfV2();
       assign(V1);
       decider.onFencingNumber(10, V2, 8);
-      decider.onEngineState(12, Optional.of(engineState("b", V1.digest(), 7)));
+      decider.onEngineState(12, 12, Optional.of(engineState("b", V1.digest(), 7)));
       assertThat(isOpen()).isTrue();
     }
   }
+
+  /** Responses to status requests overtake each other, and wait while the agent stands still. */
+  @Nested
+  class WithOldReports {
+
+    @Test
+    void staysClosedOnReportOfIncarnationBeforeTheLastReportedOne() {
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
+      assign(V1);
+      load(V1, engineState("b", V1.digest(), 7));
+      decider.onEngineState(1_400, 1_400, Optional.of(engineState("c", "", 0)));
+      assertThat(isOpen()).isFalse();
+      // Requested before the restart, received after the report on it.
+      decider.onEngineState(1_500, 1_200, Optional.of(engineState("b", V1.digest(), 7)));
+      assertThat(isOpen()).isFalse();
+    }
+
+    @Test
+    void staysClosedOnStateReadBackBeforeTheLastReport() {
+      decider.onEngineState(0, 0, Optional.of(engineState("b", "", 0)));
+      assign(V1);
+      decider.onFetchComplete(2, V1.digest());
+      decider.tick(3, true, true);
+      decider.tick(4, true, true);
+      decider.onEngineState(1_400, 1_400, Optional.of(engineState("c", "", 0)));
+      // Read back before the restart, received after the report on it.
+      decider.onLoadResult(
+          1_500, V1.digest(), 1_200, Either.right(engineState("b", V1.digest(), 7)));
+      assertThat(isOpen()).isFalse();
+    }
+
+    @Test
+    void staysClosedOnReportThatWaitedWhileTheAgentStoodStill() {
+      assign(V1);
+      decider.onEngineState(6_000, 900, Optional.of(engineState("b", V1.digest(), 7)));
+      assertThat(isOpen()).isFalse();
+    }
+  }
 }
