Do not count time in which the process stood still as silence of others

The duty runs its tick before it handles what was received during a standstill, so that a process that had stood still for 5 s suspected the member it had probed, and declared a suspected member dead for the whole fleet, while the ack or the refutation waited in its ring. Probes and suspicions are now extended by a gap of over 500 ms between two ticks.

MembershipDeciderTest.suspectsNoMember... and declaresNoMemberDead... failed before ([SUSPECT] and [DEAD], expected none).

--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -76,6 +76,12 @@
   /** Number of changes caused by one snapshot above which none of them is gossiped further. */
   private static final int MAX_GOSSIPED_SNAPSHOT_CHANGES = 64;
 
+  /**
+   * Time between two ticks above which this process stood still. What it received meanwhile is
+   * handled after the tick, so that the time does not count as one in which others were silent.
+   */
+  private static final long STANDSTILL_MILLIS = 500;
+
   private static final double UNREACHABLE_SUSPECT_SHARE = 0.5;
   private static final int UNREACHABLE_MIN_MEMBERS = 3;
 
@@ -96,6 +102,7 @@
   private long nextReconnectAt;
   private long nextExpiryAt;
   private long nextSyncAt;
+  private long lastTickAt = Long.MAX_VALUE;
   private int cachedMemberCount = 1;
 
   /**
@@ -219,6 +226,10 @@
   /** Sends the probes, gossip and requests that are due, and expires suspected and dead members. */
   public List<MembershipEffect> tick(long now) {
     List<MembershipEffect> effects = new ArrayList<>();
+    if (now - lastTickAt > STANDSTILL_MILLIS) {
+      extendTimeouts(now, now - lastTickAt);
+    }
+    lastTickAt = now;
     checkProbeTimeouts(now, effects);
     if (now >= nextProbeAt) {
       nextProbeAt = now + PROBE_INTERVAL_MILLIS;
@@ -381,6 +392,18 @@
     return null;
   }
 
+  /** Extends the time that others have to respond by the time that this process stood still. */
+  private void extendTimeouts(long now, long standstillMillis) {
+    if (probe != null) {
+      probe.startedAt = Math.min(now, probe.startedAt + standstillMillis);
+    }
+    for (MemberState state : memberStates.values()) {
+      if (state.health == Health.SUSPECT) {
+        state.since = Math.min(now, state.since + standstillMillis);
+      }
+    }
+  }
+
   private void checkProbeTimeouts(long now, List<MembershipEffect> effects) {
     if (probe == null) {
       return;
@@ -640,7 +663,7 @@
   private static final class Probe {
     private final String targetId;
     private final long sequence;
-    private final long startedAt;
+    private long startedAt;
     private boolean indirect;
 
     Probe(String targetId, long sequence, long startedAt) {
--- a/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
@@ -45,6 +45,47 @@
     assertThat(network.deciders.values()).allMatch(d -> d.unreachableRegions().isEmpty());
   }
 
+  /**
+   * Failure: a process that had stood still took the time for one in which the probed member did
+   * not respond, though the ack was received meanwhile and only waited to be handled.
+   */
+  @Test
+  void suspectsNoMemberForTheTimeThatItStoodStillItself() {
+    MembershipDecider decider = deciderThatKnows("b");
+    assertThat(decider.tick(0)).anyMatch(e -> e instanceof MembershipEffect.SendDatagram);
+    assertThat(healthChanges(tickUntil(decider, 100, 200))).isEmpty();
+    assertThat(healthChanges(decider.tick(5_200))).isEmpty();
+    decider.onAck(5_201, new ControlMessage.Ack(1, "b", 0, List.of()));
+    assertThat(healthChanges(tickUntil(decider, 5_300, 5_900))).isEmpty();
+  }
+
+  /**
+   * Failure: a process that had stood still declared a suspected member dead at all others, though
+   * the refutation was received meanwhile and only waited to be handled.
+   */
+  @Test
+  void declaresNoMemberDeadForTheTimeThatItStoodStillItself() {
+    MembershipDecider decider = deciderThatKnows("b");
+    assertThat(healthChanges(tickUntil(decider, 0, 1_200))).containsExactly(Health.SUSPECT);
+    assertThat(healthChanges(decider.tick(6_200))).isEmpty();
+    Member refuting = member("b").withRevisionAbove(1);
+    decider.onAck(
+        6_201,
+        new ControlMessage.Ack(
+            1, "b", 0, List.of(new ControlMessage.MembershipUpdate(refuting, Health.ALIVE))));
+    assertThat(decider.findHealth("b")).contains(Health.ALIVE);
+  }
+
+  /** Guards against a crashed member that stays because processes stand still now and then. */
+  @Test
+  void declaresMemberDeadAfterItHadTimeToRefuteBesideStandstills() {
+    MembershipDecider decider = deciderThatKnows("b");
+    List<MembershipEffect> effects = new ArrayList<>(tickUntil(decider, 0, 2_000));
+    effects.addAll(tickUntil(decider, 7_000, 9_000));
+    effects.addAll(tickUntil(decider, 12_000, 15_000));
+    assertThat(healthChanges(effects)).containsExactly(Health.SUSPECT, Health.DEAD);
+  }
+
   /** Guards against a region that stays unreachable after all of its members were evicted. */
   @Test
   void forgetsUnreachableRegionOnceItHasNoMembers() {
@@ -83,6 +124,31 @@
     checkConvergence(seed, MembershipDecider.UNREACHABLE_REGION_TIMEOUT_MILLIS + 90_000);
   }
 
+  private static Member member(String id) {
+    return new Member(id, Role.AGENT, id, "r", "d", "", 1, 1, false, Generation.NONE, "");
+  }
+
+  private static MembershipDecider deciderThatKnows(String id) {
+    MembershipDecider decider = new MembershipDecider(member("a"), List.of(), 1);
+    decider.onMembersRequest(0, member(id));
+    return decider;
+  }
+
+  private static List<MembershipEffect> tickUntil(MembershipDecider decider, long from, long end) {
+    List<MembershipEffect> effects = new ArrayList<>();
+    for (long now = from; now <= end; now += 100) {
+      effects.addAll(decider.tick(now));
+    }
+    return effects;
+  }
+
+  private static List<Health> healthChanges(List<MembershipEffect> effects) {
+    return effects.stream()
+        .filter(e -> e instanceof MembershipEffect.MemberChanged)
+        .map(e -> ((MembershipEffect.MemberChanged) e).health())
+        .toList();
+  }
+
   /**
    * Causes random crashes, restarts, partitions and datagram loss. Then ends the partition and the
    * loss, and expects every view to hold exactly the running members after {@code settleMillis}.
