Count up to 500 ms of a standstill, so that late ticks still detect crashes

The time up to 500 ms of each gap now counts, and the next probe waits for the result of the last one.

MembershipDeciderTest.declaresMemberDeadThoughEachTickIsLate failed before.

--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -78,7 +78,8 @@
 
   /**
    * Time between two ticks above which this process stood still. What it received meanwhile is
-   * handled after the tick, so that the time does not count as one in which others were silent.
+   * handled after the tick, so that the time beyond this does not count as one in which others were
+   * silent. The time up to this does count, so that timeouts pass even if each tick is late.
    */
   private static final long STANDSTILL_MILLIS = 500;
 
@@ -227,7 +228,7 @@
   public List<MembershipEffect> tick(long now) {
     List<MembershipEffect> effects = new ArrayList<>();
     if (now - lastTickAt > STANDSTILL_MILLIS) {
-      extendTimeouts(now, now - lastTickAt);
+      extendTimeouts(now, now - lastTickAt - STANDSTILL_MILLIS);
     }
     lastTickAt = now;
     checkProbeTimeouts(now, effects);
@@ -392,10 +393,11 @@
     return null;
   }
 
-  /** Extends the time that others have to respond by the time that this process stood still. */
+  /** Extends the time that others have to respond by a time that this process stood still. */
   private void extendTimeouts(long now, long standstillMillis) {
     if (probe != null) {
       probe.startedAt = Math.min(now, probe.startedAt + standstillMillis);
+      nextProbeAt += standstillMillis;
     }
     for (MemberState state : memberStates.values()) {
       if (state.health == Health.SUSPECT) {
--- a/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
@@ -86,6 +86,17 @@
     assertThat(healthChanges(effects)).containsExactly(Health.SUSPECT, Health.DEAD);
   }
 
+  /** Guards against a slow process, each of whose ticks is late, that never detects a crash. */
+  @Test
+  void declaresMemberDeadThoughEachTickIsLate() {
+    MembershipDecider decider = deciderThatKnows("b");
+    List<MembershipEffect> effects = new ArrayList<>();
+    for (long now = 0; now <= 60_000; now += 1_000) {
+      effects.addAll(decider.tick(now));
+    }
+    assertThat(healthChanges(effects)).containsExactly(Health.SUSPECT, Health.DEAD);
+  }
+
   /** Guards against a region that stays unreachable after all of its members were evicted. */
   @Test
   void forgetsUnreachableRegionOnceItHasNoMembers() {
