--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -64,8 +64,13 @@
   /** Time until which a write without a response may still arrive, by version. */
   private final Map<Long, Long> lateWriteUntilByVersion = new HashMap<>();
 
+  /** Time until which a write of the process before this one may still arrive, 0 for none. */
   private long predecessorWritesUntil;
 
+  /** Time of the start of this process, far in the past if it is not known. */
+  private long startedAt = Long.MIN_VALUE / 4;
+  private boolean engineSeen;
+
   /** Version whose fetch has not started yet, 0 if none. */
   private long deferredVersion;
 
@@ -78,9 +83,9 @@
     this.options = options;
   }
 
-  /** Handles the start of this process: writes of the one before may still arrive. */
+  /** Handles the start of this process. */
   public void onStart(long now) {
-    predecessorWritesUntil = now + LATE_WRITE_MILLIS;
+    startedAt = now;
   }
 
   /** Handles a write of a chunk that had no response, so that it may still arrive. */
@@ -167,6 +172,11 @@
    * @param reported reported state, {@link Engine#UNREACHABLE} if no report was received
    */
   public List<LoadEffect> onEngineReport(long now, Engine reported) {
+    if (reported.reachable() && !engineSeen) {
+      engineSeen = true;
+      // An engine that holds weights may have had another agent before this process.
+      predecessorWritesUntil = reported.version() > 0 ? startedAt + LATE_WRITE_MILLIS : 0;
+    }
     boolean restarted = reported.reachable() && isOfOtherIncarnation(reported);
     engine = reported.reachable() ? reported : engine.asUnreachable();
     List<LoadEffect> effects = new ArrayList<>(2);
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadDeciderTest.java
@@ -346,4 +346,36 @@
         .extracting(e -> ((LoadEffect.Log) e).decision().subject())
         .containsExactly("version 3");
   }
+
+  /**
+   * Guards against writes of an agent that was killed, which arrive after its successor's reads.
+   */
+  @ParameterizedTest
+  @CsvSource({"1,20000,true", "1,40000,false", "0,20000,false"})
+  void readsChunksOnceMoreSoonAfterStartBesideEngineWithWeights(
+      long heldVersion, long afterMillis, boolean expected) {
+    decider.onStart(now);
+    decider.onEngineReport(now, engine(heldVersion, false, 0));
+    now += afterMillis;
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onVersionComplete(now, 2);
+    decider.onStagingVerified(now, 1, evidenceOf(now));
+    List<LoadEffect> effects = decider.onLoadResponse(now, LoadResponse.ACCEPTED);
+    assertThat(hasEffect(effects, LoadEffect.RecheckStaging.class)).isEqualTo(expected);
+  }
+
+  /** Guards against a load command that leaves on evidence which waited for the engine. */
+  @Test
+  void readsChunksOnceMoreBeforeTheCommandIfTheEvidenceIsOld() {
+    decider.onVersionAssigned(now, 2, 0);
+    decider.onEngineReport(now, engine(1, false, 4));
+    decider.onVersionComplete(now, 2);
+    decider.onEngineReport(now, Engine.UNREACHABLE);
+    decider.onStagingVerified(now, 1, evidenceOf(now));
+    List<LoadEffect> effects = decider.onEngineReport(now + 2_001, engine(1, false, 4));
+    assertThat(effects).contains(new LoadEffect.RefreshStaging(1, new LayerRange(0, 1)));
+    assertThat(hasEffect(effects, LoadEffect.StartLoad.class)).isFalse();
+    assertThat(decider.onStagingVerified(now + 2_100, 1, evidenceOf(now + 2_010)))
+        .contains(new LoadEffect.StartLoad(2, 4));
+  }
 }
