--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeEngineStore.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeEngineStore.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
 import org.cornelchute.policy.weights.StagingDecider.ReadOutcome;
 
@@ -63,6 +64,9 @@
   /** Time for which the next commands are delayed on their way. */
   final Deque<Long> commandDelays = new ArrayDeque<>();
 
+  /** Commands whose connection cannot be opened, so that none of them reaches the engine. */
+  Predicate<LoadEffect.StartLoad> unconnected = command -> false;
+
   /** Time for which the next writes are delayed beyond their timeout, if drawn. */
   double lateWriteShare;
 
@@ -72,6 +76,9 @@
   /** Bad layers at the times at which the agent announced a load. */
   final List<List<Integer>> badLayersAnnounced = new ArrayList<>();
 
+  /** Number of commands sent. */
+  int commands;
+
   private final boolean[] layerBad = new boolean[LAYERS];
 
   FakeEngineStore(long seed) {
@@ -100,6 +107,10 @@
     return held.covers(LAYERS) && !busy ? version : 0;
   }
 
+  boolean isBusy() {
+    return busy;
+  }
+
   long now() {
     return now;
   }
@@ -287,6 +298,11 @@
 
   private void command(LoadEffect.StartLoad command) {
     Call call = new Call();
+    commands++;
+    if (unconnected.test(command)) {
+      onAgent(now + 1, () -> execute(decider.onLoadResponse(now, LoadResponse.REFUSED)));
+      return;
+    }
     long delay = commandDelays.isEmpty() ? 1 : commandDelays.poll();
     onEngine(
         now + delay,
