--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadReviewTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadReviewTest.java
@@ -22,11 +22,7 @@
       FakeEngineStore store = new FakeEngineStore(1);
       store.spoilMillis = SPOIL_MILLIS;
       store.callMillis = 100;
-      store.commandDelays.add(6_000L);
-      store.assign(2);
-      for (int i = 0; i < 2_000 && !store.isBusy(); i++) {
-        store.run(10);
-      }
+      assignAndAcceptLate(store);
       store.run(offset);
       store.freezeEngine(4_500);
       store.run(60_000);
@@ -42,8 +38,7 @@
   void servesNoCallOnUnprovenLayers() {
     FakeEngineStore store = new FakeEngineStore(1);
     store.spoilMillis = SPOIL_MILLIS;
-    store.commandDelays.add(6_000L);
-    store.assign(2);
+    assignAndAcceptLate(store);
     long servedMillis = 0;
     for (int i = 0; i < 3_000; i++) {
       store.run(10);
@@ -57,7 +52,6 @@
   void loadsAgainIfTheReleaseIsRefusedOnce() {
     FakeEngineStore store = new FakeEngineStore(1);
     store.spoilMillis = SPOIL_MILLIS;
-    store.commandDelays.add(6_000L);
     boolean[] refused = new boolean[1];
     store.unconnected =
         command -> {
@@ -65,7 +59,7 @@
           refused[0] |= first;
           return first;
         };
-    store.assign(2);
+    assignAndAcceptLate(store);
     store.run(60_000);
     assertThat(refused[0]).isTrue();
     assertThat(store.badLayers()).isEmpty();
@@ -76,7 +70,6 @@
   void loadsAgainIfTheCommandAfterTheReleaseIsRefusedOnce() {
     FakeEngineStore store = new FakeEngineStore(1);
     store.spoilMillis = SPOIL_MILLIS;
-    store.commandDelays.add(6_000L);
     int[] released = new int[1];
     boolean[] refused = new boolean[1];
     store.unconnected =
@@ -89,7 +82,7 @@
           refused[0] |= first;
           return first;
         };
-    store.assign(2);
+    assignAndAcceptLate(store);
     store.run(60_000);
     assertThat(refused[0]).isTrue();
     assertThat(store.badLayers()).isEmpty();
@@ -157,6 +150,20 @@
     assertThat(effects).noneMatch(e -> e instanceof LoadEffect.AnnounceLoaded);
   }
 
+  /** Assigns version 2 to an engine that stands still for 6 s with the command in its socket. */
+  private static void assignAndAcceptLate(FakeEngineStore store) {
+    store.commandDelays.add(50L);
+    store.assign(2);
+    for (int i = 0; i < 2_000 && store.commands == 0; i++) {
+      store.run(10);
+    }
+    store.freezeEngine(6_000);
+    for (int i = 0; i < 2_000 && !store.isBusy(); i++) {
+      store.run(10);
+    }
+    assertThat(store.badLayers()).isNotEmpty();
+  }
+
   private static StagingDecider staged(boolean firstWriteLost) {
     StagingDecider decider = new StagingDecider(0, 2);
     decider.start(0);
