--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadAttempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadAttempt.java
@@ -82,6 +82,9 @@
   /** Whether the evidence for the last accepted command was too old. */
   private boolean outdated;
 
+  /** Whether a step failed after the engine had accepted a command. */
+  private boolean failedOnce;
+
   private long retryAt;
 
   /**
@@ -132,7 +135,7 @@
   boolean isStaging() {
     return (step == Step.STAGING || step == Step.STAGED)
         && !doubtful
-        && held.equals(LayerRange.NONE);
+        && (held.equals(LayerRange.NONE) || failedOnce);
   }
 
   /** Ends the attempt; it has failed once no call to the engine's store is in progress. */
@@ -196,7 +199,27 @@
       step = Step.DOUBTFUL;
       retryAt = now + retryDelayMillis;
     } else {
+      if (rechecking) {
+        rechecking = false;
+        addUnproven(ordered);
+      }
+      fail();
+    }
+  }
+
+  /** Fails, or continues with the layers held if the engine holds any: they may be unproven. */
+  private void fail() {
+    if (step == Step.CANCELLED || held.equals(LayerRange.NONE)) {
       step = Step.FAILED;
+    } else {
+      step = Step.LOADING;
+      failedOnce = true;
+    }
+  }
+
+  private void addUnproven(LayerRange range) {
+    for (int layer = range.from(); layer < Math.min(layers, range.to()); layer++) {
+      unproven.add(layer);
     }
   }
 
@@ -241,7 +264,7 @@
       step = Step.DOUBTFUL;
       retryAt = now + retryDelayMillis;
     } else {
-      step = Step.FAILED;
+      fail();
     }
     return takeEffects();
   }
@@ -250,7 +273,17 @@
     if (engine.busy()) {
       return;
     }
-    if (evidence.ageAt(now) > MAX_ORDER_AGE_MILLIS) {
+    if (held.equals(LayerRange.NONE) && !doubtful && engine.version() == version) {
+      // Loaded by an earlier attempt or process, on evidence that is not known here.
+      held = new LayerRange(engine.layers().from(), Math.min(layers, engine.layers().to()));
+      if (!held.equals(LayerRange.NONE)) {
+        addUnproven(held);
+        step = Step.LOADING;
+        return;
+      }
+    }
+    // A command without response is repeated in any case: its acceptance is judged by the first.
+    if (!doubtful && evidence.ageAt(now) > MAX_ORDER_AGE_MILLIS) {
       narrowScope();
       renewEvidence();
       return;
--- a/policy/src/main/java/org/cornelchute/policy/weights/StagingDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/StagingDecider.java
@@ -50,6 +50,10 @@
   private final long[] writtenAt;
   private final long[] soundAt;
   private final boolean[] wasRead;
+
+  /** Whether a write had no response, so that it may still arrive and replace a bad chunk. */
+  private final boolean[] writeLost;
+
   private final long startedAt;
   private Task task = Task.STAGE;
 
@@ -82,6 +86,7 @@
     writtenAt = new long[chunks];
     soundAt = new long[chunks];
     wasRead = new boolean[chunks];
+    writeLost = new boolean[chunks];
     startedAt = now;
     lastSuccessAt = now;
     to = chunks;
@@ -159,6 +164,7 @@
     finishCall(now, writeLimit, accepted);
     firstWritesInProgress -= wasRead[chunk] ? 0 : 1;
     if (!accepted) {
+      writeLost[chunk] = true;
       toWrite.add(chunk);
     } else {
       (wasRead[chunk] ? toRepair : toRead).add(chunk);
@@ -173,6 +179,8 @@
     if (outcome == ReadOutcome.SOUND) {
       soundAt[chunk] = readAt[chunk];
       turnedBad.remove(chunk);
+    } else if (task == Task.RECHECK && outcome == ReadOutcome.FAILED) {
+      toRead.add(chunk);
     } else if (task == Task.RECHECK) {
       (outcome == ReadOutcome.FOREIGN ? foreign : bad).add(chunk);
     } else {
@@ -278,12 +286,16 @@
 
   private StagingEffect recheckResult() {
     Set<Integer> changed = new TreeSet<>(bad);
-    changed.addAll(foreign);
     for (int chunk = 0; chunk < chunks; chunk++) {
       if (writtenAt[chunk] >= recheckSince) {
+        // It may have been of another version before.
+        foreign.add(chunk);
+      }
+      if (writeLost[chunk]) {
         changed.add(chunk);
       }
     }
+    changed.addAll(foreign);
     return new StagingEffect.Rechecked(changed, Set.copyOf(foreign));
   }
 
