--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadReviewTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadReviewTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import org.cornelchute.policy.weights.LoadDecider.Engine;
 import org.cornelchute.policy.weights.StagingDecider.ReadOutcome;
@@ -47,6 +48,61 @@
     assertThat(servedMillis).isZero();
   }
 
+  /** Failure: an engine that got the version from the process before was not looked at. */
+  @Test
+  void stagesIfTheProcessBeforeCommandedTheLoad() {
+    LoadDecider decider =
+        new LoadDecider(new LoadDecider.LoadOptions(7_200, 4_500, 4_400, 200, 2_500));
+    decider.onStart(0);
+    decider.setLayers(2, 16);
+    decider.onEngineReport(10, new Engine(true, 7, 1, false, 0));
+    decider.onVersionAssigned(10, 2, 0);
+    decider.onEngineReport(120, new Engine(true, 7, 1, true, 1));
+    decider.onEngineReport(900, new Engine(true, 7, 2, false, 1));
+    List<LoadEffect> effects = new ArrayList<>(decider.onVersionComplete(1_000, 2));
+    effects.addAll(decider.onEngineReport(1_020, new Engine(true, 7, 2, false, 1)));
+    assertThat(effects).anyMatch(e -> e instanceof LoadEffect.Stage);
+  }
+
+  /** Engines that stand still again and again, and commands without connection, drawn. */
+  @Test
+  void loadsBesideStopsAndRefusedCommands() {
+    List<String> failed = new ArrayList<>();
+    for (long seed = 1; seed <= 400; seed++) {
+      Random random = new Random(seed);
+      FakeEngineStore store = new FakeEngineStore(seed);
+      store.spoilMillis = random.nextInt(60);
+      store.callMillis = new long[] {1, 20, 100, 200}[random.nextInt(4)];
+      store.commandDelays.add((long) random.nextInt(300));
+      store.unconnected = command -> random.nextInt(5) == 0;
+      store.assign(2);
+      for (int step = 0; step < 15; step++) {
+        int seen = store.commands;
+        for (int i = 0; i < 300 && store.commands == seen; i++) {
+          store.run(10);
+        }
+        if (random.nextBoolean()) {
+          store.run(random.nextInt(300));
+        }
+        if (random.nextInt(3) > 0) {
+          store.freezeEngine(500 + random.nextInt(5_500));
+        } else {
+          store.freezeAgent(500 + random.nextInt(4_000));
+        }
+        if (step == 8) {
+          store.assign(3);
+        }
+      }
+      store.unconnected = command -> false;
+      boolean served = store.runUntilServed(3, 60_000);
+      store.run(20_000);
+      if (!served || !store.badLayers().isEmpty()) {
+        failed.add(seed + " served=" + served + " bad=" + store.badLayers());
+      }
+    }
+    assertThat(failed).isEmpty();
+  }
+
   /** Failure: no connection for the command to release layers, which then stayed for good. */
   @Test
   void loadsAgainIfTheReleaseIsRefusedOnce() {
