--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashWithoutResponseTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashWithoutResponseTest.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.cornelchute.policy.forward.EngineSimulation.CrashMode;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -15,6 +17,7 @@
  * Engines that crash on a part of a prompt before the entry has a response from them, or go silent
  * with their VM, and engines that end or go silent for other reasons; virtual time.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class CrashWithoutResponseTest {
 
   private static final int FIRST_PARTS = 5;
--- a/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CrashingPromptPartTest.java
@@ -6,10 +6,13 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Calls with a part of the prompt that crashes engines, beside sound calls; virtual time. */
+@Execution(ExecutionMode.CONCURRENT)
 class CrashingPromptPartTest {
 
   private static final long STABILITY_MILLIS = 3_000;
