--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -77,7 +77,7 @@
   private static final int MAX_GOSSIPED_SNAPSHOT_CHANGES = 64;
 
   /**
-   * Time between two ticks above which this process stood still. What it received meanwhile is
+   * Time between two ticks above which this process was stopped. What it received meanwhile is
    * handled after the tick, so that the time beyond this does not count as one in which others were
    * silent. The time up to this does count, so that timeouts pass even if each tick is late.
    */
@@ -393,7 +393,7 @@
     return null;
   }
 
-  /** Extends the time that others have to respond by a time that this process stood still. */
+  /** Extends the time that others have to respond by a time that this process was stopped. */
   private void extendTimeouts(long now, long standstillMillis) {
     if (probe != null) {
       probe.startedAt = Math.min(now, probe.startedAt + standstillMillis);
--- a/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/placement/RolloutDecider.java
@@ -31,7 +31,7 @@
 
   /**
    * Age from its request above which a report shows nothing about the engine. Requests time out
-   * after half of it; the rest passes only while the agent stands still.
+   * after half of it; the rest passes only while the agent is stopped.
    */
   private static final long MAX_REPORT_AGE_MILLIS = 2_000;
 
@@ -164,7 +164,7 @@
    * generation that it is open for, for example after a restart of the engine or a load command
    * from another client. A report is ignored if it is older than the last known load command, was
    * requested before the last known state or is too old by itself: responses may overtake each
-   * other, and a report may wait while the agent stands still.
+   * other, and a report may wait while the agent is stopped.
    *
    * @param requestedAt time at which the report was requested
    * @param report state of the engine, or empty if the engine did not answer
--- a/policy/src/main/java/org/cornelchute/policy/weights/CallLimit.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/CallLimit.java
@@ -22,7 +22,7 @@
   private int limit = MIN_CALLS;
 
   /** Whether the limit may rise; not after a rise that gained nothing, or a failure. */
-  private boolean climbing = true;
+  private boolean increasing = true;
 
   /** Throughput before the limit was raised, in calls per millisecond; 0 if it was not. */
   private double perMilliBefore;
@@ -42,7 +42,7 @@
 
   /** Starts to measure again after a pause, from the current limit. */
   void restart(long now) {
-    climbing = true;
+    increasing = true;
     perMilliBefore = 0;
     startRound(now);
   }
@@ -56,21 +56,21 @@
   /** Handles a call that did not complete in time. */
   void onFailure(long now) {
     limit = Math.max(MIN_CALLS, limit / 2);
-    climbing = false;
+    increasing = false;
     startRound(now);
   }
 
   /** Handles a call that completed. */
   void onSuccess(long now) {
     completed++;
-    if (!climbing || completed < limit) {
+    if (!increasing || completed < limit) {
       return;
     }
     double perMilli = (double) completed / Math.max(1, now - roundStartedAt);
     startRound(now);
     if (perMilli < perMilliBefore * MIN_GAIN) {
       limit = Math.max(MIN_CALLS, limit / 2);
-      climbing = false;
+      increasing = false;
     } else if (chunks / perMilli > TARGET_PASS_MILLIS && limit < MAX_CALLS) {
       perMilliBefore = perMilli;
       limit = Math.min(MAX_CALLS, limit * 2);
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadAttempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadAttempt.java
@@ -17,7 +17,7 @@
  * that, the layers are loaded a few at a time, each on fresh evidence; the engine serves no call
  * until it holds all of them.
  *
- * <p>A command may be accepted late, for example by an engine that stood still with the command in
+ * <p>A command may be accepted late, for example by an engine that was stopped with the command in
  * its socket. If the evidence was too old by the time at which the acceptance was noticed, or an
  * earlier write may have arrived since, all chunks are read once more. Layers with chunks that are
  * not proven to have been sound are released and loaded again.
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -25,7 +25,7 @@
  */
 public final class LoadDecider {
 
-  /** Time after which a staging without a result gives way to that of a newer version. */
+  /** Time after which a staging without a result is cancelled for that of a newer version. */
   private static final long STAGING_TIMEOUT_MILLIS = 8_000;
 
   /** Time for which a write without a response, or one of a process before, may still arrive. */
--- a/policy/src/main/java/org/cornelchute/policy/weights/StagingDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/StagingDecider.java
@@ -11,10 +11,11 @@
  * Decides which chunks of one version are written to an engine's store, and read back, until all
  * are sound there.
  *
- * <p>A chunk in the store may turn bad at any time, so that a read-back is evidence only for the
- * time of the read. {@link #refresh} reads chunks once more when the evidence has become too old; a
- * chunk that has turned bad is written again. {@link #recheck} reads all chunks without writing
- * any: a chunk that is sound, and was not written since some time, has been sound since then.
+ * <p>A chunk in the store may become corrupt at any time, so that a read-back is evidence only for
+ * the time of the read. {@link #refresh} reads chunks once more when the evidence has become too
+ * old; a chunk that has become corrupt is written again. {@link #recheck} reads all chunks without
+ * writing any: a chunk that is sound, and was not written since some time, has been sound since
+ * then.
  *
  * <p>There is one writer of the store: a staging that was cancelled starts no further call, and
  * reports its end only once the calls in progress have ended.
@@ -257,7 +258,7 @@
 
   /**
    * Returns the next call. Writes come before reads, so that the reads lie close together in time;
-   * but a chunk that was written again is read at once, before it may turn bad again.
+   * but a chunk that was written again is read at once, before it may become corrupt again.
    */
   private StagingEffect nextCall(long now) {
     inProgress++;
--- a/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/membership/MembershipDeciderTest.java
@@ -46,7 +46,7 @@
   }
 
   /**
-   * Failure: a process that had stood still took the time for one in which the probed member did
+   * Failure: a process that had been stopped took the time for one in which the probed member did
    * not respond, though the ack was received meanwhile and only waited to be handled.
    */
   @Test
@@ -60,7 +60,7 @@
   }
 
   /**
-   * Failure: a process that had stood still declared a suspected member dead at all others, though
+   * Failure: a process that had been stopped declared a suspected member dead at all others, though
    * the refutation was received meanwhile and only waited to be handled.
    */
   @Test
@@ -76,7 +76,7 @@
     assertThat(decider.findHealth("b")).contains(Health.ALIVE);
   }
 
-  /** Guards against a crashed member that stays because processes stand still now and then. */
+  /** Guards against a crashed member that stays because processes are stopped now and then. */
   @Test
   void declaresMemberDeadAfterItHadTimeToRefuteBesideStandstills() {
     MembershipDecider decider = deciderThatKnows("b");
--- a/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/placement/RolloutDeciderTest.java
@@ -198,7 +198,7 @@
     }
   }
 
-  /** Responses to status requests overtake each other, and wait while the agent stands still. */
+  /** Responses to status requests overtake each other, and wait while the agent is stopped. */
   @Nested
   class WithOldReports {
 
--- a/policy/src/test/java/org/cornelchute/policy/weights/FakeEngineStore.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/FakeEngineStore.java
@@ -18,8 +18,8 @@
 
 /**
  * An engine, its store of chunks and its agent in virtual time: slow, late and failing calls,
- * chunks that turn bad, and pauses of the agent or the engine. Records for each layer that the
- * engine takes how long its chunks had been bad and whether they were of another version.
+ * chunks that become corrupt, and pauses of the agent or the engine. Records for each layer that
+ * the engine takes how long its chunks had been bad and whether they were of another version.
  */
 final class FakeEngineStore {
 
@@ -58,7 +58,7 @@
   /** Whether calls to the store are handled one after another. */
   boolean serial;
 
-  /** Time after a read at which the chunk turns bad, negative for never. */
+  /** Time after a read at which the chunk becomes corrupt, negative for never. */
   long spoilMillis = -1;
 
   /** Time for which the next commands are delayed on their way. */
--- a/policy/src/test/java/org/cornelchute/policy/weights/LoadEvidenceTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/LoadEvidenceTest.java
@@ -8,9 +8,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Chunks in an engine's store turn bad right after they were read back. No load may be announced
- * that took a chunk which had been bad for long or was of another version, and each engine must get
- * the version.
+ * Chunks in an engine's store become corrupt right after they were read back. No load may be
+ * announced that took a chunk which had been bad for long or was of another version, and each
+ * engine must get the version.
  */
 class LoadEvidenceTest {
 
@@ -40,7 +40,7 @@
     assertSound(store);
   }
 
-  /** Failure: the agent stood still between a read and the command. */
+  /** Failure: the agent was stopped between a read and the command. */
   @Test
   void loadsSoundChunksIfTheAgentIsStoppedAgainAndAgain() {
     FakeEngineStore store = new FakeEngineStore(1);
@@ -82,7 +82,7 @@
     assertSound(store);
   }
 
-  /** Slow, late and lost calls, stops of both processes and chunks that turn bad, drawn. */
+  /** Slow, late and lost calls, stops of both processes and chunks that become corrupt, drawn. */
   @Test
   void loadsSoundChunksBesideDrawnFaults() {
     for (long seed = 1; seed <= 400; seed++) {
--- a/policy/src/test/java/org/cornelchute/policy/weights/UnprovenLayersTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/weights/UnprovenLayersTest.java
@@ -15,7 +15,7 @@
 
   private static final long SPOIL_MILLIS = 20;
 
-  /** Failure: the engine stood still during the recheck, and its load counted as proven. */
+  /** Failure: the engine was stopped during the recheck, and its load counted as proven. */
   @Test
   void loadsAgainIfTheRecheckIsInterrupted() {
     List<Integer> failed = new ArrayList<>();
@@ -64,7 +64,7 @@
     assertThat(effects).anyMatch(e -> e instanceof LoadEffect.Stage);
   }
 
-  /** Engines that stand still again and again, and commands without connection, drawn. */
+  /** Engines that are stopped again and again, and commands without connection, drawn. */
   @Test
   void loadsBesideStopsAndRefusedCommands() {
     List<String> failed = new ArrayList<>();
@@ -206,7 +206,7 @@
     assertThat(effects).noneMatch(e -> e instanceof LoadEffect.AnnounceLoaded);
   }
 
-  /** Assigns version 2 to an engine that stands still for 6 s with the command in its socket. */
+  /** Assigns version 2 to an engine that is stopped for 6 s with the command in its socket. */
   private static void assignAndAcceptLate(FakeEngineStore store) {
     store.commandDelays.add(50L);
     store.assign(2);
