--- a/net/src/main/java/org/cornelchute/net/store/RowWriter.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowWriter.java
@@ -29,7 +29,7 @@
   private boolean writing;
 
   /** Version of the row as last seen, 0 if it does not exist. */
-  private long rowVersion;
+  private long storedVersion;
 
   /**
    * Creates a writer, which assumes that the row does not exist until the store says otherwise.
@@ -68,12 +68,12 @@
 
   private void attempt() {
     byte[] written = newest;
-    store.replace(table, key, written, rowVersion, result -> handleWritten(written, result));
+    store.replace(table, key, written, storedVersion, result -> handleWritten(written, result));
   }
 
   private void handleWritten(byte[] written, Either<Failure, Long> result) {
     if (result.isRight()) {
-      rowVersion = result.get();
+      storedVersion = result.get();
       confirm(written);
     } else if (result.getLeft().code() == Failure.Code.CONFLICT) {
       // Keys hold printable characters only, so that no other key sorts before the end of the
@@ -95,11 +95,11 @@
       store.write(table, key, written, r -> handleWritten(written, r));
       return;
     }
-    long seenVersion = rowVersion;
-    rowVersion = 0;
+    long seenVersion = storedVersion;
+    storedVersion = 0;
     for (StoredRow row : result.get().rows()) {
       if (row.key().equals(key)) {
-        rowVersion = row.version();
+        storedVersion = row.version();
         if (Arrays.equals(row.value(), newest)) {
           // A write without a response was performed.
           writing = false;
@@ -107,7 +107,7 @@
         }
       }
     }
-    if (rowVersion == seenVersion) {
+    if (storedVersion == seenVersion) {
       retry(Failure.unknown("store refused the version of the row that it reports"));
     } else {
       attempt();
--- a/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/membership/MembershipDecider.java
@@ -79,7 +79,7 @@
   /**
    * Time between two ticks above which this process was stopped. What it received meanwhile is
    * handled after the tick, so that the time beyond this does not count as one in which others were
-   * silent. The time up to this does count, so that timeouts pass even if each tick is late.
+   * unresponsive. The time up to this does count, so that timeouts pass even if each tick is late.
    */
   private static final long STANDSTILL_MILLIS = 500;
 
--- a/policy/src/main/java/org/cornelchute/policy/weights/Evidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/Evidence.java
@@ -20,7 +20,7 @@
     return now - oldestReadAt;
   }
 
-  /** Returns the fields of a log line that tell how old the evidence is. */
+  /** Returns the fields of a log line with the age of the evidence. */
   public String describe(long now) {
     return "oldestReadMs="
         + (now - oldestReadAt)
--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadDecider.java
@@ -437,7 +437,7 @@
    * @param busy whether a load is in progress
    * @param sequence number of load commands that it has accepted
    * @param layers layers of the version that it has loaded; {@link LayerRange#ALL} if it does not
-   *     tell
+   *     report them
    */
   public record Engine(
       boolean reachable,
