--- a/policy/src/main/java/org/cornelchute/policy/weights/LoadAttempt.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/LoadAttempt.java
@@ -393,11 +393,10 @@
     }
   }
 
-  /** Returns how many layers are loaded next, at most twice as many as before. */
+  /** Returns how many layers are loaded next: more than before if their pass was quick. */
   private int nextScopeSize() {
     int size = scope.to() - scope.from();
-    long fitting = size * TARGET_PASS_MILLIS / Math.max(1, passMillis);
-    return (int) Math.max(1, Math.min(2 * size, fitting));
+    return passMillis < TARGET_PASS_MILLIS / 4 ? 2 * size : size;
   }
 
   /** Returns the longest run of proven layers at an end of the model, else its first half. */
