Reserve engine capacity for urgent calls

Cause: a call to an engine was accepted below 0.95 of the slots, whoever came first, so that a burst of long calls of the lowest priority displaced the most urgent ones. Services whose stream routes have one priority keep their limits.

--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -39,30 +39,12 @@
   private static final long MAX_REPORTED_AGE_MILLIS = 86_400_000;
   private static final int STATUS_INTERNAL_SERVER_ERROR = 500;
 
-  /** Load per slot up to which endpoints of plain services accept calls. */
-  private static final double MAX_LOAD_PER_SLOT = 1.0;
-
-  /**
-   * Load per slot up to which engines accept calls. Lower than for plain services because
-   * concurrent calls slow each other down and the load from other entries is only estimated.
-   */
-  private static final double ENGINE_MAX_LOAD_PER_SLOT = 0.95;
-
-  /**
-   * Load per slot up to which endpoints accept new calls that are expected to miss their target
-   * latency. The remaining slots are reserved for calls that can still meet it.
-   */
-  private static final double LATE_CALL_MAX_LOAD_PER_SLOT = 0.6;
-
   /** Load per slot up to which endpoints accept retries. */
   private static final double RETRY_MAX_LOAD_PER_SLOT = 1.25;
 
   /** Fraction of the time left to the target latency that a call may spend in the queue. */
   private static final double MAX_QUEUE_TIME_SHARE = 0.5;
 
-  /** Time left to the target latency below which a new call is expected to miss it. */
-  private static final long MIN_REMAINING_TARGET_MILLIS = 60;
-
   private final CallOptions options;
   private final EndpointPool endpointPool;
   private final Freshness freshness = new Freshness();
@@ -73,6 +55,7 @@
   private final CrashDetector crashDetector;
   private final CallAdmission admission;
   private final RetryAfter retryAfter;
+  private final LoadLimits loadLimits = new LoadLimits();
   private final CallLog callLog = new CallLog();
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final List<Call> queue = new ArrayList<>();
@@ -134,6 +117,7 @@
   public void updateConfig(ServingConfig offered) {
     if (offered.version() > config.version()) {
       config = offered;
+      loadLimits.updateConfig(offered);
       callLog.updateConfigVersion(offered.version());
     }
   }
@@ -266,13 +250,8 @@
     Call call = admitted.get();
     calls.put(spec.number(), call);
     retryBudget.recordCall(now, call.service.name());
-    dispatchOrQueue(
-        now,
-        effects,
-        call,
-        call.remainingTargetMillis(now) < MIN_REMAINING_TARGET_MILLIS
-            ? LATE_CALL_MAX_LOAD_PER_SLOT
-            : maxLoadPerSlot(call));
+    loadLimits.recordArrival(now, call);
+    dispatchOrQueue(now, effects, call, loadLimits.ofNewCall(now, call));
     return effects;
   }
 
@@ -569,7 +548,7 @@
       if (saturatedServices.contains(call.service.name()) || call.queuedUntil == 0) {
         continue;
       }
-      Choice choice = chooseEndpoint(now, call, maxLoadPerSlot(call));
+      Choice choice = chooseEndpoint(now, call, loadLimits.ofCall(call));
       if (choice.endpoint().isPresent()) {
         queue.remove(call);
         call.queuedUntil = 0;
@@ -582,10 +561,6 @@
     }
   }
 
-  private static double maxLoadPerSlot(Call call) {
-    return call.service.engine().isPresent() ? ENGINE_MAX_LOAD_PER_SLOT : MAX_LOAD_PER_SLOT;
-  }
-
   /**
    * Queues a call that was not sent yet if it can still meet its target latency afterwards.
    *
@@ -656,7 +631,7 @@
   private long pauseEnd(long now, Call call) {
     return endpointPool
         .earliestPauseEnd(
-            now, requirements(now, call, maxLoadPerSlot(call), requiredVersion(now, call)))
+            now, requirements(now, call, loadLimits.ofCall(call), requiredVersion(now, call)))
         .orElse(0L);
   }
 
@@ -701,7 +676,7 @@
 
   private int eligibleCount(long now, Call call, long minVersion) {
     return endpointPool.eligibleCount(
-        now, requirements(now, call, maxLoadPerSlot(call), minVersion));
+        now, requirements(now, call, loadLimits.ofCall(call), minVersion));
   }
 
   private long versionAt(long time, Call call, VersionLookup lookup) {
@@ -783,7 +758,7 @@
             attempt.endpoint.spec,
             maxConnections,
             call.deadline - now,
-            call.priority(),
+            loadLimits.requestPriority(call),
             call.workspace == null ? "" : call.workspace.name(),
             needsVersion ? attempt.endpoint.version : 0,
             call.lastEventId,
--- /dev/null
+++ b/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
@@ -0,0 +1,100 @@
+package org.cornelchute.policy.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.cornelchute.policy.load.TrunkReservation;
+
+/**
+ * Load per slot up to which endpoints accept the calls of one entry.
+ *
+ * <p>Where the routes to an engine service have different priorities, room is reserved for the more
+ * urgent calls. The priority of a workspace goes before that of the route.
+ */
+final class LoadLimits {
+
+  /** Load per slot up to which endpoints of plain services accept calls. */
+  private static final double PLAIN_MAX_LOAD_PER_SLOT = 1.0;
+
+  /**
+   * Load per slot up to which engines accept calls. Lower than for plain services because
+   * concurrent calls slow each other down and the load from other entries is only estimated.
+   */
+  private static final double ENGINE_MAX_LOAD_PER_SLOT = 0.95;
+
+  /**
+   * Load per slot up to which endpoints accept new calls that are expected to miss their target
+   * latency. The remaining slots are reserved for calls that can still meet it.
+   */
+  private static final double LATE_CALL_MAX_LOAD_PER_SLOT = 0.6;
+
+  /** Time left to the target latency below which a new call is expected to miss it. */
+  private static final long MIN_REMAINING_TARGET_MILLIS = 60;
+
+  /** Factor by which the rank of a workspace outweighs that of a route. */
+  private static final int WORKSPACE_RANK_FACTOR = 1_000;
+
+  private final Map<String, TrunkReservation> reservationByService = new HashMap<>();
+
+  /** Reserves room at the engine services whose stream routes have different priorities. */
+  void updateConfig(ServingConfig config) {
+    Map<String, Set<Integer>> prioritiesByService = new HashMap<>();
+    for (RouteSpec route : config.routes()) {
+      if (route.kind() != CallKind.STREAM) {
+        continue;
+      }
+      for (RouteSpec.WeightedService s : route.services()) {
+        prioritiesByService
+            .computeIfAbsent(s.service(), name -> new HashSet<>())
+            .add(route.priority());
+      }
+    }
+    prioritiesByService
+        .entrySet()
+        .removeIf(e -> e.getValue().size() < 2 || !isEngine(config, e.getKey()));
+    reservationByService.keySet().retainAll(prioritiesByService.keySet());
+    for (String service : prioritiesByService.keySet()) {
+      reservationByService.computeIfAbsent(service, name -> new TrunkReservation());
+    }
+  }
+
+  private static boolean isEngine(ServingConfig config, String service) {
+    return config.findService(service).flatMap(ServiceSpec::engine).isPresent();
+  }
+
+  /** Records the arrival of a call, accepted or not. */
+  void recordArrival(long now, Call call) {
+    TrunkReservation reservation = reservationByService.get(call.service.name());
+    if (reservation != null) {
+      reservation.recordArrival(now, rankOf(call));
+    }
+  }
+
+  /** Returns the limit for a call that has just arrived. */
+  double ofNewCall(long now, Call call) {
+    double limit = ofCall(call);
+    return call.remainingTargetMillis(now) < MIN_REMAINING_TARGET_MILLIS
+        ? Math.min(limit, LATE_CALL_MAX_LOAD_PER_SLOT)
+        : limit;
+  }
+
+  /** Returns the limit for a call that can still meet its target latency. */
+  double ofCall(Call call) {
+    TrunkReservation reservation = reservationByService.get(call.service.name());
+    if (reservation != null) {
+      return reservation.maxLoadPerSlot(rankOf(call));
+    }
+    return call.service.engine().isPresent() ? ENGINE_MAX_LOAD_PER_SLOT : PLAIN_MAX_LOAD_PER_SLOT;
+  }
+
+  /** Returns the priority that the endpoint is told, 0 for the most urgent calls. */
+  int requestPriority(Call call) {
+    TrunkReservation reservation = reservationByService.get(call.service.name());
+    return reservation == null ? call.priority() : reservation.priorityOf(rankOf(call));
+  }
+
+  private static int rankOf(Call call) {
+    return WORKSPACE_RANK_FACTOR * call.priority() + call.route.priority();
+  }
+}
--- a/policy/src/main/java/org/cornelchute/policy/forward/ServingConfig.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ServingConfig.java
@@ -70,6 +70,11 @@
     return requiresKeys;
   }
 
+  /** Returns all routes, in no particular order. */
+  public List<RouteSpec> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /** Finds the route with the longest matching prefix. */
   public Optional<RouteSpec> findRoute(String host, String path) {
     for (RouteSpec r : routesByHost.getOrDefault(host, List.of())) {
--- a/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/ClusterSimulation.java
@@ -1,13 +1,14 @@
 package org.cornelchute.policy.forward;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.LongToDoubleFunction;
 import org.cornelchute.core.model.OpenCalls;
 
 /**
@@ -22,7 +23,6 @@
 final class ClusterSimulation {
 
   static final long DEADLINE_MILLIS = 6_033;
-  private static final int SLOTS = 16;
   private static final int PROMPT_TOKENS_PER_STEP = 2_048;
   private static final long NETWORK_DELAY_MILLIS = 2;
   private static final long SWEEP_INTERVAL_MILLIS = 50;
@@ -32,34 +32,42 @@
 
   private static final long REPORT_INTERVAL_MILLIS = 100;
 
-  /** Goodput of a call whose first event misses the target latency. */
-  private static final double LATE_CALL_VALUE = 0.25;
+  /** Calls that an engine keeps in its queue; it rejects those beyond. */
+  private static final int MAX_ENGINE_QUEUE = 24;
 
   /** Reduction of the net goodput for each call that is rejected twice. */
   private static final double SECOND_REJECTION_COST = 0.3;
 
-  /** Fraction of the calls that the load balancer sends to each entry; hashing is uneven. */
-  private static final double[] TRAFFIC_SHARES = {0.25, 0.22, 0.18, 0.15, 0.12, 0.08};
+  /** Relative number of callers that the load balancer sends to each entry; hashing is uneven. */
+  private static final double[] TRAFFIC_WEIGHTS = {0.25, 0.22, 0.18, 0.15, 0.12, 0.08};
 
   final List<CallDecider> entries = new ArrayList<>();
   final List<Engine> engines = new ArrayList<>();
   final Random random;
   int callCount;
-  int onTimeCount;
-  int lateCount;
-  int rejectionCount;
   int rejectedTwiceCount;
 
+  /** Worth of all calls, and of those that were served. */
+  double worthAsked;
+
+  double worthServed;
+
+  /** Counts by the name of the kind of call. */
+  final Map<String, Outcomes> outcomesByKind = new TreeMap<>();
+
   /** Calls that engines began. */
   final List<Begin> begins = new ArrayList<>();
 
   /** Whether entries report their open calls to each other. */
   boolean reportsEnabled = true;
 
-  long now = 1_000_000;
+  static final long START_MILLIS = 1_000_000;
+
+  long now = START_MILLIS;
 
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Map<Long, Caller> callers = new HashMap<>();
+  private final LoadMix mix;
   private long lastNumber;
   private long nextSequence;
 
@@ -67,12 +75,18 @@
     this(entryCount, engineCount, seed, Fixture.OPTIONS);
   }
 
+  ClusterSimulation(int entryCount, int engineCount, long seed, CallOptions options) {
+    this(entryCount, engineCount, seed, options, LoadMix.EVEN);
+  }
+
   /**
    * Creates a simulation in which no call was sent yet.
    *
    * @param options options of the entries apart from their names and places
+   * @param mix kinds of calls and their engines
    */
-  ClusterSimulation(int entryCount, int engineCount, long seed, CallOptions options) {
+  ClusterSimulation(int entryCount, int engineCount, long seed, CallOptions options, LoadMix mix) {
+    this.mix = mix;
     random = new Random(seed);
     List<String> names = new ArrayList<>();
     for (int i = 0; i < entryCount; i++) {
@@ -85,8 +99,7 @@
       String place = "d" + i % 3;
       CallDecider decider =
           new CallDecider(Fixture.optionsOf(options, "e" + i, place, place), seed + i, 0);
-      decider.updateConfig(
-          Fixture.config(1, Map.of(Fixture.KEY, new WorkspaceSpec("w", 1, List.of()))));
+      decider.updateConfig(mix.config());
       decider.updateEntries(names);
       entries.add(decider);
     }
@@ -107,11 +120,21 @@
 
   /** Sends calls at a rate for a period of time and runs until all of them have ended. */
   void run(double perSecond, long millis) {
+    run(time -> perSecond, millis);
+  }
+
+  /** Sends the calls of the mix for a period of time and runs until all of them have ended. */
+  void run(long millis) {
+    run(mix::perSecond, millis);
+  }
+
+  private void run(LongToDoubleFunction perSecondAt, long millis) {
     long end = now + millis;
     double arrival = now;
     long sweep = now;
     while (true) {
-      arrival += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+      arrival +=
+          -Math.log(1 - random.nextDouble()) * 1_000 / perSecondAt.applyAsDouble((long) arrival);
       if (arrival >= end) {
         break;
       }
@@ -139,7 +162,7 @@
 
   /** Returns the goodput as a fraction of all calls. */
   double goodput() {
-    return (onTimeCount + LATE_CALL_VALUE * lateCount) / callCount;
+    return worthServed / worthAsked;
   }
 
   /** Returns the goodput less the cost of calls that were rejected twice. */
@@ -147,6 +170,11 @@
     return goodput() - SECOND_REJECTION_COST * rejectedTwiceCount / callCount;
   }
 
+  /** Returns how often calls were rejected. */
+  int rejectionCount() {
+    return outcomesByKind.values().stream().mapToInt(o -> o.rejected).sum();
+  }
+
   private void exchangeReports() {
     for (int from = 0; reportsEnabled && from < entries.size(); from++) {
       String name = "e" + from;
@@ -161,23 +189,35 @@
   }
 
   private void createCall() {
+    LoadMix.Kind kind = mix.pickKind(now, random);
+    callCount++;
+    worthAsked += kind.worth();
+    outcomesByKind.computeIfAbsent(kind.name(), k -> new Outcomes()).asked++;
     long promptTokens =
-        Math.max(40, Math.round(977 * (0.3 - 0.7 * Math.log(1 - random.nextDouble()))));
+        Math.max(
+            40, Math.round(kind.promptTokens() * (0.3 - 0.7 * Math.log(1 - random.nextDouble()))));
     long outputTokens =
-        Math.max(5, Math.round(94 * (0.3 - 0.7 * Math.log(1 - random.nextDouble()))));
-    callCount++;
-    send(new Caller(now, promptTokens, outputTokens));
+        Math.max(
+            5, Math.round(kind.outputTokens() * (0.3 - 0.7 * Math.log(1 - random.nextDouble()))));
+    send(new Caller(now, kind, promptTokens, outputTokens));
   }
 
+  /** Picks an entry; each has a weight of {@link #TRAFFIC_WEIGHTS}, repeated in turn. */
   private int pickEntry() {
-    double point = random.nextDouble();
-    for (int i = 0; i < TRAFFIC_SHARES.length; i++) {
-      point -= TRAFFIC_SHARES[i];
+    double total = 0;
+    for (int i = 0; i < entries.size(); i++) {
+      total += TRAFFIC_WEIGHTS[i % TRAFFIC_WEIGHTS.length];
+    }
+    double point = random.nextDouble() * total;
+    int entry = 0;
+    while (entry < entries.size() - 1) {
+      point -= TRAFFIC_WEIGHTS[entry % TRAFFIC_WEIGHTS.length];
       if (point < 0) {
-        return i % entries.size();
+        break;
       }
+      entry++;
     }
-    return 0;
+    return entry;
   }
 
   private void send(Caller caller) {
@@ -194,7 +234,7 @@
                     number,
                     "id",
                     "h",
-                    "/s/",
+                    caller.kind.path(),
                     Fixture.KEY,
                     DEADLINE_MILLIS - (now - caller.arrivedAt),
                     caller.promptTokens,
@@ -216,6 +256,8 @@
                 d.attempt(),
                 entry,
                 d.expectedVersion(),
+                d.priority(),
+                nextSequence,
                 caller.promptTokens,
                 caller.outputTokens);
         schedule(now + NETWORK_DELAY_MILLIS, () -> engine.enqueue(work));
@@ -233,9 +275,11 @@
 
   /** Retries a rejected call once, after its Retry-After. */
   private void onRejected(Caller caller, long retryAfterMillis) {
-    rejectionCount++;
+    Outcomes outcomes = outcomesByKind.get(caller.kind.name());
+    outcomes.rejected++;
     if (caller.retried) {
       rejectedTwiceCount++;
+      outcomes.rejectedTwice++;
       return;
     }
     caller.retried = true;
@@ -251,7 +295,9 @@
     final String id;
     final String domain;
     final List<Work> running = new ArrayList<>();
-    final Deque<Work> queued = new ArrayDeque<>();
+    final PriorityQueue<Work> queued =
+        new PriorityQueue<>(
+            Comparator.comparingInt((Work w) -> w.priority).thenComparingLong(w -> w.sequence));
     boolean passInProgress;
 
     /** Version of the weights. */
@@ -270,7 +316,17 @@
 
     EndpointSpec spec() {
       return new EndpointSpec(
-          id, "engines", "10.0.0." + id + ":80", domain, domain, SLOTS, false, 0, 1, "m", version);
+          id,
+          "engines",
+          "10.0.0." + id + ":80",
+          domain,
+          domain,
+          mix.slots(),
+          false,
+          0,
+          1,
+          "m",
+          version);
     }
 
     /** Handles the order to load a version once the running calls have ended. */
@@ -298,6 +354,10 @@
         schedule(silentUntil, () -> enqueue(work));
         return;
       }
+      if (queued.size() >= MAX_ENGINE_QUEUE) {
+        schedule(now + NETWORK_DELAY_MILLIS, () -> refuse(work, 503));
+        return;
+      }
       queued.add(work);
       if (!passInProgress) {
         startPass();
@@ -313,12 +373,12 @@
     }
 
     private void startPass() {
-      while (orderedVersion == 0 && running.size() < SLOTS && !queued.isEmpty()) {
+      while (orderedVersion == 0 && running.size() < mix.slots() && !queued.isEmpty()) {
         Work work = queued.poll();
         if (work.expectedVersion == 0 || work.expectedVersion == version) {
           running.add(work);
         } else {
-          schedule(now + NETWORK_DELAY_MILLIS, () -> refuse(work));
+          schedule(now + NETWORK_DELAY_MILLIS, () -> refuse(work, 421));
         }
       }
       if (orderedVersion != 0 && running.isEmpty()) {
@@ -331,7 +391,7 @@
         return;
       }
       boolean generating = running.stream().anyMatch(w -> w.remainingPromptTokens == 0);
-      int steps = generating ? Fixture.ENGINE.stepsPerPass() : 1;
+      int steps = generating ? mix.engine().stepsPerPass() : 1;
       double millis = 0;
       for (int i = 0; i < steps; i++) {
         millis += runStep();
@@ -353,9 +413,9 @@
           promptBudget -= tokens;
         }
       }
-      return Fixture.ENGINE.stepMillis()
-          + Fixture.ENGINE.stepMillisPerSequence() * generatingCount
-          + (PROMPT_TOKENS_PER_STEP - promptBudget) / Fixture.ENGINE.promptTokensPerMilli();
+      return mix.engine().stepMillis()
+          + mix.engine().stepMillisPerSequence() * generatingCount
+          + (PROMPT_TOKENS_PER_STEP - promptBudget) / mix.engine().promptTokensPerMilli();
     }
 
     private void finishPass() {
@@ -396,9 +456,10 @@
       startPass();
     }
 
-    private void refuse(Work work) {
+    private void refuse(Work work, int status) {
       ResponseHead head =
-          new ResponseHead(421, true, true, false, false, version, -1, 0, NamedLimit.NONE);
+          new ResponseHead(
+              status, true, status == 421, false, false, version, -1, 0, NamedLimit.NONE);
       apply(work.entry, entries.get(work.entry).onResponseHead(now, work.call, work.attempt, head));
     }
 
@@ -408,10 +469,13 @@
         return;
       }
       caller.firstEventReceived = true;
-      if (now - caller.arrivedAt <= Fixture.TARGET_MILLIS) {
-        onTimeCount++;
+      Outcomes outcomes = outcomesByKind.get(caller.kind.name());
+      if (now - caller.arrivedAt <= caller.kind.targetMillis()) {
+        outcomes.onTime++;
+        worthServed += caller.kind.worth();
       } else {
-        lateCount++;
+        outcomes.late++;
+        worthServed += caller.kind.lateWorth();
       }
       apply(
           work.entry,
@@ -434,15 +498,47 @@
     }
   }
 
+  /** What became of the calls of one kind. */
+  static final class Outcomes {
+    int asked;
+    int onTime;
+    int late;
+    int rejected;
+    int rejectedTwice;
+
+    /** Returns the share of the calls whose first event was in time. */
+    double inTimeShare() {
+      return onTime / (double) asked;
+    }
+
+    /** Returns the share of the calls that were served, in time or late. */
+    double servedShare() {
+      return (onTime + late) / (double) asked;
+    }
+
+    @Override
+    public String toString() {
+      return String.format(
+          "asked=%d onTime=%.3f late=%.3f rejected=%.3f twice=%.3f",
+          asked,
+          onTime / (double) asked,
+          late / (double) asked,
+          rejected / (double) asked,
+          rejectedTwice / (double) asked);
+    }
+  }
+
   private static final class Caller {
     final long arrivedAt;
+    final LoadMix.Kind kind;
     final long promptTokens;
     final long outputTokens;
     boolean firstEventReceived;
     boolean retried;
 
-    Caller(long arrivedAt, long promptTokens, long outputTokens) {
+    Caller(long arrivedAt, LoadMix.Kind kind, long promptTokens, long outputTokens) {
       this.arrivedAt = arrivedAt;
+      this.kind = kind;
       this.promptTokens = promptTokens;
       this.outputTokens = outputTokens;
     }
@@ -453,6 +549,8 @@
     final int attempt;
     final int entry;
     final long expectedVersion;
+    final int priority;
+    final long sequence;
     long remainingPromptTokens;
     long remainingOutputTokens;
     boolean generationStarted;
@@ -464,12 +562,16 @@
         int attempt,
         int entry,
         long expectedVersion,
+        int priority,
+        long sequence,
         long remainingPromptTokens,
         long remainingOutputTokens) {
       this.call = call;
       this.attempt = attempt;
       this.entry = entry;
       this.expectedVersion = expectedVersion;
+      this.priority = priority;
+      this.sequence = sequence;
       this.remainingPromptTokens = remainingPromptTokens;
       this.remainingOutputTokens = remainingOutputTokens;
     }
--- a/policy/src/test/java/org/cornelchute/policy/forward/RolloutTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/RolloutTest.java
@@ -63,7 +63,7 @@
       RolloutSimulation rollout = new RolloutSimulation(TIMES, completeMillis, seed);
       rollout.run(perSecond);
       calls += rollout.cluster.callCount;
-      rejections += rollout.cluster.rejectionCount;
+      rejections += rollout.cluster.rejectionCount();
     }
     assertThat((double) rejections / calls)
         .as(rejections + " rejections of " + calls + " calls")
