Treat responses with an invalid status as lost

The decoder of the library accepts any number as a status, also with a sign or leading zeros, so that status 000 of an endpoint in trouble was forwarded to callers, and +200 began and resumed streams. The decoder of response heads now accepts three digits from 100 to 599 only, without 101; all clients share it. Interim responses are skipped on the product's own path as well.

--- a/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
+++ b/net/src/main/java/org/cornelchute/net/engine/EngineClient.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import org.cornelchute.core.message.ServingMessage.Dispatch;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.http.CheckedClientCodec;
 import org.cornelchute.net.util.ResponseBodies;
 import org.cornelchute.policy.placement.EngineState;
 import org.cornelchute.policy.weights.Manifest;
@@ -78,7 +79,9 @@
   }
 
   private static HttpClient createClient(String baseUrl, ConnectionProvider.Builder pool) {
-    return HttpClient.create(pool.build()).baseUrl(baseUrl).disableRetry(true);
+    return CheckedClientCodec.applyTo(HttpClient.create(pool.build()))
+        .baseUrl(baseUrl)
+        .disableRetry(true);
   }
 
   /** Fetches the state of the engine. */
--- a/net/src/main/java/org/cornelchute/net/platform/OriginClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/OriginClient.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.http.CheckedClientCodec;
 import org.cornelchute.policy.weights.Manifest;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufMono;
@@ -19,7 +20,8 @@
 
   /** Creates a client of the origin at {@code http://host:port}. */
   public OriginClient(String baseUrl) {
-    this.http = HttpClient.create().baseUrl(baseUrl).responseTimeout(TIMEOUT);
+    this.http =
+        CheckedClientCodec.applyTo(HttpClient.create()).baseUrl(baseUrl).responseTimeout(TIMEOUT);
   }
 
   /** Fetches the manifest of a model version. */
--- a/net/src/main/java/org/cornelchute/net/platform/TableClient.java
+++ b/net/src/main/java/org/cornelchute/net/platform/TableClient.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeoutException;
 import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.http.CheckedClientCodec;
 import org.cornelchute.net.util.Addresses;
 import org.cornelchute.net.util.ResponseBodies;
 import org.slf4j.Logger;
@@ -75,14 +76,15 @@
 
   /** Creates a client of the service at {@code http://host:port}. */
   public TableClient(String baseUrl) {
-    this.http = HttpClient.create().baseUrl(baseUrl).responseTimeout(TIMEOUT);
+    this.http =
+        CheckedClientCodec.applyTo(HttpClient.create()).baseUrl(baseUrl).responseTimeout(TIMEOUT);
     ConnectionProvider singleUse =
         ConnectionProvider.builder("table-writes")
             .maxConnections(MAX_WRITE_CONNECTIONS)
             .evictionPredicate((connection, use) -> true)
             .build();
     this.writeClient =
-        HttpClient.create(singleUse)
+        CheckedClientCodec.applyTo(HttpClient.create(singleUse))
             .baseUrl(baseUrl)
             .responseTimeout(TIMEOUT)
             .keepAlive(false)
--- a/net/src/main/java/org/cornelchute/net/wire/ResponseDecoder.java
+++ b/net/src/main/java/org/cornelchute/net/wire/ResponseDecoder.java
@@ -3,10 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /** Decodes the responses on a connection and reports all received bytes to it. */
-final class ResponseDecoder extends HttpResponseDecoder {
+final class ResponseDecoder extends CheckedResponseDecoder {
 
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -28,6 +27,9 @@
  * or after the end of a response, close the connection, as does a response that is complete before
  * its request was written.
  *
+ * <p>A head that is not valid HTTP, or whose status is none, fails the exchange as a lost response;
+ * see {@link CheckedResponseDecoder}.
+ *
  * <p>A response without a length whose connection closes right after its head fails the exchange:
  * nothing tells it from one whose server stopped there, and an empty body can be stated.
  */
@@ -225,10 +227,6 @@
   }
 
   private void handleHead(HttpResponse response) {
-    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-      rejectResponse("response switches to another protocol");
-      return;
-    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skippingResponse = true;
       return;
--- a/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
@@ -8,11 +8,14 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelchute.core.message.ServingMessage.Dispatch;
 import org.cornelchute.core.model.Generation;
+import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.wire.FloodServer;
 import org.cornelchute.net.wire.ScriptedServer;
 import org.cornelchute.policy.weights.Manifest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Over real sockets, an engine that sends a response once more on a connection that stays open. */
 @Timeout(30)
@@ -85,6 +88,66 @@
     }
   }
 
+  /** Failure: a status that is none was passed on to the entry, and from there to the caller. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "000 X",
+        "001 X",
+        "099 X",
+        "600 X",
+        "999 X",
+        "20 OK",
+        "2000 OK",
+        "+200 OK",
+        "0200 OK",
+        "-20 X",
+        " OK",
+        "101 Switching Protocols"
+      })
+  void failsOnInvalidStatuses(String status) throws Exception {
+    String invalid = "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nno";
+    try (ScriptedServer server = new ScriptedServer((connection, id) -> List.of(invalid))) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      assertThat(forward(client, "a")).isEqualTo("failed notRun=false");
+      assertThat(client.load(MANIFEST, 1, List.of(new byte[8])).block().getLeft().code())
+          .isEqualTo(Failure.Code.UNKNOWN);
+    }
+  }
+
+  /** Failure: the state of an engine was believed from a response that is none. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000 X", "600 X", "999 X", "+200 OK"})
+  void believesNoStateOfInvalidResponses(String status) throws Exception {
+    String invalid = "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}";
+    try (ScriptedServer server = new ScriptedServer((connection, id) -> List.of(invalid))) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      assertThat(client.fetchStatus().block().isLeft()).isTrue();
+    }
+  }
+
+  /** Guards against interim responses that are taken for final ones. */
+  @ParameterizedTest
+  @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
+  void skipsInterimResponses(String status) throws Exception {
+    String answer = "HTTP/1.1 " + status + "\r\n\r\n" + LOADED;
+    try (ScriptedServer server = new ScriptedServer((connection, id) -> List.of(answer))) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      assertThat(forward(client, "a")).isEqualTo("200 end");
+    }
+  }
+
+  /** Guards against a response to HEAD whose end is awaited as long as its head states. */
+  @Test
+  void endsResponsesToHeadAfterTheirHeads() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    try (ScriptedServer server = new ScriptedServer((connection, id) -> List.of(head))) {
+      EngineClient client = new EngineClient("http://" + server.address());
+      client.forward(dispatch("a", "HEAD"), new Recorder());
+      assertThat(results.poll(10, TimeUnit.SECONDS)).isEqualTo("200 end");
+    }
+  }
+
   /** Refuses the first request; before all others on its connection, repeats the refusal. */
   private static List<String> refusesThenRepeats(int connection, String id) {
     if (id.equals("a")) {
@@ -95,11 +158,11 @@
   }
 
   private String forward(EngineClient client, String id) throws InterruptedException {
-    client.forward(dispatch(id), new Recorder());
+    client.forward(dispatch(id, "POST"), new Recorder());
     return results.poll(10, TimeUnit.SECONDS);
   }
 
-  private static Dispatch dispatch(String id) {
+  private static Dispatch dispatch(String id, String method) {
     return new Dispatch(
         id,
         1,
@@ -113,7 +176,7 @@
         false,
         0,
         60_000,
-        "POST",
+        method,
         "/",
         "",
         new byte[] {1, 2});
--- a/net/src/test/java/org/cornelchute/net/platform/TableClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/platform/TableClientTest.java
@@ -56,6 +56,19 @@
         .isEqualTo(Failure.Code.CONFLICT);
   }
 
+  /** Failure: a write whose outcome is unknown counted as certainly not done. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000 X", "600 X", "20 OK", "+200 OK"})
+  void reportsInvalidStatusesAsUnknown(String status) throws Exception {
+    String answer = jsonAnswer(status, "{\"versions\":[4]}");
+    try (ScriptedServer scripted = new ScriptedServer((connection, id) -> List.of(answer))) {
+      TableClient client = new TableClient("http://" + scripted.address());
+      assertThat(client.write(new TableWrite("x", 3, "w")).block().getLeft().code())
+          .isEqualTo(Failure.Code.UNKNOWN);
+      assertThat(client.read("x").block().getLeft().code()).isEqualTo(Failure.Code.UNKNOWN);
+    }
+  }
+
   /** Guards against an earlier answer, sent once more, that is read as that to a write. */
   @Test
   void takesNoRepeatedAnswerForThatToWrites() throws Exception {
--- a/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/wire/SimpleHttpClientTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Over real sockets, responses are buffered up to a size and fail beyond it. */
 class SimpleHttpClientTest {
@@ -141,6 +143,27 @@
     }
   }
 
+  /**
+   * Failure: a response with a status that is none was returned as a complete one, so that a write
+   * to the store with unknown outcome counted as rejected.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"000 X", "099 X", "600 X", "999 X", "20 OK", "2000 OK", "+200 OK", "-20 X", " OK"})
+  void failsOnInvalidStatuses(String status) throws Exception {
+    String invalid = "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}";
+    String valid = HEAD + "Content-Length: 2\r\n\r\n{}";
+    ScriptedServer.Script script = (connection, id) -> List.of(connection == 1 ? invalid : valid);
+    try (ScriptedServer server = new ScriptedServer(script)) {
+      sendWithin(TIMEOUT_MILLIS, server.address());
+      assertThat(results.poll(5, TimeUnit.SECONDS).getLeft().code())
+          .isEqualTo(Failure.Code.UNKNOWN);
+      sendWithin(TIMEOUT_MILLIS, server.address());
+      assertThat(results.poll(5, TimeUnit.SECONDS).get().status()).isEqualTo(200);
+      assertThat(metrics.meter("server.faults").getCount()).isEqualTo(1);
+    }
+  }
+
   private void sendAlone(String address) {
     SimpleHttpRequest request =
         new SimpleHttpRequest(
