Explain where a call would be routed without a change of state

CallDecider.explain follows the decision on a new call and names route, priority, the candidates with load and score or the reason for their exclusion, and the choice, queue time or rejection. Nothing is drawn, recorded, counted or spent. Slowdown and saving are 1 and 0 until the score uses them.

--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -136,6 +137,29 @@
     return now < storedAwaitedUntil;
   }
 
+  /**
+   * Returns what {@link #isBlocked} would return, without a change of the record: what is outdated
+   * is analyzed on copies and not kept.
+   */
+  public boolean wouldBlock(long now, List<Long> parts) {
+    Map<Long, Suspect> current =
+        outdated
+            ? CrashAnalysis.findSuspects(crashes.values(), new HashMap<>(servedAtByPart))
+            : suspects;
+    for (long part : parts) {
+      Suspect suspect = current.get(part);
+      if (suspect != null && suspect.isBlocked() && !trials.isDue(now, suspect)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns what {@link #mayLackStored} would return, without the start of the wait. */
+  public boolean wouldLackStored(long now) {
+    return storedAwaited && now < storedAwaitedUntil;
+  }
+
   /** Returns whether a call with these parts must not be sent again after it broke off. */
   public boolean isSuspect(long now, List<Long> parts) {
     return parts.stream().anyMatch(suspects(now)::containsKey);
--- a/policy/src/main/java/org/cornelchute/policy/forward/Call.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Call.java
@@ -92,6 +92,15 @@
   }
 
   int priority() {
+    return priority(route, workspace);
+  }
+
+  /**
+   * Returns the rank of the calls of a workspace on a route.
+   *
+   * @param workspace workspace of the calls, null if they have none
+   */
+  static int priority(RouteSpec route, WorkspaceSpec workspace) {
     boolean workspacePriority = workspace != null && workspace.priority() >= 0;
     return workspacePriority ? workspace.priority() : route.priority();
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallAdmission.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallAdmission.java
@@ -70,6 +70,38 @@
 
   /** Returns the new call, or why it is rejected. */
   Either<Refusal, Call> admit(long now, ServingConfig config, CallSpec spec) {
+    return check(now, config, spec, config.findWorkspace(spec.key()))
+        .flatMap(
+            admitted -> {
+              Optional<ServiceSpec> service = pickService(config, admitted.route());
+              if (service.isEmpty()) {
+                return refuseUnknownService();
+              }
+              long earlierWaitMillis = estimateEarlierWait(admitted.route(), spec);
+              return Either.right(admitted.toCall(spec, service.get(), earlierWaitMillis, now));
+            });
+  }
+
+  /**
+   * Returns the call as {@link #admit} would for a service that is picked, without a record of its
+   * deadline.
+   */
+  Call preview(long now, CallSpec spec, Admitted admitted, ServiceSpec service) {
+    LongestDeadline longest = longestDeadlineByRoute.get(admitted.route().name());
+    LongestDeadline latest = LongestDeadline.of(admitted.route(), spec);
+    long earlierWaitMillis =
+        earlierWaitMillis(longest == null ? latest : longest.update(latest), latest);
+    return admitted.toCall(spec, service, earlierWaitMillis, now);
+  }
+
+  /**
+   * Returns the route and workspace of a call, or why it is rejected whatever service is picked.
+   * Changes nothing.
+   *
+   * @param keyOwner workspace that the key of the call belongs to
+   */
+  Either<Refusal, Admitted> check(
+      long now, ServingConfig config, CallSpec spec, Optional<WorkspaceSpec> keyOwner) {
     if (!isReady(now, config)) {
       String missing = config.version() > 0 ? "endpoints are not known" : "no configuration";
       return refuse(Rejection.NOT_READY, missing + " yet");
@@ -81,42 +113,34 @@
     long ageMillis = freshness.ageMillis(now);
     WorkspaceSpec workspace = null;
     if (config.requiresKeys() && !route.get().anonymous()) {
-      Optional<WorkspaceSpec> found = config.findWorkspace(spec.key());
-      if (found.isEmpty()) {
+      if (keyOwner.isEmpty()) {
         return refuseUnknown(now, Rejection.UNKNOWN_KEY, "key belongs to no workspace");
       }
       if (ageMillis > options.maxKeyAgeMillis()) {
         return refuse(Rejection.NOT_READY, "keys are not confirmed");
       }
-      workspace = found.get();
+      workspace = keyOwner.get();
     } else if (isSuperseded(now) || hasOldRegions(route.get(), ageMillis)) {
       return refuse(Rejection.NOT_READY, "configuration is not confirmed");
     }
-    Optional<ServiceSpec> service = pickService(config, route.get());
-    if (service.isEmpty()) {
-      return refuse(Rejection.NO_ENDPOINT, "route refers to an unknown service");
-    }
-    return Either.right(
-        new Call(
-            spec,
-            route.get(),
-            service.get(),
-            workspace,
-            allowedRegions(route.get(), workspace),
-            estimateEarlierWait(route.get(), spec),
-            now));
+    return Either.right(new Admitted(route.get(), workspace));
+  }
+
+  /** Returns the rejection of a call whose route refers to a service that does not exist. */
+  static <T> Either<Refusal, T> refuseUnknownService() {
+    return refuse(Rejection.NO_ENDPOINT, "route refers to an unknown service");
   }
 
   /**
    * Rejects a call because of its route or key. If the configuration is too old, the route or key
    * may have been added in the meantime, so the call is rejected as not ready instead.
    */
-  private Either<Refusal, Call> refuseUnknown(long now, Rejection rejection, String reason) {
+  private <T> Either<Refusal, T> refuseUnknown(long now, Rejection rejection, String reason) {
     boolean fresh = freshness.ageMillis(now) <= options.maxDenialAgeMillis();
     return refuse(fresh ? rejection : Rejection.NOT_READY, reason);
   }
 
-  private static Either<Refusal, Call> refuse(Rejection rejection, String reason) {
+  private static <T> Either<Refusal, T> refuse(Rejection rejection, String reason) {
     return Either.left(new Refusal(rejection, reason));
   }
 
@@ -142,13 +166,14 @@
    * deadline seen on the route since its timeout changed.
    */
   private long estimateEarlierWait(RouteSpec route, CallSpec spec) {
-    long deadlineMillis = Math.min(spec.deadlineMillis(), route.timeoutMillis());
+    LongestDeadline latest = LongestDeadline.of(route, spec);
     LongestDeadline longest =
-        longestDeadlineByRoute.merge(
-            route.name(),
-            new LongestDeadline(route.timeoutMillis(), deadlineMillis),
-            LongestDeadline::update);
-    long waited = longest.deadlineMillis() - deadlineMillis;
+        longestDeadlineByRoute.merge(route.name(), latest, LongestDeadline::update);
+    return earlierWaitMillis(longest, latest);
+  }
+
+  private static long earlierWaitMillis(LongestDeadline longest, LongestDeadline latest) {
+    long waited = longest.deadlineMillis() - latest.deadlineMillis();
     return waited > DEADLINE_TOLERANCE_MILLIS ? waited : 0;
   }
 
@@ -194,6 +219,11 @@
    */
   private record LongestDeadline(long timeoutMillis, long deadlineMillis) {
 
+    static LongestDeadline of(RouteSpec route, CallSpec spec) {
+      return new LongestDeadline(
+          route.timeoutMillis(), Math.min(spec.deadlineMillis(), route.timeoutMillis()));
+    }
+
     /** Returns the longest deadline after a call, starting again if the timeout has changed. */
     LongestDeadline update(LongestDeadline latest) {
       return latest.timeoutMillis == timeoutMillis && latest.deadlineMillis <= deadlineMillis
@@ -202,6 +232,25 @@
     }
   }
 
+  /**
+   * A call that may be served if its route picks a service that exists.
+   *
+   * @param workspace workspace of the call, null if the route needs none
+   */
+  record Admitted(RouteSpec route, WorkspaceSpec workspace) {
+
+    private Call toCall(CallSpec spec, ServiceSpec service, long earlierWaitMillis, long now) {
+      return new Call(
+          spec,
+          route,
+          service,
+          workspace,
+          allowedRegions(route, workspace),
+          earlierWaitMillis,
+          now);
+    }
+  }
+
   /**
    * Rejection of a call that arrived.
    *
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -11,10 +11,12 @@
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.crash.CrashEvidence;
+import org.cornelchute.policy.forward.CallAdmission.Admitted;
 import org.cornelchute.policy.forward.CallAdmission.Refusal;
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.forward.OtherEntries.Availability;
+import org.cornelchute.policy.forward.RouteSpec.WeightedService;
 import org.cornelchute.policy.weights.SwitchTimes;
 
 /**
@@ -253,6 +255,115 @@
     return suspended;
   }
 
+  // Explanation
+
+  /**
+   * Explains where a call would be routed if it arrived now, and why. Changes nothing that later
+   * decisions depend on: nothing is drawn, counted or recorded, and the call is not sent.
+   *
+   * @return one placement for each service that the route may pick
+   */
+  public PlacementExplanation explain(long now, PlacementQuery query) {
+    CallSpec spec = query.toCallSpec();
+    Either<Refusal, Admitted> checked =
+        admission.check(now, config, spec, config.findWorkspaceByName(query.workspace()));
+    if (checked.isLeft()) {
+      String route = config.findRoute(spec.host(), spec.path()).map(RouteSpec::name).orElse("");
+      Refusal refusal = checked.getLeft();
+      return PlacementExplanation.rejected(
+          config.version(), route, refusal.rejection(), refusal.reason());
+    }
+    RouteSpec route = checked.get().route();
+    WorkspaceSpec workspace = checked.get().workspace();
+    List<ServicePlacement> placements = new ArrayList<>(route.services().size());
+    for (WeightedService picked : route.services()) {
+      placements.add(
+          config
+              .findService(picked.service())
+              .map(s -> explainService(now, admission.preview(now, spec, checked.get(), s), picked))
+              .orElseGet(() -> explainUnknownService(route, picked)));
+    }
+    return new PlacementExplanation(
+        config.version(),
+        route.name(),
+        workspace == null ? "" : workspace.name(),
+        Call.priority(route, workspace),
+        placements,
+        "",
+        "");
+  }
+
+  private static ServicePlacement explainUnknownService(RouteSpec route, WeightedService picked) {
+    Refusal refusal = CallAdmission.refuseUnknownService().getLeft();
+    return new ServicePlacement(
+            picked.service(), route.shareOf(picked), 0, 0, List.of(), "", 0, "", "")
+        .withRejection(refusal.rejection(), refusal.reason());
+  }
+
+  /** Explains a call that is not kept; follows {@link #onCall} and {@link #dispatchOrQueue}. */
+  private ServicePlacement explainService(long now, Call call, WeightedService picked) {
+    double maxLoad =
+        call.remainingTargetMillis(now) < MIN_REMAINING_TARGET_MILLIS
+            ? LATE_CALL_MAX_LOAD_PER_SLOT
+            : maxLoadPerSlot(call);
+    long minVersion = requiredVersion(now, call);
+    ServicePlacement placement =
+        new ServicePlacement(
+            picked.service(),
+            call.route.shareOf(picked),
+            maxLoad,
+            minVersion,
+            endpointPool.explain(now, requirements(now, call, maxLoad, minVersion)),
+            "",
+            0,
+            "",
+            "");
+    if (crashEvidence.wouldBlock(now, call.spec.sharedParts())) {
+      return placement.withRejection(
+          Rejection.BLOCKED_PROMPT, "parts=" + CallLog.formatParts(call));
+    }
+    if (!call.spec.sharedParts().isEmpty() && crashEvidence.wouldLackStored(now)) {
+      return placement.withRejection(Rejection.NOT_READY, "blocked parts are not known yet");
+    }
+    Choice choice = chooseEndpoint(now, call, maxLoad);
+    return choice
+        .endpoint()
+        .map(endpoint -> placement.withChoice(endpoint.spec.id()))
+        .orElseGet(() -> explainWithoutChoice(now, call, maxLoad, choice, placement));
+  }
+
+  private ServicePlacement explainWithoutChoice(
+      long now, Call call, double maxLoad, Choice choice, ServicePlacement placement) {
+    if (lacksOnlyVersionAge(now, call, maxLoad)) {
+      return placement.withRejection(
+          Rejection.NOT_READY, "age of the weights version is not known");
+    }
+    if (endpointPool.mayLackEndpoints(now, call.service.name())) {
+      return placement.withRejection(
+          Rejection.NOT_READY, "endpoints of the service are not known yet");
+    }
+    if (choice.eligibleCount() == 0) {
+      long pauseMillis = pauseEnd(now, call) - now;
+      return placement.withRejection(
+          Rejection.NO_ENDPOINT,
+          pauseMillis > 0
+              ? "all endpoints pause, the first for ms=" + pauseMillis
+              : "no endpoint is eligible");
+    }
+    long queueMillis = maxQueueMillis(now, call);
+    return queueMillis > 0
+        ? placement.withQueueTime(queueMillis)
+        : placement.withRejection(
+            Rejection.OVERLOADED, "no endpoint has a free slot, allowed=" + choice.eligibleCount());
+  }
+
+  /** Returns for how long a call that was not sent yet may be queued, 0 if it may not. */
+  private static long maxQueueMillis(long now, Call call) {
+    return call.service.engine().isPresent()
+        ? 0
+        : Math.max(0, (long) (call.remainingTargetMillis(now) * MAX_QUEUE_TIME_SHARE));
+  }
+
   // Call events
 
   /** Handles a new call. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -65,6 +66,11 @@
   /** Maximum failure count, which caps the backoff at eight times its initial value. */
   private static final int MAX_COUNTED_FAILURES = 4;
 
+  /** Factor of an endpoint at which work takes as long as usual. */
+  private static final double NORMAL_SLOWDOWN = 1.0;
+
+  private static final double NO_SAVING_MILLIS = 0;
+
   private final CallOptions options;
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
@@ -384,6 +390,89 @@
     return new Choice(Optional.ofNullable(best), candidates.size());
   }
 
+  /**
+   * Explains for each endpoint of a service how {@link #choose} would see it for a new call.
+   * Changes nothing.
+   *
+   * @return the endpoints that can take the call first, each group by score
+   */
+  List<CandidateExplanation> explain(long now, Requirements requirements) {
+    List<Endpoint> listed = byService.getOrDefault(requirements.service().name(), List.of());
+    boolean skipsBackoff =
+        listed.stream()
+            .anyMatch(
+                e ->
+                    isEligible(now, e, requirements)
+                        && !e.isSwitchingVersion(now)
+                        && now >= e.avoidUntil);
+    List<CandidateExplanation> explanations = new ArrayList<>(listed.size());
+    for (Endpoint endpoint : listed) {
+      double load = endpoint.estimateLoad(now, entries.foundCount());
+      explanations.add(
+          new CandidateExplanation(
+              endpoint.spec.id(),
+              endpoint.spec.domain(),
+              endpoint.spec.slots(),
+              endpoint.version,
+              load,
+              NORMAL_SLOWDOWN,
+              NO_SAVING_MILLIS,
+              load / endpoint.spec.slots() + domainPenalty(endpoint),
+              exclusionOf(now, endpoint, requirements, load, skipsBackoff)));
+    }
+    explanations.sort(
+        Comparator.comparing((CandidateExplanation c) -> c.exclusion() != Exclusion.NONE)
+            .thenComparingDouble(CandidateExplanation::score));
+    return explanations;
+  }
+
+  /** Returns why an endpoint cannot take a new call, in the order of the checks of a choice. */
+  private Exclusion exclusionOf(
+      long now, Endpoint endpoint, Requirements requirements, double load, boolean skipsBackoff) {
+    if (!isEligible(now, endpoint, requirements)) {
+      return ineligibilityOf(now, endpoint, requirements);
+    }
+    if (endpoint.isSwitchingVersion(now)) {
+      return Exclusion.SWITCHING_WEIGHTS;
+    }
+    if (skipsBackoff && now < endpoint.avoidUntil) {
+      return Exclusion.BACKOFF;
+    }
+    if (endpoint.isCold(now) && !hasColdCapacity(now, endpoint, requirements)) {
+      return Exclusion.COLD;
+    }
+    if (!limits.permits(now, endpoint)) {
+      return Exclusion.LIMIT;
+    }
+    if (!notices.permits(endpoint)) {
+      return Exclusion.TRIAL_AFTER_PAUSE;
+    }
+    return load < requirements.maxLoadPerSlot() * endpoint.spec.slots()
+        ? Exclusion.NONE
+        : Exclusion.FULL;
+  }
+
+  /** Returns why {@link #isEligible} holds for no new call at an endpoint. */
+  private Exclusion ineligibilityOf(long now, Endpoint endpoint, Requirements requirements) {
+    if (isExpired(now, endpoint)) {
+      return Exclusion.NOT_LISTED;
+    }
+    if (notices.excludes(now, endpoint)) {
+      return Exclusion.PAUSED;
+    }
+    if (endpoint.spec.draining()) {
+      return Exclusion.DRAINING;
+    }
+    if (evacuatedDomains.contains(endpoint.spec.domain())) {
+      return Exclusion.DOMAIN_EVACUATED;
+    }
+    if (!requirements.regions().isEmpty()
+        && !requirements.regions().contains(endpoint.spec.region())) {
+      return Exclusion.REGION;
+    }
+    return endpoint.version > 0 ? Exclusion.OLD_WEIGHTS : Exclusion.NO_WEIGHTS;
+  }
+
   /** Records a failure or timeout of an endpoint and starts its backoff. */
   void recordFailure(long now, Endpoint endpoint) {
     endpoint.failureCount = Math.min(MAX_COUNTED_FAILURES, endpoint.failureCount + 1);
--- a/policy/src/main/java/org/cornelchute/policy/forward/RouteSpec.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/RouteSpec.java
@@ -40,6 +40,15 @@
    */
   public record WeightedService(String service, double weight) {}
 
+  /** Returns the share of the calls for which one of the services is picked, from 0 to 1. */
+  public double shareOf(WeightedService service) {
+    if (services.size() == 1) {
+      return 1;
+    }
+    double totalWeight = services.stream().mapToDouble(WeightedService::weight).sum();
+    return totalWeight > 0 ? service.weight() / totalWeight : 0;
+  }
+
   /** Returns whether a call may be retried although it may already have been executed. */
   public boolean isRetryable() {
     return kind == CallKind.IDEMPOTENT || kind == CallKind.STREAM && resumable;
--- a/policy/src/main/java/org/cornelchute/policy/forward/ServingConfig.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ServingConfig.java
@@ -85,6 +85,11 @@
     return Optional.ofNullable(workspaceByKey.get(key));
   }
 
+  /** Finds a workspace by name. */
+  public Optional<WorkspaceSpec> findWorkspaceByName(String name) {
+    return workspaceByKey.values().stream().filter(w -> w.name().equals(name)).findAny();
+  }
+
   /** Finds a service by name. */
   public Optional<ServiceSpec> findService(String name) {
     return Optional.ofNullable(services.get(name));
