Answer GET /where on the operator port of the direct entry

The page explains where the call that the query describes would be routed. Malformed, repeated and unknown parameters and workspaces that no key belongs to are answered with 400 and a message.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -45,6 +45,8 @@
 import org.cornelchute.policy.forward.EndpointNotice;
 import org.cornelchute.policy.forward.EndpointSpec;
 import org.cornelchute.policy.forward.NamedLimit;
+import org.cornelchute.policy.forward.PlacementExplanation;
+import org.cornelchute.policy.forward.PlacementQuery;
 import org.cornelchute.policy.forward.Rejection;
 import org.cornelchute.policy.forward.ResponseHead;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -431,6 +433,22 @@
     openCallsReporter.ifPresent(reporter -> reporter.updateEntries(entryByName));
   }
 
+  // Explanation
+
+  /** Explains where a call would be routed now, without a trace in the state of the entry. */
+  PlacementExplanation explain(PlacementQuery query) {
+    return rejectingNewCalls
+        ? PlacementExplanation.rejected(
+            decider.config().version(), "", Rejection.NOT_READY, "the entry drains")
+        : decider.explain(clockMillis.getAsLong(), query);
+  }
+
+  /** Returns whether callers need keys and no key belongs to a workspace with a name. */
+  boolean lacksWorkspace(String name) {
+    ServingConfig config = decider.config();
+    return config.requiresKeys() && config.findWorkspaceByName(name).isEmpty();
+  }
+
   // Effects
 
   /**
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
@@ -127,7 +128,12 @@
         group,
         settings.readiness(),
         c -> c.pipeline().addLast(new HttpServerCodec(), readinessHandler()));
-    new MetricsServer(group, settings.operators(), metrics).start();
+    new MetricsServer(
+            group,
+            settings.operators(),
+            metrics,
+            Map.of(PlacementPage.PATH, new PlacementPage(duty)))
+        .start();
     loop.execute(() -> stateSource.start(loop, client, clockMillis, duty));
     LOG.info(
         "entry started name={} domain={} callers={} store={}",
--- a/net/src/main/java/org/cornelchute/net/http/TextPageHandler.java
+++ b/net/src/main/java/org/cornelchute/net/http/TextPageHandler.java
@@ -15,24 +15,39 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.Supplier;
 
-/** Answers every HTTP request on a connection with the current content of one text page. */
+/**
+ * Answers HTTP requests on a connection with the current content of one text page, and those for
+ * the paths of other pages with these.
+ */
 public final class TextPageHandler extends ChannelInboundHandlerAdapter {
 
   private final Supplier<String> textSupplier;
+  private final Map<String, OperatorPage> pageByPath;
+  private String uri = "";
   private boolean keepAlive;
 
   /** Creates a handler. While the supplier returns null, requests are answered with status 503. */
   public TextPageHandler(Supplier<String> textSupplier) {
+    this(textSupplier, Map.of());
+  }
+
+  /**
+   * Creates a handler with other pages.
+   *
+   * @param pageByPath pages by path, which are answered to any method
+   */
+  TextPageHandler(Supplier<String> textSupplier, Map<String, OperatorPage> pageByPath) {
     this.textSupplier = textSupplier;
+    this.pageByPath = Map.copyOf(pageByPath);
   }
 
   /**
@@ -62,6 +77,7 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (message instanceof HttpRequest request) {
+      uri = request.uri();
       keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
     }
     boolean last = message instanceof LastHttpContent;
@@ -77,15 +93,13 @@
   }
 
   private void writeResponse(ChannelHandlerContext ctx) {
-    String text = textSupplier.get();
+    PageResponse page = createResponse();
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
-            text == null ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
-            text == null
-                ? Unpooled.EMPTY_BUFFER
-                : Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4");
+            page.status(),
+            Unpooled.copiedBuffer(page.text(), StandardCharsets.UTF_8));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
     HttpUtil.setContentLength(response, response.content().readableBytes());
     HttpUtil.setKeepAlive(response, keepAlive);
     ChannelFuture written = ctx.writeAndFlush(response);
@@ -94,6 +108,17 @@
     }
   }
 
+  private PageResponse createResponse() {
+    if (!pageByPath.isEmpty()) {
+      QueryStringDecoder query = new QueryStringDecoder(uri);
+      OperatorPage page = pageByPath.get(query.path());
+      if (page != null) {
+        return page.respond(query.parameters());
+      }
+    }
+    return PageResponse.ofText(textSupplier.get());
+  }
+
   private static void appendLine(StringBuilder text, String name, Object value) {
     if (value instanceof Number) {
       text.append(name).append(' ').append(value).append('\n');
