--- a/ctl/src/main/java/org/cornelchute/ctl/CommandContext.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/CommandContext.java
@@ -12,6 +12,7 @@
  *
  * @param rulesLog log of accepted rules
  * @param members client of the members
+ * @param call what the options say of the call that a command asks about
  * @param json whether to print JSON
  * @param author name recorded as the author of a change
  * @param waitSeconds maximum time to wait until a change is in force at all members
@@ -21,6 +22,7 @@
 record CommandContext(
     RulesLog rulesLog,
     MembersClient members,
+    CallDescription call,
     boolean json,
     String author,
     int waitSeconds,
--- a/ctl/src/main/java/org/cornelchute/ctl/CtlProgram.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/CtlProgram.java
@@ -28,6 +28,7 @@
           new StatusCommand(false),
           new StatusCommand(true),
           new FairnessCommand(),
+          new WhereCommand(),
           new DigestCommand());
 
   private static final String EXAMPLES =
@@ -37,6 +38,7 @@
         cornelctl apply fleet.rules --by night-shift
         cornelctl out cuenca-centro --by night-shift
         cornelctl status --member http://10.0.0.7:4101 --json
+        cornelctl where api.example/v1/draft --workspace red --member http://10.0.0.8:7715
       Exit codes: 0 success, 1 failure, 2 invalid input, 3 conflict, 4 outcome unknown
       """;
 
@@ -63,6 +65,11 @@
         parser.accepts("wait").withRequiredArg().ofType(Integer.class).defaultsTo(10);
     final OptionSpec<Integer> timeout =
         parser.accepts("timeout").withRequiredArg().ofType(Integer.class).defaultsTo(10);
+    final OptionSpec<String> workspace =
+        parser.accepts("workspace").withRequiredArg().defaultsTo("");
+    final OptionSpec<String> tokens = parser.accepts("tokens").withRequiredArg().defaultsTo("");
+    final OptionSpec<String> parts = parser.accepts("parts").withRequiredArg().defaultsTo("");
+    final OptionSpec<String> deadline = parser.accepts("deadline").withRequiredArg().defaultsTo("");
     OptionSet options;
     try {
       options = parser.parse(args);
@@ -90,6 +97,11 @@
                 new TableClient(options.valueOf(platform)),
                 Duration.ofSeconds(options.valueOf(timeout))),
             new MembersClient(options.valueOf(member)),
+            new CallDescription(
+                options.valueOf(workspace),
+                options.valueOf(tokens),
+                options.valueOf(parts),
+                options.valueOf(deadline)),
             options.has("json"),
             options.valueOf(by),
             options.valueOf(wait),
@@ -138,6 +150,8 @@
           --timeout SECONDS
                            how long calls without an answer from the table service are
                            repeated   [10]
+          --workspace NAME, --tokens PROMPT,OUTPUT, --parts ID:TOKENS,..., --deadline MILLIS
+                           the call that where explains
           --json           print JSON and nothing else on standard output
           --help, --version
         """);
--- a/ctl/src/main/java/org/cornelchute/ctl/MembersClient.java
+++ b/ctl/src/main/java/org/cornelchute/ctl/MembersClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -23,6 +24,7 @@
 import org.cornelchute.net.frame.FrameClient;
 import org.cornelchute.net.frame.MessageCodec;
 import org.cornelchute.net.util.ResponseBodies;
+import org.cornelchute.policy.forward.PlacementExplanation;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
@@ -34,6 +36,9 @@
 
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_BAD_REQUEST = 400;
+
   private final String operatorUrl;
   private final HttpClient http = HttpClient.create();
   private final ObjectMapper mapper =
@@ -89,6 +94,40 @@
     return sums;
   }
 
+  /**
+   * Asks the entry at the operator port where a call would be routed now.
+   *
+   * @param query encoded query of the page
+   */
+  Either<Failure, PlacementExplanation> explainPlacement(String query) {
+    return fetch("/where?" + query).flatMap(this::parsePlacement);
+  }
+
+  private Either<Failure, PlacementExplanation> parsePlacement(Page page) {
+    try {
+      if (page.status() == STATUS_BAD_REQUEST) {
+        JsonNode error = mapper.readTree(page.text()).path("error");
+        if (error.isTextual()) {
+          return Either.left(Failure.invalid(error.asText()));
+        }
+      } else if (page.status() == STATUS_OK) {
+        PlacementExplanation explanation =
+            mapper.readValue(page.text(), PlacementExplanation.class);
+        if (explanation != null && explanation.services() != null) {
+          return Either.right(explanation);
+        }
+      }
+    } catch (JsonProcessingException e) {
+      return Either.left(notAnEntry());
+    }
+    return Either.left(notAnEntry());
+  }
+
+  private Failure notAnEntry() {
+    return Failure.invalid(
+        operatorUrl + " explained no call; give an entry's operator port with --member");
+  }
+
   /**
    * Sends a request to all members and collects the answers received within {@link
    * #REQUEST_TIMEOUT}.
@@ -111,11 +150,18 @@
   }
 
   private Either<Failure, String> get(String path) {
+    return fetch(path).map(Page::text);
+  }
+
+  private Either<Failure, Page> fetch(String path) {
     return http.get()
         .uri(operatorUrl + path)
-        .response((response, body) -> ResponseBodies.text(body, MAX_PAGE_BYTES))
+        .response(
+            (response, body) ->
+                ResponseBodies.text(body, MAX_PAGE_BYTES)
+                    .map(text -> new Page(response.status().code(), text)))
         .single()
-        .map(Either::<Failure, String>right)
+        .map(Either::<Failure, Page>right)
         .timeout(REQUEST_TIMEOUT)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(error))))
         .block();
@@ -129,6 +175,9 @@
             + "; give a member's operator port with --member");
   }
 
+  /** A page of an operator port. */
+  private record Page(int status, String text) {}
+
   /** Collects the answers by address and counts down the outstanding requests. */
   private record AnswerCollector(Map<String, Message> byAddress, CountDownLatch outstanding)
       implements FrameClient.Listener {
