--- a/ctl/src/test/java/org/cornelchute/ctl/WhereCommandTest.java
+++ b/ctl/src/test/java/org/cornelchute/ctl/WhereCommandTest.java
@@ -7,10 +7,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -273,6 +275,7 @@
       value = {
         "/where|host must be",
         "/where?host=a|path must",
+        "/where?host=%25zz|host must be",
         "/where?host=a&path=/b&key=c|unknown parameter",
         "/where?host=a&host=b&path=/c|host is given more than once",
       })
@@ -283,6 +286,19 @@
         .contains(message);
   }
 
+  /** Guards against a connection that is closed without a response. */
+  @Test
+  void answersMalformedEscapesWith400() throws Exception {
+    int colon = operators.indexOf(':');
+    try (Socket socket = new Socket(LOOPBACK, Integer.parseInt(operators.substring(colon + 1)))) {
+      String request = "GET /where?host=%zz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      String response =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertThat(response).startsWith("HTTP/1.1 400 ").contains("malformed escape");
+    }
+  }
+
   /** Guards against a page of the port that is lost beside the new one. */
   @Test
   void keepsTheMetrics() throws Exception {
--- a/net/src/main/java/org/cornelchute/net/http/TextPageHandler.java
+++ b/net/src/main/java/org/cornelchute/net/http/TextPageHandler.java
@@ -15,12 +15,14 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 
@@ -109,14 +111,20 @@
   }
 
   private PageResponse createResponse() {
-    if (!pageByPath.isEmpty()) {
+    if (pageByPath.isEmpty()) {
+      return PageResponse.ofText(textSupplier.get());
+    }
+    OperatorPage page;
+    Map<String, List<String>> parameters;
+    try {
       QueryStringDecoder query = new QueryStringDecoder(uri);
-      OperatorPage page = pageByPath.get(query.path());
-      if (page != null) {
-        return page.respond(query.parameters());
-      }
+      page = pageByPath.get(query.path());
+      parameters = page == null ? Map.of() : query.parameters();
+    } catch (IllegalArgumentException e) {
+      return PageResponse.ofJson(
+          HttpResponseStatus.BAD_REQUEST, "{\"error\":\"malformed escape in the request\"}");
     }
-    return PageResponse.ofText(textSupplier.get());
+    return page == null ? PageResponse.ofText(textSupplier.get()) : page.respond(parameters);
   }
 
   private static void appendLine(StringBuilder text, String name, Object value) {
