--- a/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.cornelchute.core.model.CrashReport;
 import org.cornelchute.core.model.EndpointLimit;
+import org.cornelchute.core.model.EndpointSpeed;
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
 import org.cornelchute.core.model.OpenCalls;
@@ -91,6 +92,16 @@
   /** Tells other entries which limits of calls endpoints name in their responses. */
   record EndpointLimitsReport(List<EndpointLimit> limits) implements ControlMessage {}
 
+  /**
+   * Tells other entries how fast endpoints work, by the responses to the sender alone; contains
+   * only speeds that are not normal or have changed.
+   */
+  record EndpointSpeedsReport(List<EndpointSpeed> speeds) implements ControlMessage {
+
+    /** A report of no speed. */
+    public static final EndpointSpeedsReport EMPTY = new EndpointSpeedsReport(List.of());
+  }
+
   /** Requests the load of an agent's endpoint; sent when an entry connects. */
   record LoadRequest() implements ControlMessage {}
 
--- a/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
+++ b/net/src/main/java/org/cornelchute/net/frame/MessageCodec.java
@@ -71,7 +71,8 @@
           ControlMessage.UsageReport.class,
           ControlMessage.OpenCallsReport.class,
           ControlMessage.CrashEvidenceReport.class,
-          ControlMessage.EndpointLimitsReport.class);
+          ControlMessage.EndpointLimitsReport.class,
+          ControlMessage.EndpointSpeedsReport.class);
 
   private final List<ObjectReader> readers = new ArrayList<>();
   private final Map<Class<?>, Integer> typeCodes = new HashMap<>();
--- a/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
+++ b/net/src/test/java/org/cornelchute/net/frame/MessageCodecTest.java
@@ -13,6 +13,7 @@
 import org.cornelchute.core.message.SwarmMessage;
 import org.cornelchute.core.model.CrashReport;
 import org.cornelchute.core.model.EndpointLimit;
+import org.cornelchute.core.model.EndpointSpeed;
 import org.cornelchute.core.model.Generation;
 import org.cornelchute.core.model.Load;
 import org.cornelchute.core.model.Member;
@@ -48,6 +49,9 @@
     ControlMessage.EndpointLimitsReport limits =
         new ControlMessage.EndpointLimitsReport(List.of(new EndpointLimit(-7, 1.4, 20)));
     assertThat(codec.decode(codec.encode(limits)).get()).isEqualTo(limits);
+    ControlMessage.EndpointSpeedsReport speeds =
+        new ControlMessage.EndpointSpeedsReport(List.of(new EndpointSpeed(-7, 2.5, 20)));
+    assertThat(codec.decode(codec.encode(speeds)).get()).isEqualTo(speeds);
     byte[] bytes = {1, 2, 3};
     SwarmMessage.ChunkData data =
         (SwarmMessage.ChunkData)
