Choose endpoints by their speed and by cached prompt prefixes

Entries read the load header through EndpointLoad, estimate the slowdown of each endpoint and tell each other. Engines known to cache prefixes get a call whose prefix they hold while its wait is shorter than the saving. With speed 100 and nothing held, the score is the load per slot as before. Reading of requests and response heads moves out of CallDuty.

--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -15,14 +15,11 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.AsciiString;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -35,16 +32,13 @@
 import java.util.function.LongSupplier;
 import org.cornelchute.core.log.Decision;
 import org.cornelchute.core.log.DecisionLog;
-import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.net.wire.WireClient;
 import org.cornelchute.net.wire.WireListener;
 import org.cornelchute.net.wire.WireRequest;
 import org.cornelchute.policy.forward.CallDecider;
 import org.cornelchute.policy.forward.CallEffect;
-import org.cornelchute.policy.forward.CallSpec;
 import org.cornelchute.policy.forward.EndpointNotice;
 import org.cornelchute.policy.forward.EndpointSpec;
-import org.cornelchute.policy.forward.NamedLimit;
 import org.cornelchute.policy.forward.Rejection;
 import org.cornelchute.policy.forward.ResponseHead;
 import org.cornelchute.policy.forward.ServingConfig;
@@ -69,7 +63,6 @@
   private static final long BACKLOG_DELAY_MILLIS = 20;
 
   private static final long MAX_CONNECTION_IDLE_MILLIS = 1_500;
-  private static final int STATUS_MISDIRECTED_REQUEST = 421;
 
   /** Maximum size of a response body that is buffered, twice that of request bodies by default. */
   private static final int MAX_RESPONSE_BODY_BYTES = 8_388_608;
@@ -77,7 +70,6 @@
   /** Share of the heap that buffered response bodies may use. */
   private static final double RESPONSE_MEMORY_SHARE = 0.2;
 
-  private static final String BEARER_PREFIX = "Bearer ";
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
   private final EventLoop loop;
@@ -93,13 +85,14 @@
   private final ResponseBudget responseBudget =
       new ResponseBudget((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_SHARE));
   private final HeaderCopier headerCopier;
+  private final CallSpecReader callSpecReader;
+  private final ResponseHeadReader headReader;
   private final Meter arrivedMeter;
   private final Meter answeredMeter;
   private final Meter lostMeter;
   private final Histogram latencyHistogram;
   private final MetricRegistry metrics;
   private final StallDetector stallDetector = new StallDetector();
-  private final LogLimiter noticeLog = new LogLimiter();
   private long lastCallNumber;
   private boolean draining;
   private boolean rejectingNewCalls;
@@ -123,6 +116,8 @@
     this.metrics = metrics;
     this.counts = new CallCounts(metrics);
     this.headerCopier = new HeaderCopier(headerNames);
+    this.callSpecReader = new CallSpecReader(headerNames);
+    this.headReader = new ResponseHeadReader(headerNames);
     this.arrivedMeter = metrics.meter("calls.arrived");
     this.answeredMeter = metrics.meter("calls.answered");
     this.lostMeter = metrics.meter("calls.lost");
@@ -287,7 +282,7 @@
             ++lastCallNumber,
             connection,
             request,
-            parseNumber(headers.get(headerNames.lastEventId()), -1),
+            HeaderNumber.parse(headers.get(headerNames.lastEventId()), -1),
             responseBudget,
             now);
     openCalls.put(call.number, call);
@@ -315,7 +310,7 @@
   private void submitCall(OpenCall call) {
     if (openCalls.containsKey(call.number)) {
       call.submitted = true;
-      apply(decider.onCall(clockMillis.getAsLong(), toCallSpec(call)));
+      apply(decider.onCall(clockMillis.getAsLong(), callSpecReader.read(call)));
     }
   }
 
@@ -695,31 +690,6 @@
 
   // Helpers
 
-  private CallSpec toCallSpec(OpenCall call) {
-    HttpHeaders headers = call.request.headers();
-    String uri = call.request.uri();
-    int queryStart = uri.indexOf('?');
-    String host = headers.get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
-    int colon = host.indexOf(':');
-    String authorization = headers.get(HttpHeaderNames.AUTHORIZATION, "");
-    String tokenCounts = headers.get(headerNames.tokenCounts(), "");
-    int comma = tokenCounts.indexOf(',');
-    return new CallSpec(
-        call.number,
-        headers.get(headerNames.requestId(), ""),
-        colon < 0 ? host : host.substring(0, colon),
-        queryStart < 0 ? uri : uri.substring(0, queryStart),
-        authorization.startsWith(BEARER_PREFIX)
-            ? authorization.substring(BEARER_PREFIX.length()).strip()
-            : "",
-        parseNumber(headers.get(headerNames.deadline()), Integer.MAX_VALUE),
-        comma < 0 ? 0 : parseNumber(tokenCounts.substring(0, comma), 0),
-        comma < 0 ? 0 : parseNumber(tokenCounts.substring(comma + 1), 0),
-        parseNumber(headers.get(headerNames.lengthHint()), 0),
-        call.callerLastEventId,
-        SharedPartsParser.parse(headers.get(headerNames.promptParts(), "")));
-  }
-
   private void removeCall(OpenCall call, CallCounts.End end) {
     if (openCalls.remove(call.number) != null) {
       counts.recordEnd(end);
@@ -779,17 +749,6 @@
     }
   }
 
-  private static long parseNumber(String text, long defaultValue) {
-    if (text == null || text.isEmpty()) {
-      return defaultValue;
-    }
-    try {
-      return Math.max(0, Long.parseLong(text.strip()));
-    } catch (NumberFormatException e) {
-      return defaultValue;
-    }
-  }
-
   /** Receives the response to one attempt. */
   private final class AttemptListener implements WireListener {
 
@@ -809,64 +768,20 @@
     }
 
     private void handleHead(HttpResponse head) {
-      handleNotice(head);
-      if (attempt.resumed && isOtherContent(head)) {
+      EndpointNotice notice = headReader.readNotice(head, endpoint);
+      apply(decider.onEndpointNotice(clockMillis.getAsLong(), endpoint, notice));
+      if (attempt.resumed && ResponseHeadReader.isOtherContent(head)) {
         // The caller has the head of an event stream, or may get it from another attempt.
         attempt.exchange.reject("success response to a resumed stream that is no event stream");
         return;
       }
       attempt.head = head;
-      HttpHeaders headers = head.headers();
-      String load = headers.get(headerNames.endpointLoad(), "");
-      String[] loadParts = load.split(",");
-      boolean hasLoad = loadParts.length >= 2;
-      ResponseHead responseHead =
-          new ResponseHead(
-              head.status().code(),
-              headers.contains(headerNames.notExecuted()),
-              head.status().code() == STATUS_MISDIRECTED_REQUEST,
-              headers.contains(headerNames.responseSignature()),
-              !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head),
-              parseNumber(headers.get(headerNames.weightsVersion()), 0),
-              hasLoad ? (int) parseNumber(loadParts[0], 0) : -1,
-              hasLoad ? (int) parseNumber(loadParts[1], 0) : 0,
-              NamedLimit.parse(headers.get(headerNames.endpointLimit())));
+      ResponseHead responseHead = headReader.read(head, endpoint);
       apply(
           decider.onResponseHead(
               clockMillis.getAsLong(), call.number, attempt.number, responseHead));
     }
 
-    /** Handles what the endpoint says of itself, which holds whatever becomes of the response. */
-    private void handleNotice(HttpResponse head) {
-      HttpHeaders headers = head.headers();
-      EndpointNotice notice =
-          EndpointNotice.parse(
-              head.status().code(),
-              headers.getAll(headerNames.endpointLeaving()),
-              headers.getAll(HttpHeaderNames.RETRY_AFTER));
-      if (notice.unreadable()) {
-        noticeLog.log(
-            suppressed ->
-                LOG.warn(
-                    "unreadable header of an endpoint ignored endpoint={} leaving={} retryAfter={}"
-                        + " suppressed={}",
-                    endpoint.id(),
-                    headers.getAll(headerNames.endpointLeaving()),
-                    headers.getAll(HttpHeaderNames.RETRY_AFTER),
-                    suppressed));
-      }
-      apply(decider.onEndpointNotice(clockMillis.getAsLong(), endpoint, notice));
-    }
-
-    /** Returns whether a success response names a type of content other than an event stream. */
-    private static boolean isOtherContent(HttpResponse head) {
-      CharSequence type = HttpUtil.getMimeType(head);
-      return head.status().codeClass() == HttpStatusClass.SUCCESS
-          && type != null
-          && !AsciiString.contentEqualsIgnoreCase(
-              AsciiString.trim(type), HttpHeaderValues.TEXT_EVENT_STREAM);
-    }
-
     @Override
     public void onContent(ByteBuf bytes) {
       run(call, () -> handleContent(bytes));
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallHeaderNames.java
@@ -17,7 +17,8 @@
  * @param notExecuted present if the endpoint did not execute the call
  * @param responseSignature signature of the endpoint on its response
  * @param weightsVersion version of the weights that produced the response
- * @param endpointLoad running calls, queued calls and slots, separated by commas
+ * @param endpointLoad running calls, queued calls, slots and optionally the time that work takes in
+ *     percent of the normal time, separated by commas
  * @param endpointLimit calls per second that the endpoint takes from all entries together
  * @param endpointLeaving {@code 1} if the endpoint is about to leave and takes no new calls
  */
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -113,6 +113,7 @@
             stateSource,
             metrics);
     metrics.register("calls.open", (Gauge<Integer>) duty::unendedRequestCount);
+    EndpointGauges.register(metrics, decider, clockMillis);
     ProcessGauges.register(metrics);
   }
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/OpenCallsReporter.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/OpenCallsReporter.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import org.cornelchute.core.message.ControlMessage.CrashEvidenceReport;
 import org.cornelchute.core.message.ControlMessage.EndpointLimitsReport;
+import org.cornelchute.core.message.ControlMessage.EndpointSpeedsReport;
 import org.cornelchute.core.message.ControlMessage.OpenCallsReport;
 import org.cornelchute.core.message.Message;
 import org.cornelchute.core.model.OpenCalls;
@@ -22,8 +23,8 @@
 import org.cornelchute.policy.forward.ReportRecipients;
 
 /**
- * Reports the open calls of this entry, and what it knows of limits that endpoints name and of
- * prompts that crash endpoints, to other entries and records their reports.
+ * Reports the open calls of this entry, and what it knows of limits that endpoints name, of their
+ * speed and of prompts that crash endpoints, to other entries and records their reports.
  *
  * <p>Reports are not acknowledged: a lost one is replaced by the next, and the load caused by an
  * entry that sends no reports is estimated. Each entry reports to a few others; see {@link
@@ -112,6 +113,7 @@
     }
     sendCrashEvidence(clockMillis.getAsLong());
     sendEndpointLimits(clockMillis.getAsLong());
+    sendEndpointSpeeds(clockMillis.getAsLong());
     sendOpenCalls();
   }
 
@@ -138,6 +140,13 @@
     }
   }
 
+  private void sendEndpointSpeeds(long now) {
+    EndpointSpeedsReport report = decider.endpointSpeeds().takeReport(now);
+    if (!report.speeds().isEmpty()) {
+      recipientAddresses.forEach(address -> datagrams.send(address, report));
+    }
+  }
+
   private void sendOpenCalls() {
     List<OpenCalls> openCalls = decider.openCalls();
     Set<OpenCalls> currentCalls = new HashSet<>(openCalls);
@@ -166,6 +175,8 @@
       loop.execute(() -> decider.crashEvidence().recordReport(clockMillis.getAsLong(), report));
     } else if (message instanceof EndpointLimitsReport report) {
       loop.execute(() -> decider.endpointLimits().recordReport(clockMillis.getAsLong(), report));
+    } else if (message instanceof EndpointSpeedsReport report) {
+      loop.execute(() -> decider.endpointSpeeds().recordReport(clockMillis.getAsLong(), report));
     }
   }
 }
--- a/entry/src/test/java/org/cornelchute/entry/direct/SharedPartsParserTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/SharedPartsParserTest.java
@@ -23,6 +23,15 @@
     assertThat(ids.get(0)).isEqualTo(ids.get(3)).isNotEqualTo(ids.get(2));
   }
 
+  /** Guards against tokens that are counted for another part than theirs. */
+  @Test
+  void readsTokensOfTheSameParts() {
+    String header = "a1:800, b2: 410 ,,:7,c3,d4:-5,e5:12345678,f6:1e3,a7:9:9,b8:0,last:250";
+    assertThat(SharedPartsParser.parse(header)).hasSize(8);
+    assertThat(SharedPartsParser.parseTokens(header)).containsExactly(800, 410, 0, 0, 0, 0, 0, 0);
+    assertThat(SharedPartsParser.parseTokens("a:1,".repeat(5_000) + "b:1")).hasSize(32);
+  }
+
   @Test
   void readsLimitedNumberOfParts() {
     assertThat(SharedPartsParser.parse("a:1,".repeat(5_000) + "b:1")).hasSize(32);
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -15,6 +15,8 @@
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.forward.OtherEntries.Availability;
+import org.cornelchute.policy.load.EndpointSpeeds;
+import org.cornelchute.policy.load.HeldPrompts;
 import org.cornelchute.policy.weights.SwitchTimes;
 
 /**
@@ -196,6 +198,16 @@
     return endpointPool.limits();
   }
 
+  /** Returns the speeds that endpoints state, shared by all entries. */
+  public EndpointSpeeds endpointSpeeds() {
+    return endpointPool.scores().speeds();
+  }
+
+  /** Returns the prompt prefixes that engines probably hold. */
+  public HeldPrompts heldPrompts() {
+    return endpointPool.scores().heldPrompts();
+  }
+
   /** Returns the open calls of this entry per endpoint, to be reported to the other entries. */
   public List<OpenCalls> openCalls() {
     return endpointPool.openCalls();
@@ -300,9 +312,7 @@
     if (!head.instanceMismatch()) {
       crashDetector.recordHeard(now, endpoint);
     }
-    if (head.running() >= 0) {
-      endpoint.recordLoad(now, head.running(), head.queued());
-    }
+    endpointPool.scores().recordLoad(now, endpoint, head.load());
     if (head.version() > 0) {
       endpoint.version = head.version();
     }
@@ -327,7 +337,7 @@
       call.mayHaveExecuted = true;
       handleLostResponse(now, effects, call, "success response without signature of the endpoint");
     } else if (head.isSuccess()) {
-      recordBegin(now, received, head);
+      recordBegin(now, call, received, head);
       dropBackup(now, effects, call, "the endpoint of the first attempt goes on");
       startStream(effects, call);
     } else if (call.streaming) {
@@ -677,7 +687,8 @@
         call.streaming ? call.streamVersion : 0,
         maxLoad,
         call.triedEndpoints,
-        0);
+        0,
+        call.spec);
   }
 
   /** Returns the minimum version of the weights that a call may start on. */
@@ -793,13 +804,13 @@
   private void logDispatch(
       long now, List<CallEffect> effects, Call call, Attempt attempt, Choice choice) {
     double load = attempt.endpoint.estimateLoad(now, endpointPool.entryCount());
-    effects.add(callLog.dispatch(call, attempt, load, choice.eligibleCount()));
+    effects.add(callLog.dispatch(now, call, attempt, load, choice));
   }
 
   /** Handles the head of a response to the second of two attempts. */
   private void handleBackupHead(long now, List<CallEffect> effects, Call call, ResponseHead head) {
     if (head.isSuccess() && head.signed()) {
-      recordBegin(now, call.backup, head);
+      recordBegin(now, call, call.backup, head);
       return;
     }
     String reason = "second endpoint responded with status " + head.status();
@@ -811,10 +822,11 @@
     }
   }
 
-  private static void recordBegin(long now, Attempt attempt, ResponseHead head) {
+  private void recordBegin(long now, Call call, Attempt attempt, ResponseHead head) {
     attempt.begunAt = now;
     attempt.version = head.version();
     attempt.endsOnClose = head.endsOnClose();
+    endpointPool.scores().recordBegin(now, attempt.endpoint, call.service, call.spec);
   }
 
   /** Starts to forward the events of the current attempt, whose response has begun. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallLog.java
@@ -4,6 +4,8 @@
 import java.util.stream.Collectors;
 import org.cornelchute.core.log.Decision;
 import org.cornelchute.policy.crash.CrashEvidence.PartChange;
+import org.cornelchute.policy.forward.EndpointPool.Choice;
+import org.cornelchute.policy.load.SpeedEstimate;
 
 /** Builds the lines of the decision log on calls, with the version of the configuration in use. */
 final class CallLog {
@@ -38,10 +40,25 @@
             configVersion));
   }
 
-  /** Returns a line on an attempt that was sent, with the load that its endpoint has then. */
-  CallEffect dispatch(Call call, Attempt attempt, double load, int eligibleCount) {
-    double rounded = Math.round(load * 10) / 10.0;
-    return attempt("route", call, attempt, "load=" + rounded + " allowed=" + eligibleCount);
+  /**
+   * Returns a line on an attempt that was sent, with the load that its endpoint has then, and its
+   * speed and the time saved by a cached prefix if they count.
+   */
+  CallEffect dispatch(long now, Call call, Attempt attempt, double load, Choice choice) {
+    StringBuilder reason = new StringBuilder("load=").append(round(load, 10));
+    reason.append(" allowed=").append(choice.eligibleCount());
+    double slowdown = round(attempt.endpoint.speed.slowdown(now), 100);
+    if (slowdown != SpeedEstimate.NORMAL) {
+      reason.append(" slowdown=").append(slowdown);
+    }
+    if (choice.savedMillis() > 0) {
+      reason.append(" savedMs=").append(Math.round(choice.savedMillis()));
+    }
+    return attempt("route", call, attempt, reason.toString());
+  }
+
+  private static double round(double value, double perUnit) {
+    return Math.round(value * perUnit) / perUnit;
   }
 
   /** Returns a line that tells what calls that broke off at one endpoint may have in common. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallSpec.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallSpec.java
@@ -18,6 +18,7 @@
  *     the stream from its beginning
  * @param sharedParts ids of the parts of the prompt that other calls may share, in prompt order;
  *     without the last part, which belongs to the call or its session. Never null.
+ * @param sharedTokens tokens of each of these parts, empty if not specified. Never null.
  */
 public record CallSpec(
     long number,
@@ -30,4 +31,34 @@
     long maxOutputTokens,
     long expectedOutputTokens,
     long lastEventId,
-    List<Long> sharedParts) {}
+    List<Long> sharedParts,
+    List<Integer> sharedTokens) {
+
+  /** Creates a call that does not specify the tokens of the shared parts. */
+  public CallSpec(
+      long number,
+      String id,
+      String host,
+      String path,
+      String key,
+      long deadlineMillis,
+      long promptTokens,
+      long maxOutputTokens,
+      long expectedOutputTokens,
+      long lastEventId,
+      List<Long> sharedParts) {
+    this(
+        number,
+        id,
+        host,
+        path,
+        key,
+        deadlineMillis,
+        promptTokens,
+        maxOutputTokens,
+        expectedOutputTokens,
+        lastEventId,
+        sharedParts,
+        List.of());
+  }
+}
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.cornelchute.policy.load.PrefixCache;
+import org.cornelchute.policy.load.SpeedEstimate;
 
 /** State of one endpoint as known to this entry; owned by the {@link EndpointPool}. */
 final class Endpoint {
@@ -42,6 +44,12 @@
   /** Signs of life and of the end of this incarnation. */
   final Vitality vitality = new Vitality();
 
+  /** Speed that the endpoint states in its responses; never null. */
+  final SpeedEstimate speed;
+
+  /** Prompt prefixes that its engine probably holds, null if it is not known to cache any. */
+  PrefixCache prefixCache;
+
   /** Limit that the endpoint named in its last response to this entry. */
   NamedLimit namedLimit = NamedLimit.NONE;
 
@@ -64,8 +72,9 @@
   private int ownCallsAtSample;
   private long sampledAt = Long.MIN_VALUE / 4;
 
-  Endpoint(EndpointSpec spec) {
+  Endpoint(EndpointSpec spec, SpeedEstimate speed) {
     this.spec = spec;
+    this.speed = speed;
     this.version = spec.version();
   }
 
@@ -131,6 +140,11 @@
 
   /** Returns a hash code of the endpoint's current incarnation, the same at all entries. */
   int incarnation() {
+    return incarnationOf(spec);
+  }
+
+  /** Returns a hash code of a listed incarnation, the same at all entries. */
+  static int incarnationOf(EndpointSpec spec) {
     return 31 * spec.id().hashCode() + Long.hashCode(spec.startedAtMillis());
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -9,16 +9,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
+import org.cornelchute.policy.load.PrefixSaving;
 
 /** All endpoints that the directory lists, with the state that this entry keeps for selection. */
 final class EndpointPool {
 
-  /**
-   * Load in calls that is added to endpoints outside the failure domain of this entry when
-   * endpoints are compared, so that near endpoints are preferred.
-   */
-  private static final double CROSS_DOMAIN_PENALTY = 4.0;
-
   /**
    * Fraction of the limit of a cold endpoint that the entries use. The rest covers calls that leave
    * the entries within the limit but arrive closer together.
@@ -78,6 +73,7 @@
   private final EntryList entries;
   private final EndpointLimits limits;
   private final EndpointNotices notices = new EndpointNotices();
+  private final EndpointScores scores;
   private long recoveryGraceUntil;
 
   /** Time up to which running endpoints may be missing from the first list. */
@@ -87,6 +83,7 @@
     this.options = options;
     this.entries = new EntryList(options.self());
     this.limits = new EndpointLimits(entries);
+    this.scores = new EndpointScores(options.domain());
   }
 
   Optional<Endpoint> find(String id) {
@@ -123,6 +120,11 @@
     return limits;
   }
 
+  /** Returns what is known of the speed of endpoints and of their caches. */
+  EndpointScores scores() {
+    return scores;
+  }
+
   /**
    * Records what a response of an endpoint says about further calls to it.
    *
@@ -175,8 +177,12 @@
         || report.weightsSwitch.engineStartedAtMillis() != endpoint.spec.startedAtMillis()) {
       return;
     }
+    scores.setCachesPrefixes(endpoint, report.weightsSwitch.cachesPrefixes());
     long targetVersion = report.weightsSwitch.targetVersion();
     long loadedVersion = report.weightsSwitch.loadedVersion();
+    if (targetVersion == 0) {
+      return;
+    }
     if (loadedVersion >= targetVersion) {
       endpoint.version = Math.max(endpoint.version, loadedVersion);
       endpoint.loadReportedAt = report.receivedAt;
@@ -220,7 +226,7 @@
         if (endpoint != null) {
           endpoint.vitality.setDelisted(true);
         }
-        endpoint = new Endpoint(spec);
+        endpoint = scores.newEndpoint(spec);
         byId.put(spec.id(), endpoint);
         applySwitchReport(endpoint);
       }
@@ -242,6 +248,7 @@
     recordReplaced();
     handleMissing(now, listedIds);
     removedById.values().removeIf(e -> e.ownCalls == 0 && now >= e.removeAt + RETENTION_MILLIS);
+    scores.retain(byId.values(), removedById.values());
     rebuildServiceIndex();
   }
 
@@ -335,7 +342,8 @@
   }
 
   /**
-   * Chooses the endpoint with the lowest load among those that can accept a call now.
+   * Chooses the endpoint with the lowest score among those that can accept a call now; see {@link
+   * EndpointScores}.
    *
    * @return the chosen endpoint, if any, and the number of eligible endpoints
    */
@@ -363,6 +371,7 @@
   }
 
   private Choice chooseLeastLoaded(long now, Requirements requirements, List<Endpoint> candidates) {
+    PrefixSaving saving = scores.savingOf(requirements);
     Endpoint best = null;
     double lowestScore = Double.MAX_VALUE;
     for (Endpoint endpoint : candidates) {
@@ -375,13 +384,14 @@
         continue;
       }
       double load = endpoint.estimateLoad(now, entries.foundCount());
-      double score = load / endpoint.spec.slots() + domainPenalty(endpoint);
+      double score = scores.score(now, endpoint, load, saving);
       if (load < requirements.maxLoadPerSlot() * endpoint.spec.slots() && score < lowestScore) {
         lowestScore = score;
         best = endpoint;
       }
     }
-    return new Choice(Optional.ofNullable(best), candidates.size());
+    double savedMillis = best == null ? 0 : saving.millis(now, best.prefixCache, best.version);
+    return new Choice(Optional.ofNullable(best), candidates.size(), savedMillis);
   }
 
   /** Records a failure or timeout of an endpoint and starts its backoff. */
@@ -457,11 +467,6 @@
         < entries.shareOf(sharedCalls, endpoint.spec.id());
   }
 
-  private double domainPenalty(Endpoint endpoint) {
-    double penalty = endpoint.spec.domain().equals(options.domain()) ? 0 : CROSS_DOMAIN_PENALTY;
-    return penalty / Math.max(1, endpoint.spec.slots());
-  }
-
   /**
    * Requirements of a call on its endpoint.
    *
@@ -475,6 +480,7 @@
    * @param triedEndpoints endpoints that the call was sent to before
    * @param respondingSince time since which an endpoint with calls of this entry must have sent
    *     data; 0 for any endpoint
+   * @param call the call
    */
   record Requirements(
       ServiceSpec service,
@@ -484,7 +490,8 @@
       long exactVersion,
       double maxLoadPerSlot,
       Set<String> triedEndpoints,
-      long respondingSince) {
+      long respondingSince,
+      CallSpec call) {
 
     /** Returns these requirements without endpoints that have been silent since a time. */
     Requirements respondingSince(long time) {
@@ -496,7 +503,8 @@
           exactVersion,
           maxLoadPerSlot,
           triedEndpoints,
-          time);
+          time,
+          call);
     }
 
     long minVersionOf(Endpoint endpoint) {
@@ -517,8 +525,9 @@
    *
    * @param endpoint chosen endpoint, empty if none can accept the call now
    * @param eligibleCount number of endpoints that may serve the call, with or without a free slot
+   * @param savedMillis time that the call saves there by its cached prompt prefix, 0 if none
    */
-  record Choice(Optional<Endpoint> endpoint, int eligibleCount) {}
+  record Choice(Optional<Endpoint> endpoint, int eligibleCount, double savedMillis) {}
 
   /** The latest report of an agent on its engine, with the time at which it was received. */
   private record SwitchReport(WeightsSwitch weightsSwitch, long receivedAt) {}
--- a/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.cornelchute.policy.forward;
 
 import java.util.Set;
+import org.cornelchute.policy.load.EndpointLoad;
 
 /**
  * Head of a response from an endpoint, reduced to what decisions depend on.
@@ -13,8 +14,7 @@
  *     without it is treated as lost
  * @param endsOnClose whether only the close of the connection ends the response
  * @param version version of the weights that produce the response, 0 if not reported
- * @param running number of calls that the endpoint runs, negative if not reported
- * @param queued number of calls that are queued at the endpoint
+ * @param load load that the endpoint states, never null
  * @param limit limit of calls that the endpoint names, never null
  */
 public record ResponseHead(
@@ -24,8 +24,7 @@
     boolean signed,
     boolean endsOnClose,
     long version,
-    int running,
-    int queued,
+    EndpointLoad load,
     NamedLimit limit) {
 
   static final int STATUS_SERVICE_UNAVAILABLE = 503;
@@ -37,6 +36,32 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_MULTIPLE_CHOICES = 300;
 
+  /**
+   * Creates a head that states no slots and no speed.
+   *
+   * @param running number of calls that the endpoint runs, negative if it states no load
+   */
+  ResponseHead(
+      int status,
+      boolean notExecuted,
+      boolean instanceMismatch,
+      boolean signed,
+      boolean endsOnClose,
+      long version,
+      int running,
+      int queued,
+      NamedLimit limit) {
+    this(
+        status,
+        notExecuted,
+        instanceMismatch,
+        signed,
+        endsOnClose,
+        version,
+        running < 0 ? EndpointLoad.ABSENT : EndpointLoad.of(running, queued, 0),
+        limit);
+  }
+
   /**
    * Returns whether callers would take the status for a promise that the call was not executed,
    * which the endpoint does not make.
--- a/policy/src/main/java/org/cornelchute/policy/util/RendezvousHash.java
+++ b/policy/src/main/java/org/cornelchute/policy/util/RendezvousHash.java
@@ -37,9 +37,14 @@
     for (byte b : (key + '\0' + member).getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ (b & 0xff)) * FNV_PRIME;
     }
-    hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
-    hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
-    return hash ^ (hash >>> 31);
+    return mix(hash);
+  }
+
+  /** Returns a number of which each bit depends on all bits of another one; one to one. */
+  public static long mix(long number) {
+    long mixed = (number ^ (number >>> 30)) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+    return mixed ^ (mixed >>> 31);
   }
 
   private record Ranked(String member, long weight) {}
