--- a/policy/src/main/java/org/cornelchute/policy/load/SpeedEstimate.java
+++ b/policy/src/main/java/org/cornelchute/policy/load/SpeedEstimate.java
@@ -27,6 +27,11 @@
   /** Interval at which a speed that is not normal is reported again. */
   private static final long REPORT_INTERVAL_MILLIS = 300;
 
+  /**
+   * Weight of the reports of others, in samples, from which an own speed is worth contradicting.
+   */
+  private static final double MIN_DISPUTED_WEIGHT = 0.3;
+
   private static final long NEVER = Long.MIN_VALUE / 4;
 
   private final DecayingMean own = new DecayingMean();
@@ -85,7 +90,11 @@
         differ(own.mean(), NORMAL)
             && respondedAt > lastSentAt
             && now - lastSentAt >= REPORT_INTERVAL_MILLIS;
-    return (changed || repeated) && now - respondedAt < MAX_AGE_MILLIS;
+    boolean disputed =
+        reported.weightAt(now) >= MIN_DISPUTED_WEIGHT
+            && differ(own.mean(), reported.mean())
+            && now - lastSentAt >= REPORT_INTERVAL_MILLIS;
+    return (changed || repeated || disputed) && now - respondedAt < MAX_AGE_MILLIS;
   }
 
   /** Records that the other entries are told of the responses to this entry. */
--- a/policy/src/test/java/org/cornelchute/policy/load/EndpointSpeedsTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/load/EndpointSpeedsTest.java
@@ -166,13 +166,30 @@
     assertThat(speeds.takeReport(now).speeds()).as("normal again, and reported").isEmpty();
   }
 
+  // Failure: an endpoint that is normal again is avoided while old reports of it arrive, since the
+  // entries that got its responses do not contradict.
+  @Test
+  void contradictsReportsThatNoLongerHold() {
+    report(2.5, 0);
+    respond(",100");
+    EndpointSpeedsReport report = speeds.takeReport(now);
+    assertThat(report.speeds()).containsExactly(new EndpointSpeed(ENDPOINT, 1, 0));
+    now += 50;
+    respond(",100");
+    assertThat(speeds.takeReport(now).speeds()).as("bounded in time").isEmpty();
+    now += 1_000;
+    respond(",100");
+    assertThat(speeds.takeReport(now).speeds()).as("the report is old").isEmpty();
+  }
+
   // Failure: what other entries report is passed on as an own observation and never ends.
   @Test
   void passesNoReportsOn() {
     report(4, 0);
     assertThat(estimate.slowdown(now)).isGreaterThan(1.5);
-    assertThat(speeds.takeReport(now).speeds()).isEmpty();
-    respond(",100");
-    assertThat(speeds.takeReport(now).speeds()).isEmpty();
+    for (int i = 0; i < 40; i++) {
+      now += 100;
+      assertThat(speeds.takeReport(now).speeds()).isEmpty();
+    }
   }
 }
