--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -11,13 +11,11 @@
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
 import org.cornelchute.policy.crash.CrashEvidence;
-import org.cornelchute.policy.forward.CallAdmission.Admitted;
 import org.cornelchute.policy.forward.CallAdmission.Refusal;
 import org.cornelchute.policy.forward.EndpointPool.Choice;
-import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.forward.OtherEntries.Availability;
-import org.cornelchute.policy.forward.RouteSpec.WeightedService;
-import org.cornelchute.policy.weights.SwitchTimes;
+import org.cornelchute.policy.load.EndpointSpeeds;
+import org.cornelchute.policy.load.HeldPrompts;
 
 /**
  * Decides on the calls of one entry and gives each call exactly one final response.
@@ -32,9 +30,6 @@
  */
 public final class CallDecider {
 
-  /** Time for which a call may be on its way to an endpoint that did not respond in time lately. */
-  private static final long MAX_DELIVERY_MILLIS = 2_500;
-
   /** Minimum remaining time for a retry; with less, it is unlikely to complete in time. */
   private static final long MIN_RETRY_TIME_MILLIS = 60;
 
@@ -44,9 +39,6 @@
   /** Load per slot up to which endpoints accept retries. */
   private static final double RETRY_MAX_LOAD_PER_SLOT = 1.25;
 
-  /** Fraction of the time left to the target latency that a call may spend in the queue. */
-  private static final double MAX_QUEUE_TIME_SHARE = 0.5;
-
   private final CallOptions options;
   private final EndpointPool endpointPool;
   private final Freshness freshness = new Freshness();
@@ -58,6 +50,8 @@
   private final CallAdmission admission;
   private final RetryAfter retryAfter;
   private final LoadLimits loadLimits = new LoadLimits();
+  private final EndpointSelector selector;
+  private final PlacementExplainer explainer;
   private final CallLog callLog = new CallLog();
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final List<Call> queue = new ArrayList<>();
@@ -81,6 +75,9 @@
     Random random = new Random(seed);
     this.admission = new CallAdmission(options, freshness, otherEntries, endpointPool, random);
     this.retryAfter = new RetryAfter(random);
+    this.selector = new EndpointSelector(options, endpointPool, versionGate, loadLimits);
+    this.explainer =
+        new PlacementExplainer(admission, endpointPool, selector, loadLimits, crashEvidence);
   }
 
   // Accessors
@@ -182,6 +179,16 @@
     return endpointPool.limits();
   }
 
+  /** Returns the speeds that endpoints state, shared by all entries. */
+  public EndpointSpeeds endpointSpeeds() {
+    return endpointPool.scores().speeds();
+  }
+
+  /** Returns the prompt prefixes that engines probably hold. */
+  public HeldPrompts heldPrompts() {
+    return endpointPool.scores().heldPrompts();
+  }
+
   /** Returns the open calls of this entry per endpoint, to be reported to the other entries. */
   public List<OpenCalls> openCalls() {
     return endpointPool.openCalls();
@@ -239,113 +246,12 @@
     return suspended;
   }
 
-  // Explanation
-
   /**
    * Explains where a call would be routed if it arrived now, and why. Changes nothing that later
    * decisions depend on: nothing is drawn, counted or recorded, and the call is not sent.
-   *
-   * @return one placement for each service that the route may pick
    */
   public PlacementExplanation explain(long now, PlacementQuery query) {
-    CallSpec spec = query.toCallSpec();
-    Either<Refusal, Admitted> checked =
-        admission.check(now, config, spec, config.findWorkspaceByName(query.workspace()));
-    if (checked.isLeft()) {
-      String route = config.findRoute(spec.host(), spec.path()).map(RouteSpec::name).orElse("");
-      Refusal refusal = checked.getLeft();
-      return PlacementExplanation.rejected(
-          config.version(), route, refusal.rejection(), refusal.reason());
-    }
-    RouteSpec route = checked.get().route();
-    WorkspaceSpec workspace = checked.get().workspace();
-    List<ServicePlacement> placements = new ArrayList<>(route.services().size());
-    for (WeightedService picked : route.services()) {
-      placements.add(
-          config
-              .findService(picked.service())
-              .map(s -> explainService(now, admission.preview(now, spec, checked.get(), s), picked))
-              .orElseGet(() -> explainUnknownService(route, picked)));
-    }
-    return new PlacementExplanation(
-        config.version(),
-        route.name(),
-        workspace == null ? "" : workspace.name(),
-        Call.priority(route, workspace),
-        placements,
-        "",
-        "");
-  }
-
-  private static ServicePlacement explainUnknownService(RouteSpec route, WeightedService picked) {
-    Refusal refusal = CallAdmission.refuseUnknownService().getLeft();
-    return new ServicePlacement(
-            picked.service(), route.shareOf(picked), 0, 0, List.of(), "", 0, "", "")
-        .withRejection(refusal.rejection(), refusal.reason());
-  }
-
-  /** Explains a call that is not kept; follows {@link #onCall} and {@link #dispatchOrQueue}. */
-  private ServicePlacement explainService(long now, Call call, WeightedService picked) {
-    double maxLoad =
-        call.remainingTargetMillis(now) < MIN_REMAINING_TARGET_MILLIS
-            ? LATE_CALL_MAX_LOAD_PER_SLOT
-            : maxLoadPerSlot(call);
-    long minVersion = requiredVersion(now, call);
-    ServicePlacement placement =
-        new ServicePlacement(
-            picked.service(),
-            call.route.shareOf(picked),
-            maxLoad,
-            minVersion,
-            endpointPool.explain(now, requirements(now, call, maxLoad, minVersion)),
-            "",
-            0,
-            "",
-            "");
-    if (crashEvidence.wouldBlock(now, call.spec.sharedParts())) {
-      return placement.withRejection(
-          Rejection.BLOCKED_PROMPT, "parts=" + CallLog.formatParts(call));
-    }
-    if (!call.spec.sharedParts().isEmpty() && crashEvidence.wouldLackStored(now)) {
-      return placement.withRejection(Rejection.NOT_READY, "blocked parts are not known yet");
-    }
-    Choice choice = chooseEndpoint(now, call, maxLoad);
-    return choice
-        .endpoint()
-        .map(endpoint -> placement.withChoice(endpoint.spec.id()))
-        .orElseGet(() -> explainWithoutChoice(now, call, maxLoad, choice, placement));
-  }
-
-  private ServicePlacement explainWithoutChoice(
-      long now, Call call, double maxLoad, Choice choice, ServicePlacement placement) {
-    if (lacksOnlyVersionAge(now, call, maxLoad)) {
-      return placement.withRejection(
-          Rejection.NOT_READY, "age of the weights version is not known");
-    }
-    if (endpointPool.mayLackEndpoints(now, call.service.name())) {
-      return placement.withRejection(
-          Rejection.NOT_READY, "endpoints of the service are not known yet");
-    }
-    if (choice.eligibleCount() == 0) {
-      long pauseMillis = pauseEnd(now, call) - now;
-      return placement.withRejection(
-          Rejection.NO_ENDPOINT,
-          pauseMillis > 0
-              ? "all endpoints pause, the first for ms=" + pauseMillis
-              : "no endpoint is eligible");
-    }
-    long queueMillis = maxQueueMillis(now, call);
-    return queueMillis > 0
-        ? placement.withQueueTime(queueMillis)
-        : placement.withRejection(
-            Rejection.OVERLOADED, "no endpoint has a free slot, allowed=" + choice.eligibleCount());
-  }
-
-  /** Returns for how long a call that was not sent yet may be queued, 0 if it may not. */
-  private static long maxQueueMillis(long now, Call call) {
-    return call.service.engine().isPresent()
-        ? 0
-        : Math.max(0, (long) (call.remainingTargetMillis(now) * MAX_QUEUE_TIME_SHARE));
+    return explainer.explain(now, config, query);
   }
 
   // Call events
@@ -390,9 +296,7 @@
     if (!head.instanceMismatch()) {
       crashDetector.recordHeard(now, endpoint);
     }
-    if (head.running() >= 0) {
-      endpoint.recordLoad(now, head.running(), head.queued());
-    }
+    endpointPool.scores().recordLoad(now, endpoint, head.load());
     if (head.version() > 0) {
       endpoint.version = head.version();
     }
@@ -417,7 +321,7 @@
       call.mayHaveExecuted = true;
       handleLostResponse(now, effects, call, "success response without signature of the endpoint");
     } else if (head.isSuccess()) {
-      recordBegin(now, received, head);
+      recordBegin(now, call, received, head);
       dropBackup(now, effects, call, "the endpoint of the first attempt goes on");
       startStream(effects, call);
     } else if (call.streaming) {
@@ -659,12 +563,12 @@
       if (saturatedServices.contains(call.service.name()) || call.queuedUntil == 0) {
         continue;
       }
-      Choice choice = chooseEndpoint(now, call, loadLimits.ofCall(call));
+      Choice choice = selector.choose(now, call, loadLimits.ofCall(call));
       if (choice.endpoint().isPresent()) {
         queue.remove(call);
         call.queuedUntil = 0;
         dispatch(now, effects, call, choice);
-      } else if (choice.eligibleCount() == 0 && pauseEnd(now, call) > call.queuedUntil) {
+      } else if (choice.eligibleCount() == 0 && selector.pauseEnd(now, call) > call.queuedUntil) {
         rejectWithoutEndpoint(now, effects, call);
       } else {
         saturatedServices.add(call.service.name());
@@ -673,16 +577,13 @@
   }
 
   /**
-   * Queues a call that was not sent yet if it can still meet its target latency afterwards.
-   *
-   * <p>Calls to engines are not queued. The first event of an engine takes most of the target
-   * latency, so a queued call would miss its target and occupy the slot of a call that would not.
+   * Queues a call that was not sent yet if it may wait.
    *
    * @return whether the call was queued
    */
   private boolean tryEnqueue(long now, Call call) {
-    long maxWait = (long) (call.remainingTargetMillis(now) * MAX_QUEUE_TIME_SHARE);
-    if (maxWait <= 0 || call.sentAttempts > 0 || call.service.engine().isPresent()) {
+    long maxWait = loadLimits.maxQueueMillis(now, call);
+    if (maxWait <= 0 || call.sentAttempts > 0) {
       return false;
     }
     call.queuedUntil = now + maxWait;
@@ -703,10 +604,10 @@
       reject(now, effects, call, Rejection.NOT_READY, "blocked parts are not known yet");
       return;
     }
-    Choice choice = chooseEndpoint(now, call, maxLoad);
+    Choice choice = selector.choose(now, call, maxLoad);
     if (choice.endpoint().isPresent()) {
       dispatch(now, effects, call, choice);
-    } else if (lacksOnlyVersionAge(now, call, maxLoad)) {
+    } else if (selector.lacksOnlyVersionAge(now, call, maxLoad)) {
       reject(now, effects, call, Rejection.NOT_READY, "age of the weights version is not known");
     } else if (endpointPool.mayLackEndpoints(now, call.service.name())) {
       reject(now, effects, call, Rejection.NOT_READY, "endpoints of the service are not known yet");
@@ -724,7 +625,7 @@
 
   /** Rejects a call that no endpoint may serve, until the first of those that pause returns. */
   private void rejectWithoutEndpoint(long now, List<CallEffect> effects, Call call) {
-    long pauseEnd = pauseEnd(now, call);
+    long pauseEnd = selector.pauseEnd(now, call);
     if (pauseEnd > now) {
       long pauseMillis = pauseEnd - now;
       reject(
@@ -738,78 +639,6 @@
     }
   }
 
-  /** Returns the time at which the first endpoint that pauses takes the call, 0 if none pauses. */
-  private long pauseEnd(long now, Call call) {
-    return endpointPool
-        .earliestPauseEnd(
-            now, requirements(now, call, loadLimits.ofCall(call), requiredVersion(now, call)))
-        .orElse(0L);
-  }
-
-  private Choice chooseEndpoint(long now, Call call, double maxLoad) {
-    return chooseEndpoint(now, call, maxLoad, requiredVersion(now, call));
-  }
-
-  private Choice chooseEndpoint(long now, Call call, double maxLoad, long minVersion) {
-    return endpointPool.choose(now, requirements(now, call, maxLoad, minVersion));
-  }
-
-  private Requirements requirements(long now, Call call, double maxLoad, long minVersion) {
-    return new Requirements(
-        call.service,
-        call.regions,
-        minVersion,
-        versionAt(now + MAX_DELIVERY_MILLIS, call, versionGate::requiredVersion),
-        call.streaming ? call.streamVersion : 0,
-        maxLoad,
-        call.triedEndpoints,
-        0);
-  }
-
-  /** Returns the minimum version of the weights that a call may start on. */
-  private long requiredVersion(long now, Call call) {
-    return versionInTime(now, call, versionGate::requiredVersion);
-  }
-
-  /**
-   * Returns the version at the time until which an engine may leave a call unread if at least half
-   * of the endpoints that may serve the call hold it, and the current one otherwise; see {@link
-   * SwitchTimes}.
-   */
-  private long versionInTime(long now, Call call, VersionLookup lookup) {
-    long current = versionAt(now, call, lookup);
-    long later = versionAt(now + SwitchTimes.MAX_UNREAD_MILLIS, call, lookup);
-    return later > current
-            && eligibleCount(now, call, later) * 2 >= eligibleCount(now, call, current)
-        ? later
-        : current;
-  }
-
-  private int eligibleCount(long now, Call call, long minVersion) {
-    return endpointPool.eligibleCount(
-        now, requirements(now, call, loadLimits.ofCall(call), minVersion));
-  }
-
-  private long versionAt(long time, Call call, VersionLookup lookup) {
-    return call.service
-        .engine()
-        .map(e -> lookup.version(time, e.model(), options.versionGraceMillis()))
-        .orElse(0L);
-  }
-
-  /**
-   * Returns whether an endpoint could accept the call if the newest versions turn out to be as
-   * young as possible. Another entry may know their age.
-   */
-  private boolean lacksOnlyVersionAge(long now, Call call, double maxLoad) {
-    if (call.service.engine().isEmpty()) {
-      return false;
-    }
-    long certain = versionInTime(now, call, versionGate::certainVersion);
-    return certain < requiredVersion(now, call)
-        && chooseEndpoint(now, call, maxLoad, certain).endpoint().isPresent();
-  }
-
   private void dispatch(long now, List<CallEffect> effects, Call call, Choice choice) {
     call.current = startAttempt(now, call, choice);
     addDispatch(now, effects, call, call.current);
@@ -828,7 +657,9 @@
     Choice choice =
         endpointPool.choose(
             now,
-            requirements(now, call, RETRY_MAX_LOAD_PER_SLOT, requiredVersion(now, call))
+            selector
+                .requirements(
+                    now, call, RETRY_MAX_LOAD_PER_SLOT, selector.requiredVersion(now, call))
                 .respondingSince(call.current.lastProgressAt));
     if (choice.endpoint().isEmpty()
         || !retryBudget.trySpend(now, call.service.name(), endpointPool.sharingEntryCount())) {
@@ -858,7 +689,7 @@
   }
 
   private void addDispatch(long now, List<CallEffect> effects, Call call, Attempt attempt) {
-    boolean needsVersion = requiredVersion(now, call) > 0 || call.streaming;
+    boolean needsVersion = selector.requiredVersion(now, call) > 0 || call.streaming;
     // The entries share the connection limit of the endpoint, of which 10% stays in reserve.
     int maxConnections =
         Math.max(2, call.service.maxConnections() * 9 / 10 / endpointPool.sharingEntryCount());
@@ -879,13 +710,13 @@
   private void logDispatch(
       long now, List<CallEffect> effects, Call call, Attempt attempt, Choice choice) {
     double load = attempt.endpoint.estimateLoad(now, endpointPool.entryCount());
-    effects.add(callLog.dispatch(call, attempt, load, choice.eligibleCount()));
+    effects.add(callLog.dispatch(now, call, attempt, load, choice));
   }
 
   /** Handles the head of a response to the second of two attempts. */
   private void handleBackupHead(long now, List<CallEffect> effects, Call call, ResponseHead head) {
     if (head.isSuccess() && head.signed()) {
-      recordBegin(now, call.backup, head);
+      recordBegin(now, call, call.backup, head);
       return;
     }
     String reason = "second endpoint responded with status " + head.status();
@@ -897,10 +728,11 @@
     }
   }
 
-  private static void recordBegin(long now, Attempt attempt, ResponseHead head) {
+  private void recordBegin(long now, Call call, Attempt attempt, ResponseHead head) {
     attempt.begunAt = now;
     attempt.version = head.version();
     attempt.endsOnClose = head.endsOnClose();
+    endpointPool.scores().recordBegin(now, attempt.endpoint, call.service, call.spec);
   }
 
   /** Starts to forward the events of the current attempt, whose response has begun. */
@@ -998,7 +830,7 @@
   private boolean canRetryNow(long now, Call call) {
     return mayRetry(now, call)
         && retryBudget.allows(now, call.service.name(), endpointPool.sharingEntryCount())
-        && chooseEndpoint(now, call, RETRY_MAX_LOAD_PER_SLOT).endpoint().isPresent();
+        && selector.choose(now, call, RETRY_MAX_LOAD_PER_SLOT).endpoint().isPresent();
   }
 
   /**
@@ -1009,13 +841,7 @@
     if (call.streaming || attempt.hasBegun()) {
       return false;
     }
-    long required =
-        versionInTime(
-            now,
-            call,
-            (time, model, graceMillis) ->
-                versionGate.cutoffVersion(time, model, options.versionCutoffMillis()));
-    return attempt.endpoint.version < required;
+    return attempt.endpoint.version < selector.cutoffVersion(now, call);
   }
 
   private static boolean isStalled(long now, Call call) {
@@ -1134,9 +960,4 @@
     endpoint.namedLimit = limit;
     effects.add(callLog.namedLimit(endpoint, limit));
   }
-
-  /** Lookup of a version in {@link VersionGate}. */
-  private interface VersionLookup {
-    long version(long time, String model, long graceMillis);
-  }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -10,16 +10,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelchute.core.model.OpenCalls;
+import org.cornelchute.policy.load.PrefixSaving;
 
 /** All endpoints that the directory lists, with the state that this entry keeps for selection. */
 final class EndpointPool {
 
-  /**
-   * Load in calls that is added to endpoints outside the failure domain of this entry when
-   * endpoints are compared, so that near endpoints are preferred.
-   */
-  private static final double CROSS_DOMAIN_PENALTY = 4.0;
-
   /**
    * Fraction of the limit of a cold endpoint that the entries use. The rest covers calls that leave
    * the entries within the limit but arrive closer together.
@@ -66,11 +61,6 @@
   /** Maximum failure count, which caps the backoff at eight times its initial value. */
   private static final int MAX_COUNTED_FAILURES = 4;
 
-  /** Factor of an endpoint at which work takes as long as usual. */
-  private static final double NORMAL_SLOWDOWN = 1.0;
-
-  private static final double NO_SAVING_MILLIS = 0;
-
   private final CallOptions options;
   private final Map<String, Endpoint> byId = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
@@ -84,6 +74,7 @@
   private final EntryList entries;
   private final EndpointLimits limits;
   private final EndpointNotices notices = new EndpointNotices();
+  private final EndpointScores scores;
   private long recoveryGraceUntil;
 
   /** Time up to which running endpoints may be missing from the first list. */
@@ -93,6 +84,7 @@
     this.options = options;
     this.entries = new EntryList(options.self());
     this.limits = new EndpointLimits(entries);
+    this.scores = new EndpointScores(options.domain());
   }
 
   Optional<Endpoint> find(String id) {
@@ -129,6 +121,11 @@
     return limits;
   }
 
+  /** Returns what is known of the speed of endpoints and of their caches. */
+  EndpointScores scores() {
+    return scores;
+  }
+
   /**
    * Records what a response of an endpoint says about further calls to it.
    *
@@ -181,8 +178,12 @@
         || report.weightsSwitch.engineStartedAtMillis() != endpoint.spec.startedAtMillis()) {
       return;
     }
+    scores.setCachesPrefixes(endpoint, report.weightsSwitch.cachesPrefixes());
     long targetVersion = report.weightsSwitch.targetVersion();
     long loadedVersion = report.weightsSwitch.loadedVersion();
+    if (targetVersion == 0) {
+      return;
+    }
     if (loadedVersion >= targetVersion) {
       endpoint.version = Math.max(endpoint.version, loadedVersion);
       endpoint.loadReportedAt = report.receivedAt;
@@ -226,7 +227,7 @@
         if (endpoint != null) {
           endpoint.vitality.setDelisted(true);
         }
-        endpoint = new Endpoint(spec);
+        endpoint = scores.newEndpoint(spec);
         byId.put(spec.id(), endpoint);
         applySwitchReport(endpoint);
       }
@@ -248,6 +249,7 @@
     recordReplaced();
     handleMissing(now, listedIds);
     removedById.values().removeIf(e -> e.ownCalls == 0 && now >= e.removeAt + RETENTION_MILLIS);
+    scores.retain(byId.values(), removedById.values());
     rebuildServiceIndex();
   }
 
@@ -341,7 +343,8 @@
   }
 
   /**
-   * Chooses the endpoint with the lowest load among those that can accept a call now.
+   * Chooses the endpoint with the lowest score among those that can accept a call now; see {@link
+   * EndpointScores}.
    *
    * @return the chosen endpoint, if any, and the number of eligible endpoints
    */
@@ -369,6 +372,7 @@
   }
 
   private Choice chooseLeastLoaded(long now, Requirements requirements, List<Endpoint> candidates) {
+    PrefixSaving saving = scores.savingOf(requirements);
     Endpoint best = null;
     double lowestScore = Double.MAX_VALUE;
     for (Endpoint endpoint : candidates) {
@@ -381,13 +385,14 @@
         continue;
       }
       double load = endpoint.estimateLoad(now, entries.foundCount());
-      double score = load / endpoint.spec.slots() + domainPenalty(endpoint);
+      double score = scores.score(now, endpoint, load, saving);
       if (load < requirements.maxLoadPerSlot() * endpoint.spec.slots() && score < lowestScore) {
         lowestScore = score;
         best = endpoint;
       }
     }
-    return new Choice(Optional.ofNullable(best), candidates.size());
+    double savedMillis = best == null ? 0 : saving.millis(now, best.prefixCache, best.version);
+    return new Choice(Optional.ofNullable(best), candidates.size(), savedMillis);
   }
 
   /**
@@ -405,6 +410,7 @@
                     isEligible(now, e, requirements)
                         && !e.isSwitchingVersion(now)
                         && now >= e.avoidUntil);
+    PrefixSaving saving = scores.savingOf(requirements);
     List<CandidateExplanation> explanations = new ArrayList<>(listed.size());
     for (Endpoint endpoint : listed) {
       double load = endpoint.estimateLoad(now, entries.foundCount());
@@ -415,9 +421,9 @@
               endpoint.spec.slots(),
               endpoint.version,
               load,
-              NORMAL_SLOWDOWN,
-              NO_SAVING_MILLIS,
-              load / endpoint.spec.slots() + domainPenalty(endpoint),
+              endpoint.speed.slowdown(now),
+              saving.millis(now, endpoint.prefixCache, endpoint.version),
+              scores.score(now, endpoint, load, saving),
               exclusionOf(now, endpoint, requirements, load, skipsBackoff)));
     }
     explanations.sort(
@@ -546,11 +552,6 @@
         < entries.shareOf(sharedCalls, endpoint.spec.id());
   }
 
-  private double domainPenalty(Endpoint endpoint) {
-    double penalty = endpoint.spec.domain().equals(options.domain()) ? 0 : CROSS_DOMAIN_PENALTY;
-    return penalty / Math.max(1, endpoint.spec.slots());
-  }
-
   /**
    * Requirements of a call on its endpoint.
    *
@@ -564,6 +565,7 @@
    * @param triedEndpoints endpoints that the call was sent to before
    * @param respondingSince time since which an endpoint with calls of this entry must have sent
    *     data; 0 for any endpoint
+   * @param call the call
    */
   record Requirements(
       ServiceSpec service,
@@ -573,7 +575,8 @@
       long exactVersion,
       double maxLoadPerSlot,
       Set<String> triedEndpoints,
-      long respondingSince) {
+      long respondingSince,
+      CallSpec call) {
 
     /** Returns these requirements without endpoints that have been silent since a time. */
     Requirements respondingSince(long time) {
@@ -585,7 +588,8 @@
           exactVersion,
           maxLoadPerSlot,
           triedEndpoints,
-          time);
+          time,
+          call);
     }
 
     long minVersionOf(Endpoint endpoint) {
@@ -606,8 +610,9 @@
    *
    * @param endpoint chosen endpoint, empty if none can accept the call now
    * @param eligibleCount number of endpoints that may serve the call, with or without a free slot
+   * @param savedMillis time that the call saves there by its cached prompt prefix, 0 if none
    */
-  record Choice(Optional<Endpoint> endpoint, int eligibleCount) {}
+  record Choice(Optional<Endpoint> endpoint, int eligibleCount, double savedMillis) {}
 
   /** The latest report of an agent on its engine, with the time at which it was received. */
   private record SwitchReport(WeightsSwitch weightsSwitch, long receivedAt) {}
--- a/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
@@ -7,7 +7,8 @@
 import org.cornelchute.policy.load.TrunkReservation;
 
 /**
- * Load per slot up to which endpoints accept the calls of one entry.
+ * Load per slot up to which endpoints accept the calls of one entry, and the time for which calls
+ * wait for room.
  *
  * <p>Where the routes to an engine service have different priorities, room is reserved for the more
  * urgent calls. The priority of a workspace goes before that of the route.
@@ -32,6 +33,9 @@
   /** Time left to the target latency below which a new call is expected to miss it. */
   private static final long MIN_REMAINING_TARGET_MILLIS = 60;
 
+  /** Fraction of the time left to the target latency that a call may spend in the queue. */
+  private static final double MAX_QUEUE_TIME_SHARE = 0.5;
+
   /** Factor by which the rank of a workspace outweighs that of a route. */
   private static final int WORKSPACE_RANK_FACTOR = 1_000;
 
@@ -88,6 +92,19 @@
     return call.service.engine().isPresent() ? ENGINE_MAX_LOAD_PER_SLOT : PLAIN_MAX_LOAD_PER_SLOT;
   }
 
+  /**
+   * Returns for how long a call that was not sent yet may be queued, so that it can still meet its
+   * target latency afterwards; 0 if it may not.
+   *
+   * <p>Calls to engines are not queued. The first event of an engine takes most of the target
+   * latency, so a queued call would miss its target and occupy the slot of a call that would not.
+   */
+  long maxQueueMillis(long now, Call call) {
+    return call.service.engine().isPresent()
+        ? 0
+        : Math.max(0, (long) (call.remainingTargetMillis(now) * MAX_QUEUE_TIME_SHARE));
+  }
+
   /** Returns the priority that the endpoint is told, 0 for the most urgent calls. */
   int requestPriority(Call call) {
     TrunkReservation reservation = reservationByService.get(call.service.name());
