--- a/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/AgentPlatform.java
@@ -15,6 +15,14 @@
   void start(
       EventLoop loop, WireClient client, LongSupplier clockMillis, AgentPlatformListener listener);
 
+  /**
+   * Returns how often the store was restored from an older copy while this process ran; called on
+   * any thread.
+   */
+  default long storeEpochChanges() {
+    return 0;
+  }
+
   /** Returns the engine on the agent's VM. */
   LocalEngine engine();
 
--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -133,6 +133,7 @@
     this.statusServer = new MetricsServer(eventLoopGroup, settings.operators(), metrics);
     metrics.register("engine.version", (Gauge<Long>) () -> decider.engine().version());
     metrics.register("engine.wanted", (Gauge<Long>) decider::targetVersion);
+    metrics.register("store.epoch.changes", (Gauge<Long>) platform::storeEpochChanges);
     ProcessGauges.register(metrics);
   }
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/CallDuty.java
@@ -371,6 +371,11 @@
     decider.updateConfig(config);
   }
 
+  @Override
+  public void replaceConfig(ServingConfig config) {
+    decider.replaceConfig(config);
+  }
+
   @Override
   public void updateEvacuatedDomains(Set<String> domains) {
     decider.updateEvacuatedDomains(domains);
@@ -410,6 +415,11 @@
     decider.crashEvidence().recordStored(clockMillis.getAsLong(), part, crashCount);
   }
 
+  @Override
+  public int blockedCrashCount(long part) {
+    return decider.crashEvidence().blockedCrashCount(clockMillis.getAsLong(), part);
+  }
+
   @Override
   public void updateEndpoints(Collection<EndpointSpec> endpoints) {
     decider.updateEndpoints(clockMillis.getAsLong(), endpoints);
--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -113,6 +113,7 @@
             stateSource,
             metrics);
     metrics.register("calls.open", (Gauge<Integer>) duty::unendedRequestCount);
+    metrics.register("store.epoch.changes", (Gauge<Long>) stateSource::storeEpochChanges);
     ProcessGauges.register(metrics);
   }
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/FirstSightings.java
@@ -7,12 +7,14 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.cornelchute.core.log.LogLimiter;
 import org.cornelchute.core.outcome.Failure;
 import org.cornelchute.net.store.Backoff;
+import org.cornelchute.net.store.EpochTracker;
 import org.cornelchute.net.store.RetryingRead;
 import org.cornelchute.net.store.RowStore;
 import org.cornelchute.net.store.RowsResponse;
@@ -28,6 +30,9 @@
  * version late. The first entry that sees a version therefore stores the time for the others. Until
  * the stored time is known, the listener is told that the age of the version is unknown; reads and
  * writes are retried until they succeed.
+ *
+ * <p>After the store was restored from an older copy, the sightings of the newest versions that the
+ * copy lacks are stored again, with the times that this entry knows.
  */
 public final class FirstSightings {
 
@@ -42,6 +47,9 @@
   /** Number of such reads; a version that no entry has stored by then stays of unknown age. */
   private static final int MAX_MISSING_SIGHTING_READS = 20;
 
+  /** Versions of a model whose sightings are stored again: the newest one and those before it. */
+  private static final int KEPT_VERSIONS = 2;
+
   private static final String SEPARATOR = "/";
   private static final long INITIAL_VERSION = 1;
   private static final String NUMBER_PATTERN = "[0-9]{1,18}";
@@ -54,6 +62,15 @@
   private final LogLimiter ignoredRowLimiter = new LogLimiter();
   private final Map<String, Long> newestVersionByModel = new HashMap<>();
   private final Map<String, OwnSighting> ownSightingByKey = new HashMap<>();
+
+  /** Earliest known sightings of assigned versions, by key. */
+  private final Map<String, OwnSighting> knownSightingByKey = new HashMap<>();
+
+  private final Random random;
+
+  /** Whether the sightings have not been read since the store was restored. */
+  private boolean restored;
+
   private int missingSightingReads;
 
   /**
@@ -80,6 +97,8 @@
             callback -> store.readTable(TABLE, callback),
             this::handleRows);
     this.writeBackoff = new Backoff(seed + 1);
+    this.random = new Random(seed);
+    store.epochs().addListener(epoch -> onEpochChanged());
   }
 
   /**
@@ -113,6 +132,7 @@
     }
     OwnSighting own = new OwnSighting(model, version, storeTimeMillis);
     ownSightingByKey.put(own.key(), own);
+    recordKnown(own);
     create(own);
   }
 
@@ -123,6 +143,25 @@
     }
   }
 
+  /** Reads the sightings again, so that those which the store has lost are stored again. */
+  private void onEpochChanged() {
+    if (newestVersionByModel.isEmpty()) {
+      return;
+    }
+    restored = true;
+    loop.schedule(read::restart, EpochTracker.drawRereadDelay(random), TimeUnit.MILLISECONDS);
+  }
+
+  /** Records a sighting, unless an earlier one is known or the version is superseded for long. */
+  private void recordKnown(OwnSighting sighting) {
+    knownSightingByKey.merge(
+        sighting.key(), sighting, (a, b) -> a.seenAtMillis() <= b.seenAtMillis() ? a : b);
+    long newest = newestVersionByModel.getOrDefault(sighting.model(), INITIAL_VERSION);
+    knownSightingByKey
+        .values()
+        .removeIf(s -> s.model().equals(sighting.model()) && s.version() <= newest - KEPT_VERSIONS);
+  }
+
   /** Returns the key of the row that holds the first sighting of a version. */
   public static String key(String model, long version) {
     return model + SEPARATOR + version;
@@ -169,12 +208,22 @@
    *     performed late must not replace an earlier sighting that was stored meanwhile
    */
   private void lower(OwnSighting own, long storedVersion) {
+    long epoch = store.epochs().current();
     store.replace(
         TABLE,
         own.key(),
         own.value(),
         storedVersion,
-        result -> handleWritten(own, result, () -> lower(own, storedVersion)));
+        result -> handleWritten(own, result, () -> lowerAgain(own, storedVersion, epoch)));
+  }
+
+  /** Repeats a write, or reads the row if its version is of an earlier epoch. */
+  private void lowerAgain(OwnSighting own, long storedVersion, long epoch) {
+    if (epoch == store.epochs().current()) {
+      lower(own, storedVersion);
+    } else {
+      read.request();
+    }
   }
 
   private void retryWrite(OwnSighting own, Failure failure, Runnable retry) {
@@ -186,12 +235,22 @@
   }
 
   private void handleRows(RowsResponse response, long elapsedMillis) {
+    boolean firstOfEpoch = restored;
+    restored = false;
+    if (firstOfEpoch) {
+      ownSightingByKey.putAll(knownSightingByKey);
+    }
     Set<String> storedKeys = new HashSet<>();
     for (StoredRow row : response.rows()) {
       if (handleRow(row, response.storeTimeMillis(), elapsedMillis)) {
         storedKeys.add(row.key());
       }
     }
+    if (firstOfEpoch) {
+      knownSightingByKey.values().stream()
+          .filter(s -> !storedKeys.contains(s.key()))
+          .forEach(this::create);
+    }
     readMissingSightings(storedKeys);
   }
 
@@ -226,6 +285,7 @@
       ownSightingByKey.put(own.key(), own);
       lower(own, row.version());
     }
+    recordKnown(new OwnSighting(model, version, seenAtMillis));
     long ageMillis = storeTimeMillis - seenAtMillis;
     LOG.info(
         "weights version assigned model={} version={} ageMs={} readMs={}",
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateListener.java
@@ -13,9 +13,15 @@
   /** Records that no earlier process ran under the name of this entry. */
   void recordFirstStart();
 
-  /** Updates the configuration. */
+  /** Updates the configuration, unless the known one has the same or a higher version. */
   void updateConfig(ServingConfig config);
 
+  /**
+   * Replaces the configuration under any version, because operators wrote it after the store was
+   * restored from an older copy.
+   */
+  void replaceConfig(ServingConfig config);
+
   /** Updates the failure domains that are out of service. */
   void updateEvacuatedDomains(Set<String> domains);
 
@@ -51,6 +57,9 @@
    */
   void recordBlockedPart(long part, int crashCount);
 
+  /** Returns the number of crashes that block a part of prompts now, 0 if it is not blocked. */
+  int blockedCrashCount(long part);
+
   /** Replaces the list of endpoints. */
   void updateEndpoints(Collection<EndpointSpec> endpoints);
 
--- a/entry/src/main/java/org/cornelchute/entry/direct/ServingStateSource.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/ServingStateSource.java
@@ -11,6 +11,14 @@
   /** Starts to read the serving state; calls the listener on the event loop only. */
   void start(EventLoop loop, WireClient client, LongSupplier clock, ServingStateListener listener);
 
+  /**
+   * Returns how often the store was restored from an older copy while this process ran; called on
+   * any thread.
+   */
+  default long storeEpochChanges() {
+    return 0;
+  }
+
   /** Requests an immediate confirmation that the cached state still matches the store. */
   default void refresh() {}
 
--- a/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/FirstSightingsTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelchute.core.outcome.Failure;
+import org.cornelchute.net.store.EpochTracker;
 import org.cornelchute.net.store.RowStore;
 import org.cornelchute.net.store.RowsResponse;
 import org.cornelchute.net.store.StoredRow;
@@ -265,6 +266,7 @@
   }
 
   private final class FakeStore implements RowStore {
+    private final EpochTracker epochs = new EpochTracker();
     private final Map<String, String> rows = new HashMap<>();
     private int failingReads;
     private int failingWrites;
@@ -287,6 +289,11 @@
       delayedWrites.clear();
     }
 
+    @Override
+    public EpochTracker epochs() {
+      return epochs;
+    }
+
     @Override
     public void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback) {
       if (delaysReads) {
--- a/net/src/main/java/org/cornelchute/net/store/RowStore.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowStore.java
@@ -7,6 +7,11 @@
 /** A store of tables; calls back on the event loop, exactly once for each method call. */
 public interface RowStore {
 
+  /**
+   * Returns the epochs of the store. They change before the callback of the response that shows it.
+   */
+  EpochTracker epochs();
+
   /** Reads every row of a table. */
   void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback);
 
@@ -25,7 +30,8 @@
   /**
    * Requests the rows of a table that changed after a version, by long polling.
    *
-   * @param afterVersion version of the store up to which changes are known
+   * @param afterVersion version of the store up to which changes are known, read in the current
+   *     epoch
    * @param waitMillis time that the store may hold the request until the first change
    */
   void pollChanges(
@@ -40,7 +46,7 @@
   /**
    * Replaces one row; fails with a conflict and leaves the row unchanged if it has another version.
    *
-   * @param expectedVersion version that the row must have
+   * @param expectedVersion version that the row must have, read in the current epoch
    */
   void replace(
       String table,
--- a/net/src/main/java/org/cornelchute/net/store/RowWriter.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowWriter.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.Arrays;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -15,20 +16,27 @@
  * since this writer last saw it. A write without a response may be performed seconds later, also by
  * a process that has ended; without the condition, it would replace the newer value.
  *
+ * <p>After the store was restored from an older copy, the row is read, and written again if it does
+ * not hold the newest value.
+ *
  * <p>All calls must be made on the event loop.
  */
 public final class RowWriter {
 
+  /** Stands for the version of a row that has not been read in the current epoch. */
+  private static final long UNREAD = -1;
+
   private final EventLoop loop;
   private final RowStore store;
   private final String table;
   private final String key;
   private final LongSupplier retryDelayMillis;
   private final Consumer<Failure> onFailure;
+  private final Random random;
   private byte[] newest;
   private boolean writing;
 
-  /** Version of the row as last seen, 0 if it does not exist. */
+  /** Version of the row as last seen in the current epoch, 0 if it does not exist. */
   private long storedVersion;
 
   /**
@@ -50,6 +58,8 @@
     this.key = key;
     this.retryDelayMillis = retryDelayMillis;
     this.onFailure = onFailure;
+    this.random = new Random(key.hashCode());
+    store.epochs().addListener(epoch -> onEpochChanged());
   }
 
   /** Writes a value in place of all earlier ones. */
@@ -66,7 +76,19 @@
     return writing;
   }
 
+  private void onEpochChanged() {
+    storedVersion = UNREAD;
+    if (newest != null && !writing) {
+      writing = true;
+      loop.schedule(this::attempt, EpochTracker.drawRereadDelay(random), TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void attempt() {
+    if (storedVersion == UNREAD) {
+      read();
+      return;
+    }
     byte[] written = newest;
     store.replace(table, key, written, storedVersion, result -> handleWritten(written, result));
   }
@@ -76,14 +98,17 @@
       storedVersion = result.get();
       confirm(written);
     } else if (result.getLeft().code() == Failure.Code.CONFLICT) {
-      // Keys hold printable characters only, so that no other key sorts before the end of the
-      // range.
-      store.readRange(table, key, key + " ", this::handleRead);
+      read();
     } else {
       retry(result.getLeft());
     }
   }
 
+  private void read() {
+    // Keys hold printable characters only, so that no other key sorts before the end of the range.
+    store.readRange(table, key, key + " ", this::handleRead);
+  }
+
   private void handleRead(Either<Failure, RowsResponse> result) {
     if (result.isLeft()) {
       retry(result.getLeft());
--- a/net/src/main/java/org/cornelchute/net/store/TableChange.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableChange.java
@@ -10,6 +10,8 @@
  *     of the process
  * @param storeTimeMillis time of the response on the store's steady clock
  * @param initial whether this is the first read of the table in this process
+ * @param restored whether this is the first read of the table since the store was restored from an
+ *     older copy; rows may have gone back to earlier states
  * @param rows all rows of the table by key; valid during the call only
  * @param changedKeys keys of the rows that were changed or deleted
  * @param unreadableKeys keys of the rows whose newest state could not be read, so that {@code rows}
@@ -19,6 +21,7 @@
     long requestedAtMillis,
     long storeTimeMillis,
     boolean initial,
+    boolean restored,
     Map<String, StoredRow> rows,
     Set<String> changedKeys,
     Set<String> unreadableKeys) {}
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.cornelchute.core.outcome.Failure;
@@ -15,8 +17,9 @@
 /**
  * Keeps a local copy of one table up to date by long polling.
  *
- * <p>If the store has discarded part of its change history, the whole table is read. While requests
- * fail, the copy stays unchanged and requests are retried with exponential backoff.
+ * <p>If the store has discarded part of its change history, or has been restored from an older
+ * copy, the whole table is read. While requests fail, the copy stays unchanged and requests are
+ * retried with exponential backoff.
  */
 public final class TableWatch {
 
@@ -36,16 +39,27 @@
   private final BatchDelay batchDelay;
   private final LongSupplier clock;
   private final Backoff backoff;
+  private final Random random;
   private final Listener listener;
   private final Map<String, StoredRow> rows = new HashMap<>();
   private final Set<String> unreadableKeys = new HashSet<>();
+
+  /** Version of the copy in the current epoch, negative if the whole table must be read. */
   private long version = -1;
+
   private long unavailableSinceMillis;
   private long lastRequest;
   private boolean requestOpen;
   private boolean initialized;
+
+  /** Whether the table has not been read since the store was restored. */
+  private boolean restored;
+
   private boolean closed;
 
+  /** The next request, null if none was ever scheduled. */
+  private Future<?> nextRequest;
+
   /**
    * Creates a watch that sends no request before {@link #start()}.
    *
@@ -72,7 +86,9 @@
     this.batchDelay = batchDelay;
     this.clock = clock;
     this.backoff = new Backoff(seed);
+    this.random = new Random(seed);
     this.listener = listener;
+    store.epochs().addListener(epoch -> onEpochChanged());
   }
 
   /** Reads the table and starts polling for changes. */
@@ -90,12 +106,14 @@
       return;
     }
     long requestedAtMillis = clock.getAsLong();
+    long epoch = store.epochs().current();
     store.pollChanges(
         table,
         version,
         MIN_POLL_MILLIS,
         response -> {
           if (response.isRight()
+              && epoch == store.epochs().current()
               && !response.get().historyLost()
               && response.get().rows().isEmpty()
               && response.get().unreadableKeys().isEmpty()) {
@@ -119,6 +137,25 @@
     closed = true;
   }
 
+  /**
+   * Reads the whole table after a random delay. The response to an open request starts from a
+   * version of an earlier epoch and is ignored.
+   */
+  private void onEpochChanged() {
+    version = -1;
+    restored = true;
+    lastRequest++;
+    requestOpen = false;
+    schedulePoll(EpochTracker.drawRereadDelay(random));
+  }
+
+  private void schedulePoll(long delayMillis) {
+    if (nextRequest != null) {
+      nextRequest.cancel(false);
+    }
+    nextRequest = loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
   private void poll() {
     // After an outage, a short poll confirms the copy without the delay of a long poll.
     sendRequest(backoff.isActive() ? MIN_POLL_MILLIS : longPollMillis);
@@ -216,7 +253,7 @@
       }
       long delayMillis = batchDelay.onChange(clock.getAsLong());
       if (delayMillis > 0) {
-        loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
+        schedulePoll(delayMillis);
         return;
       }
     }
@@ -235,12 +272,14 @@
             requestedAtMillis,
             response.storeTimeMillis(),
             !initialized,
+            restored,
             rows,
             changedKeys,
             unreadableKeys);
     try {
       listener.onChanged(change);
       initialized = true;
+      restored = false;
       if (unreadableKeys.stream().noneMatch(listener::needsRow)) {
         return true;
       }
@@ -248,7 +287,7 @@
       LOG.error("change not handled, will read the table again table={}", table, e);
     }
     version = -1;
-    loop.schedule(this::poll, RELOAD_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    schedulePoll(RELOAD_DELAY_MILLIS);
     return false;
   }
 
@@ -265,7 +304,7 @@
         listener.onNoResponse();
       }
     }
-    loop.schedule(this::poll, backoff.onFailure(), TimeUnit.MILLISECONDS);
+    schedulePoll(backoff.onFailure());
   }
 
   private void handleRecovery() {
--- a/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
+++ b/net/src/main/java/org/cornelchute/net/wire/SimpleHttpClient.java
@@ -4,9 +4,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -98,9 +100,10 @@
    * A complete response.
    *
    * @param status HTTP status
+   * @param headers response headers, never null
    * @param body response body, never null
    */
-  public record Response(int status, byte[] body) {}
+  public record Response(int status, HttpHeaders headers, byte[] body) {}
 
   private static final class ResponseCollector implements WireListener {
 
@@ -108,6 +111,7 @@
     private final Consumer<Either<Failure, Response>> callback;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean done;
     private WireExchange exchange;
     private ScheduledFuture<?> timeout;
@@ -120,6 +124,7 @@
     @Override
     public void onHead(HttpResponse head) {
       status = head.status().code();
+      headers = head.headers();
     }
 
     @Override
@@ -135,7 +140,7 @@
 
     @Override
     public void onEnd() {
-      complete(Either.right(new Response(status, body.toByteArray())));
+      complete(Either.right(new Response(status, headers, body.toByteArray())));
     }
 
     @Override
--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -153,10 +153,16 @@
   }
 
   private static final class FakeStore implements RowStore {
+    private final EpochTracker epochs = new EpochTracker();
     private final List<Consumer<Either<Failure, RowsResponse>>> reads = new ArrayList<>();
     private final List<Consumer<Either<Failure, RowsResponse>>> polls = new ArrayList<>();
     private final List<Long> pollMillis = new ArrayList<>();
 
+    @Override
+    public EpochTracker epochs() {
+      return epochs;
+    }
+
     @Override
     public void readTable(String table, Consumer<Either<Failure, RowsResponse>> callback) {
       reads.add(callback);
--- a/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/cornelchute/policy/crash/CrashEvidence.java
@@ -141,6 +141,12 @@
     return parts.stream().anyMatch(suspects(now)::containsKey);
   }
 
+  /** Returns the number of crashes that block a part, 0 if it is not blocked. */
+  public int blockedCrashCount(long now, long part) {
+    Suspect suspect = suspects(now).get(part);
+    return suspect != null && suspect.isBlocked() ? suspect.crashCount() : 0;
+  }
+
   /** Returns whether any entry has seen an endpoint end since a time. */
   public boolean hasCrashedSince(int endpoint, long time) {
     return crashes.values().stream().anyMatch(c -> c.endpoint() == endpoint && c.at() >= time);
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -133,11 +133,19 @@
   /** Replaces the configuration if the offered version is newer; otherwise does nothing. */
   public void updateConfig(ServingConfig offered) {
     if (offered.version() > config.version()) {
-      config = offered;
-      callLog.updateConfigVersion(offered.version());
+      replaceConfig(offered);
     }
   }
 
+  /**
+   * Replaces the configuration by one of any version, which operators wrote after the store lost
+   * the one that is in force.
+   */
+  public void replaceConfig(ServingConfig written) {
+    config = written;
+    callLog.updateConfigVersion(written.version());
+  }
+
   /** Replaces the list of endpoints with the complete list from the directory. */
   public void updateEndpoints(long now, Collection<EndpointSpec> endpoints) {
     endpointPool.updateEndpoints(now, endpoints);
