--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -91,6 +92,57 @@
     assertThat(changes).extracting(TableChange::initial).containsExactly(true, true, false);
   }
 
+  /**
+   * Failure: versions of the new epoch had passed the known one when the next poll came, so that
+   * the copy kept rows that the store no longer had.
+   */
+  @Test
+  void rereadsTheTableIfVersionsOfLaterEpochHavePassedTheKnownOne() throws Exception {
+    runOnLoop(() -> store.epochs.accept(EpochTracker.UNKNOWN, 1));
+    runOnLoop(() -> store.polls.remove(0).accept(rows(8, "kept", "lost")));
+    assertThat(changes.get(changes.size() - 1).rows()).containsOnlyKeys("kept", "lost");
+    Consumer<Either<Failure, RowsResponse>> open = store.polls.remove(0);
+    runOnLoop(
+        () -> {
+          store.epochs.accept(1, 3);
+          open.accept(rows(12, "new"));
+        });
+    while (callOnLoop(store.reads::isEmpty)) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertThat(changes.get(changes.size() - 1).rows()).containsOnlyKeys("kept", "lost");
+    runOnLoop(() -> store.reads.remove(0).accept(rows(12, "kept", "new")));
+    TableChange change = changes.get(changes.size() - 1);
+    assertThat(change.rows()).containsOnlyKeys("kept", "new");
+    assertThat(change.changedKeys()).contains("lost");
+    assertThat(change.restored()).isTrue();
+    assertThat(change.initial()).isFalse();
+    assertThat(store.polls).hasSize(1);
+    assertThat(store.reads).isEmpty();
+  }
+
+  /** Guards against a copy of an earlier epoch that a poll in a new one confirms. */
+  @Test
+  void takesNoConfirmationOfAnotherEpoch() throws Exception {
+    runOnLoop(() -> store.epochs.accept(EpochTracker.UNKNOWN, 1));
+    now = 9_000;
+    runOnLoop(watch::revalidate);
+    runOnLoop(
+        () -> {
+          store.epochs.accept(1, 2);
+          store.polls.remove(1).accept(response(false));
+        });
+    assertThat(confirmations).doesNotContain(9_000L);
+  }
+
+  private static Either<Failure, RowsResponse> rows(long version, String... keys) {
+    List<StoredRow> rows = new ArrayList<>();
+    for (String key : keys) {
+      rows.add(new StoredRow(key, new byte[0], version, false));
+    }
+    return Either.right(new RowsResponse(rows, version, 0, false));
+  }
+
   private TableWatch newWatch() {
     return new TableWatch(
         loop,
@@ -103,7 +155,15 @@
         new TableWatch.Listener() {
           @Override
           public void onChanged(TableChange change) {
-            changes.add(change);
+            changes.add(
+                new TableChange(
+                    change.requestedAtMillis(),
+                    change.storeTimeMillis(),
+                    change.initial(),
+                    change.restored(),
+                    Map.copyOf(change.rows()),
+                    change.changedKeys(),
+                    change.unreadableKeys()));
             if (failingChanges > 0) {
               failingChanges--;
               throw new IllegalStateException("injected failure of the listener");
--- a/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/CallDeciderTest.java
@@ -119,6 +119,17 @@
       assertThat(rejection(fixture.call("/c/"))).isEqualTo(Rejection.UNKNOWN_KEY);
     }
 
+    /** Failure: a configuration that the store lost and operators wrote again was ignored. */
+    @Test
+    void replacesTheConfigurationByRewrittenOneOfLowerVersion() {
+      Fixture fixture = new Fixture().withEndpoints(plain("p1"));
+      fixture.decider.updateConfig(Fixture.config(5, Map.of()));
+      fixture.decider.replaceConfig(Fixture.config(3, Map.of()));
+      assertThat(fixture.decider.config().version()).isEqualTo(3);
+      fixture.decider.updateConfig(Fixture.config(4, Map.of()));
+      assertThat(fixture.decider.config().version()).isEqualTo(4);
+    }
+
     @Test
     void usesTheRouteWithTheLongestPrefix() {
       Fixture fixture = new Fixture().withEndpoints(plain("p1"), plain("p2"));
