--- a/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/DirectEntryDaemon.java
@@ -115,6 +115,7 @@
             metrics);
     metrics.register("calls.open", (Gauge<Integer>) duty::unendedRequestCount);
     EndpointGauges.register(metrics, decider, clockMillis);
+    metrics.register("store.epoch.changes", (Gauge<Long>) stateSource::storeEpochChanges);
     ProcessGauges.register(metrics);
   }
 
