Read the table after a poll whose changes do not arrive

The store sends each version of a changed row; about 50 versions of a large configuration for several entries at once do not arrive within the 0.8 s of a short poll, which was repeated. Ruled out: the backoff (0.75 s at most) and the connection (the other tables).

TableWatchTest#readsTheTableAfterShortPollWithoutResponse failed before.

--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -183,6 +183,7 @@
           pollMillis,
           response -> {
             if (closeRequest(request)) {
+              readTableAfterLostPoll(pollMillis, response);
               handleChanges(requestedAtMillis, response);
             }
           });
@@ -218,6 +219,20 @@
     }
   }
 
+  /**
+   * Makes the next request read the whole table if a short poll got no complete response. The store
+   * sends each change since the known version, which may be more than arrives within the timeout:
+   * many versions of a large row, read by many processes that a link to the store comes back to at
+   * the same time. The table holds the newest ones only.
+   */
+  private void readTableAfterLostPoll(long pollMillis, Either<Failure, RowsResponse> response) {
+    if (pollMillis == MIN_POLL_MILLIS
+        && response.isLeft()
+        && response.getLeft().code() == Failure.Code.UNKNOWN) {
+      version = -1;
+    }
+  }
+
   private void handleChanges(long requestedAtMillis, Either<Failure, RowsResponse> response) {
     if (response.isLeft()) {
       handleFailure(response.getLeft());
--- a/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/TableWatchTest.java
@@ -60,6 +60,26 @@
     assertThat(store.pollMillis.get(2)).isEqualTo(LONG_POLL_MILLIS);
   }
 
+  /**
+   * Failure: after an outage, the changes that the store sent did not arrive within the timeout,
+   * and the same poll was repeated for seconds.
+   */
+  @Test
+  void readsTheTableAfterShortPollWithoutResponse() throws Exception {
+    runOnLoop(() -> store.polls.remove(0).accept(Either.left(Failure.unavailable("down"))));
+    while (callOnLoop(store.polls::isEmpty)) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    runOnLoop(() -> store.polls.remove(0).accept(Either.left(Failure.unknown("timeout"))));
+    while (callOnLoop(store.reads::isEmpty)) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    runOnLoop(() -> store.reads.remove(0).accept(rows(12, "newest")));
+    assertThat(changes.get(changes.size() - 1).rows()).containsOnlyKeys("newest");
+    assertThat(changes.get(changes.size() - 1).restored()).isFalse();
+    assertThat(store.pollMillis).endsWith(LONG_POLL_MILLIS);
+  }
+
   @Test
   void revalidatesDuringLongPoll() throws Exception {
     now = 9_000;
