--- a/policy/src/test/java/org/cornelchute/policy/forward/PlacementExplanationTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/PlacementExplanationTest.java
@@ -192,6 +192,19 @@
         .containsExactly(tuple("plain", 0.75, ""), tuple("engines", 0.25, "NO_ENDPOINT"));
   }
 
+  /** Guards against an explanation that starts the wait for parts that are not read yet. */
+  @Test
+  void startsNoWaitForStoredParts() {
+    Fixture fixture = new Fixture().withEndpoints(Fixture.engine("e", "d1", 1));
+    fixture.decider.crashEvidence().awaitStored();
+    PlacementQuery query =
+        new PlacementQuery("h", "/s/", WORKSPACE, 6_000, 0, 0, List.of(Drawn.HARMFUL_PART));
+    ServicePlacement placement = fixture.decider.explain(fixture.now, query).services().get(0);
+    assertThat(placement.reason()).isEqualTo("blocked parts are not known yet");
+    fixture.now += 2_300;
+    assertThat(fixture.decider.crashEvidence().mayLackStored(fixture.now)).isTrue();
+  }
+
   private static ServingConfig splitConfig(long version) {
     List<RouteSpec> routes = new ArrayList<>();
     for (String path : Drawn.PATHS) {
