Keep eight requests for chunks in flight on slow links

Messages wait behind chunks, so that four requests fill 60 to 75% of an agent's link; links of the region of the origin were at 86% at most.

--- a/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
+++ b/agent/src/main/java/org/cornelchute/agent/direct/DirectAgentDaemon.java
@@ -38,14 +38,6 @@
    */
   private static final double LINK_UTILIZATION = 0.93;
 
-  private static final int IMPORTERS = 8;
-  private static final int NEIGHBORS = 16;
-  private static final int MAX_NEIGHBOR_REQUESTS = 4;
-  private static final int MAX_IMPORTS = 2;
-  private static final int MAX_REQUESTS_PER_PEER = 1;
-  private static final int UPLOAD_QUEUE_CAPACITY = 3;
-  private static final long TAKEOVER_MILLIS = 1_000;
-  private static final long MAX_REQUEST_TIMEOUT_MILLIS = 3_000;
   private static final long RETRY_DELAY_MILLIS = 200;
   private static final long MAX_FETCH_DELAY_MILLIS = 2_500;
 
@@ -99,16 +91,7 @@
             () -> platform.origin().region(),
             (long) (settings.linkBytesPerSecond() * LINK_UTILIZATION),
             true,
-            new SwarmOptions(
-                IMPORTERS,
-                NEIGHBORS,
-                MAX_NEIGHBOR_REQUESTS,
-                MAX_IMPORTS,
-                MAX_REQUESTS_PER_PEER,
-                UPLOAD_QUEUE_CAPACITY,
-                TAKEOVER_MILLIS,
-                MAX_REQUEST_TIMEOUT_MILLIS,
-                0),
+            SwarmOptions.SLOW_LINKS,
             true);
     this.weightsDuty =
         new WeightsDuty(
--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmOptions.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmOptions.java
@@ -30,6 +30,13 @@
   /** Defaults for tens to hundreds of agents. */
   public static final SwarmOptions DEFAULTS = new SwarmOptions(4, 16, 4, 2, 1, 2, 1_000, 4_000, 0);
 
+  /**
+   * Limits for agents whose links carry a version in seconds. Messages wait behind chunks on such
+   * links, at the receiver behind several of them, so that it takes this many requests to fill one.
+   */
+  public static final SwarmOptions SLOW_LINKS =
+      new SwarmOptions(8, 16, 8, 2, 1, 3, 1_000, 3_000, 0);
+
   /** Returns a copy with another number of importers. */
   public SwarmOptions withImporters(int count) {
     return new SwarmOptions(
