Have importers ask the importers of the source region

An importer knew 8 agents of other regions by chance, and learned of a chunk once it had spread to one of these. It now greets the importer of the source region that reads the same chunks, and two that replace it. Ruled out: chunks passed from region to region in a chain or a binary tree (no gain).

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -104,6 +104,7 @@
   private final Map<Integer, List<OpenRequest>> openRequests = new HashMap<>();
 
   /** Time of the last new chunk by the index of the importer that it is assigned to. */
+  private final RemoteNeighbors remoteNeighbors;
   private final Map<Integer, Long> lastProgressByImporter = new HashMap<>();
 
   /** Time since when an agent of another region is known to hold a chunk, by chunk. */
@@ -151,6 +152,8 @@
     this.options = options;
     this.random = new Random(seed);
     this.heldChunks = (BitSet) held.clone();
+    this.remoteNeighbors =
+        new RemoteNeighbors(manifest.digest(), options.importers(), this::pairWeight);
     this.regionChunks.or(held);
     this.lastNewChunkAt = now;
     this.originAccess =
@@ -800,27 +803,24 @@
     }
     nextHandshakeAt = now + HANDSHAKE_INTERVAL_MILLIS;
     List<Peer> regionPeers = new ArrayList<>();
-    List<Peer> remotePeers = new ArrayList<>();
     for (Peer peer : peers.values()) {
       if (peer.region.equals(region)) {
         regionPeers.add(peer);
-      } else {
-        // Peers of any other region qualify, so that the source region does not serve all of them.
-        remotePeers.add(peer);
       }
     }
     // Both peers of a pair compute the same weight, so most neighbors are mutual.
-    Comparator<Peer> order = Comparator.comparingLong(peer -> pairWeight(peer.id));
-    regionPeers.sort(order);
-    remotePeers.sort(order);
+    regionPeers.sort(Comparator.comparingLong(this::pairWeight));
     sendHandshakesToFirst(now, regionPeers, options.neighbors(), effects);
     int position = importRanking.indexOf(self);
+      List<Peer> remotePeers =
+          remoteNeighbors.order(
+              peers.values(), region, originAccess.sourceRegion(), position, SOURCE_HANDSHAKES);
     if (!originAccess.isSourceRegion() && position >= 0 && position < options.importers()) {
       sendHandshakesToFirst(now, remotePeers, options.importers(), effects);
     }
   }
 
-  /** Repeats the handshakes with the source region of an importer that none was answered. */
+  /** Repeats the handshakes with the source region until the counterpart there has answered. */
   private void sendSourceHandshakes(long now, List<SwarmEffect> effects) {
     int position = importRanking.indexOf(self);
     boolean imports =
@@ -830,23 +830,18 @@
     }
     nextSourceHandshakeAt = now + sourceHandshakeMillis;
     sourceHandshakeMillis *= 2;
-    List<Peer> source = new ArrayList<>();
-    for (Peer peer : peers.values()) {
-      if (peer.region.equals(originAccess.sourceRegion())) {
-        if (peer.handshakeDone) {
-          return;
-        }
-        source.add(peer);
-      }
+    List<Peer> source =
+        remoteNeighbors.counterparts(peers.values(), originAccess.sourceRegion(), position);
+    if (source.isEmpty() || source.get(0).handshakeDone) {
+      return;
     }
-    source.sort(Comparator.comparingLong(peer -> pairWeight(peer.id)));
     sendHandshakesToFirst(now, source, SOURCE_HANDSHAKES, effects);
   }
 
-  private long pairWeight(String peerId) {
-    return self.compareTo(peerId) < 0
-        ? RendezvousHash.weight(self, peerId)
-        : RendezvousHash.weight(peerId, self);
+  private long pairWeight(Peer peer) {
+    return self.compareTo(peer.id) < 0
+        ? RendezvousHash.weight(self, peer.id)
+        : RendezvousHash.weight(peer.id, self);
   }
 
   private void sendHandshakesToFirst(
