Upload chunks for other regions first

Importers of other regions were refused while agents of the region filled the queue, and others imported the same chunks again.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -720,7 +720,8 @@
 
   private void handleChunkRequest(List<SwarmEffect> effects, Peer peer, int chunk) {
     boolean chunkMissing = !isInManifest(chunk) || !heldChunks.get(chunk);
-    if (chunkMissing || !uploadQueue.offer(peer, chunk)) {
+    boolean toOtherRegion = !peer.region.equals(region);
+    if (chunkMissing || !uploadQueue.offer(peer, chunk, toOtherRegion)) {
       send(effects, peer, new SwarmMessage.ChunkRefused(manifest.digest(), chunk, chunkMissing));
       return;
     }
--- a/policy/src/main/java/org/cornelchute/policy/weights/UploadQueue.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/UploadQueue.java
@@ -9,7 +9,11 @@
 
   private final int capacity;
   private final int maxPerPeer;
-  private final Deque<SwarmEffect.Upload> queue = new ArrayDeque<>();
+  private final Deque<SwarmEffect.Upload> local = new ArrayDeque<>();
+
+  /** Chunks for importers of other regions. */
+  private final Deque<SwarmEffect.Upload> exports = new ArrayDeque<>();
+
   private boolean uploading;
 
   /**
@@ -24,11 +28,17 @@
   }
 
   int size() {
-    return queue.size();
+    return local.size() + exports.size();
   }
 
-  /** Adds a chunk unless the queue is full; returns whether it was added. */
-  boolean offer(Peer peer, int chunk) {
+  /**
+   * Adds a chunk unless the queue is full; returns whether it was added.
+   *
+   * @param toOtherRegion whether it is sent before those for agents of this region, since all
+   *     agents of the other region wait for it; the queue has as many places for such chunks again
+   */
+  boolean offer(Peer peer, int chunk, boolean toOtherRegion) {
+    Deque<SwarmEffect.Upload> queue = toOtherRegion ? exports : local;
     int queuedForPeer = 0;
     for (SwarmEffect.Upload upload : queue) {
       if (upload.peer().equals(peer.id)) {
@@ -44,11 +54,11 @@
 
   /** Removes and returns the next upload; empty if one is in progress or none waits. */
   Optional<SwarmEffect.Upload> startNext() {
-    if (uploading || queue.isEmpty()) {
+    if (uploading || size() == 0) {
       return Optional.empty();
     }
     uploading = true;
-    return Optional.of(queue.poll());
+    return Optional.of(exports.isEmpty() ? local.poll() : exports.poll());
   }
 
   /** Records the end of the upload in progress. */
@@ -58,6 +68,7 @@
 
   /** Removes the uploads that wait for a peer. */
   void removeAllOf(String peerId) {
-    queue.removeIf(u -> u.peer().equals(peerId));
+    local.removeIf(u -> u.peer().equals(peerId));
+    exports.removeIf(u -> u.peer().equals(peerId));
   }
 }
