Wait for importers as long as imports take

Sixteen chunks wait at the origin for 0.42 s, but an importer counted as stalled after 0.3 s, and at once before its first chunk. Others read its chunks again. The progress of importers moves to a class of its own.

--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -33,9 +33,6 @@
   /** Consecutive timeouts after which the backoff of a peer doubles no further. */
   private static final int MAX_COUNTED_TIMEOUTS = 4;
 
-  /** Time without a new chunk from an importer after which others import some of its chunks. */
-  private static final long STALLED_IMPORTER_MILLIS = 300;
-
   /** Backoff after each corrupt chunk of a peer from the third consecutive one on. */
   private static final long CORRUPT_BACKOFF_MILLIS = 5_000;
 
@@ -103,14 +100,12 @@
   /** Open requests by chunk. */
   private final Map<Integer, List<OpenRequest>> openRequests = new HashMap<>();
 
-  /** Time of the last new chunk by the index of the importer that it is assigned to. */
-  private final RemoteNeighbors remoteNeighbors;
-  private final Map<Integer, Long> lastProgressByImporter = new HashMap<>();
-
   /** Time since when an agent of another region is known to hold a chunk, by chunk. */
   private final Map<Integer, Long> heldElsewhereSince = new HashMap<>();
 
   private final UploadQueue uploadQueue;
+  private final RemoteNeighbors remoteNeighbors;
+  private final ImporterProgress importerProgress;
   private List<String> importRanking = List.of();
 
   private boolean complete;
@@ -152,12 +147,13 @@
     this.options = options;
     this.random = new Random(seed);
     this.heldChunks = (BitSet) held.clone();
-    this.remoteNeighbors =
-        new RemoteNeighbors(manifest.digest(), options.importers(), this::pairWeight);
     this.regionChunks.or(held);
     this.lastNewChunkAt = now;
+    this.importerProgress = new ImporterProgress(now);
     this.originAccess =
         new OriginAccess(region, originRegion, manifest.digest(), REGION_TIMEOUT_MILLIS, now);
+    this.remoteNeighbors =
+        new RemoteNeighbors(manifest.digest(), options.importers(), this::pairWeight);
     this.uploadQueue =
         new UploadQueue(options.uploadQueueCapacity(), 2 * options.maxRequestsPerPeer());
     this.meanLatencyMillis = options.maxRequestTimeoutMillis() / TIMEOUT_FACTOR;
@@ -334,6 +330,9 @@
       startRequests(now, effects);
       return effects;
     }
+    if (request != null && request.isImport) {
+      importerProgress.onImported(now - request.sentAt);
+    }
     if (request != null && peer != null) {
       meanLatencyMillis += LATENCY_SMOOTHING * (now - request.sentAt - meanLatencyMillis);
       peer.consecutiveCorruptChunks = 0;
@@ -343,7 +342,7 @@
       heldChunks.set(chunk);
       if (!regionChunks.get(chunk)) {
         regionChunks.set(chunk);
-        lastProgressByImporter.put(importerIndex(chunk), now);
+        importerProgress.onNewChunk(now, importerIndex(chunk));
         recordNewChunk(now);
       }
       for (Peer each : peers.values()) {
@@ -505,8 +504,7 @@
     }
     List<Integer> candidates = List.of();
     for (Map.Entry<Integer, List<Integer>> e : missingByImporter.entrySet()) {
-      boolean stalled =
-          now - lastProgressByImporter.getOrDefault(e.getKey(), 0L) >= STALLED_IMPORTER_MILLIS;
+      boolean stalled = importerProgress.isStalled(now, e.getKey());
       if (stalled && e.getValue().size() > candidates.size()) {
         candidates = e.getValue();
       }
@@ -813,10 +811,10 @@
     regionPeers.sort(Comparator.comparingLong(this::pairWeight));
     sendHandshakesToFirst(now, regionPeers, options.neighbors(), effects);
     int position = importRanking.indexOf(self);
+    if (!originAccess.isSourceRegion() && position >= 0 && position < options.importers()) {
       List<Peer> remotePeers =
           remoteNeighbors.order(
               peers.values(), region, originAccess.sourceRegion(), position, SOURCE_HANDSHAKES);
-    if (!originAccess.isSourceRegion() && position >= 0 && position < options.importers()) {
       sendHandshakesToFirst(now, remotePeers, options.importers(), effects);
     }
   }
@@ -881,7 +879,7 @@
     for (int c = held.nextSetBit(0); c >= 0; c = held.nextSetBit(c + 1)) {
       if (!regionChunks.get(c)) {
         regionChunks.set(c);
-        lastProgressByImporter.put(importerIndex(c), now);
+        importerProgress.onNewChunk(now, importerIndex(c));
         added = true;
       }
     }
