--- a/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/weights/SwarmDecider.java
@@ -33,9 +33,6 @@
   /** Consecutive timeouts after which the backoff of a peer doubles no further. */
   private static final int MAX_COUNTED_TIMEOUTS = 4;
 
-  /** Time without a new chunk from an importer after which others import some of its chunks. */
-  private static final long STALLED_IMPORTER_MILLIS = 300;
-
   /** Backoff after each corrupt chunk of a peer from the third consecutive one on. */
   private static final long CORRUPT_BACKOFF_MILLIS = 5_000;
 
@@ -103,13 +100,12 @@
   /** Open requests by chunk. */
   private final Map<Integer, List<OpenRequest>> openRequests = new HashMap<>();
 
-  /** Time of the last new chunk by the index of the importer that it is assigned to. */
-  private final Map<Integer, Long> lastProgressByImporter = new HashMap<>();
-
   /** Time since when an agent of another region is known to hold a chunk, by chunk. */
   private final Map<Integer, Long> heldElsewhereSince = new HashMap<>();
 
   private final UploadQueue uploadQueue;
+  private final RemoteNeighbors remoteNeighbors;
+  private final ImporterProgress importerProgress;
   private List<String> importRanking = List.of();
 
   private boolean complete;
@@ -153,8 +149,11 @@
     this.heldChunks = (BitSet) held.clone();
     this.regionChunks.or(held);
     this.lastNewChunkAt = now;
+    this.importerProgress = new ImporterProgress(now);
     this.originAccess =
         new OriginAccess(region, originRegion, manifest.digest(), REGION_TIMEOUT_MILLIS, now);
+    this.remoteNeighbors =
+        new RemoteNeighbors(manifest.digest(), options.importers(), this::pairWeight);
     this.uploadQueue =
         new UploadQueue(options.uploadQueueCapacity(), 2 * options.maxRequestsPerPeer());
     this.meanLatencyMillis = options.maxRequestTimeoutMillis() / TIMEOUT_FACTOR;
@@ -331,6 +330,9 @@
       startRequests(now, effects);
       return effects;
     }
+    if (request != null && request.isImport) {
+      importerProgress.onImported(now - request.sentAt);
+    }
     if (request != null && peer != null) {
       meanLatencyMillis += LATENCY_SMOOTHING * (now - request.sentAt - meanLatencyMillis);
       peer.consecutiveCorruptChunks = 0;
@@ -340,7 +342,7 @@
       heldChunks.set(chunk);
       if (!regionChunks.get(chunk)) {
         regionChunks.set(chunk);
-        lastProgressByImporter.put(importerIndex(chunk), now);
+        importerProgress.onNewChunk(now, importerIndex(chunk));
         recordNewChunk(now);
       }
       for (Peer each : peers.values()) {
@@ -502,8 +504,7 @@
     }
     List<Integer> candidates = List.of();
     for (Map.Entry<Integer, List<Integer>> e : missingByImporter.entrySet()) {
-      boolean stalled =
-          now - lastProgressByImporter.getOrDefault(e.getKey(), 0L) >= STALLED_IMPORTER_MILLIS;
+      boolean stalled = importerProgress.isStalled(now, e.getKey());
       if (stalled && e.getValue().size() > candidates.size()) {
         candidates = e.getValue();
       }
@@ -717,7 +718,8 @@
 
   private void handleChunkRequest(List<SwarmEffect> effects, Peer peer, int chunk) {
     boolean chunkMissing = !isInManifest(chunk) || !heldChunks.get(chunk);
-    if (chunkMissing || !uploadQueue.offer(peer, chunk)) {
+    boolean toOtherRegion = !peer.region.equals(region);
+    if (chunkMissing || !uploadQueue.offer(peer, chunk, toOtherRegion)) {
       send(effects, peer, new SwarmMessage.ChunkRefused(manifest.digest(), chunk, chunkMissing));
       return;
     }
@@ -800,27 +802,24 @@
     }
     nextHandshakeAt = now + HANDSHAKE_INTERVAL_MILLIS;
     List<Peer> regionPeers = new ArrayList<>();
-    List<Peer> remotePeers = new ArrayList<>();
     for (Peer peer : peers.values()) {
       if (peer.region.equals(region)) {
         regionPeers.add(peer);
-      } else {
-        // Peers of any other region qualify, so that the source region does not serve all of them.
-        remotePeers.add(peer);
       }
     }
     // Both peers of a pair compute the same weight, so most neighbors are mutual.
-    Comparator<Peer> order = Comparator.comparingLong(peer -> pairWeight(peer.id));
-    regionPeers.sort(order);
-    remotePeers.sort(order);
+    regionPeers.sort(Comparator.comparingLong(this::pairWeight));
     sendHandshakesToFirst(now, regionPeers, options.neighbors(), effects);
     int position = importRanking.indexOf(self);
     if (!originAccess.isSourceRegion() && position >= 0 && position < options.importers()) {
+      List<Peer> remotePeers =
+          remoteNeighbors.order(
+              peers.values(), region, originAccess.sourceRegion(), position, SOURCE_HANDSHAKES);
       sendHandshakesToFirst(now, remotePeers, options.importers(), effects);
     }
   }
 
-  /** Repeats the handshakes with the source region of an importer that none was answered. */
+  /** Repeats the handshakes with the source region until the counterpart there has answered. */
   private void sendSourceHandshakes(long now, List<SwarmEffect> effects) {
     int position = importRanking.indexOf(self);
     boolean imports =
@@ -830,23 +829,18 @@
     }
     nextSourceHandshakeAt = now + sourceHandshakeMillis;
     sourceHandshakeMillis *= 2;
-    List<Peer> source = new ArrayList<>();
-    for (Peer peer : peers.values()) {
-      if (peer.region.equals(originAccess.sourceRegion())) {
-        if (peer.handshakeDone) {
-          return;
-        }
-        source.add(peer);
-      }
+    List<Peer> source =
+        remoteNeighbors.counterparts(peers.values(), originAccess.sourceRegion(), position);
+    if (source.isEmpty() || source.get(0).handshakeDone) {
+      return;
     }
-    source.sort(Comparator.comparingLong(peer -> pairWeight(peer.id)));
     sendHandshakesToFirst(now, source, SOURCE_HANDSHAKES, effects);
   }
 
-  private long pairWeight(String peerId) {
-    return self.compareTo(peerId) < 0
-        ? RendezvousHash.weight(self, peerId)
-        : RendezvousHash.weight(peerId, self);
+  private long pairWeight(Peer peer) {
+    return self.compareTo(peer.id) < 0
+        ? RendezvousHash.weight(self, peer.id)
+        : RendezvousHash.weight(peer.id, self);
   }
 
   private void sendHandshakesToFirst(
@@ -885,7 +879,7 @@
     for (int c = held.nextSetBit(0); c >= 0; c = held.nextSetBit(c + 1)) {
       if (!regionChunks.get(c)) {
         regionChunks.set(c);
-        lastProgressByImporter.put(importerIndex(c), now);
+        importerProgress.onNewChunk(now, importerIndex(c));
         added = true;
       }
     }
