--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -622,12 +622,7 @@
     } else if (choice.eligibleCount() == 0) {
       rejectWithoutEndpoint(now, effects, call);
     } else if (!tryEnqueue(now, call)) {
-      reject(
-          now,
-          effects,
-          call,
-          Rejection.OVERLOADED,
-          "no endpoint has a free slot, allowed=" + choice.eligibleCount());
+      reject(now, effects, call, Rejection.OVERLOADED, LoadLimits.noRoom(choice, maxLoad));
     }
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.load.TrunkReservation;
 
 /**
@@ -105,6 +107,15 @@
         : Math.max(0, (long) (call.remainingTargetMillis(now) * MAX_QUEUE_TIME_SHARE));
   }
 
+  /** Returns the reason for the log why a call within a limit of the load finds no room. */
+  static String noRoom(Choice choice, double maxLoadPerSlot) {
+    return String.format(
+        Locale.ROOT,
+        "no endpoint has a free slot, allowed=%d maxLoad=%.2f",
+        choice.eligibleCount(),
+        maxLoadPerSlot);
+  }
+
   /** Returns the priority that the endpoint is told, 0 for the most urgent calls. */
   int requestPriority(Call call) {
     TrunkReservation reservation = reservationByService.get(call.service.name());
--- a/policy/src/main/java/org/cornelchute/policy/forward/PlacementExplainer.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/PlacementExplainer.java
@@ -124,7 +124,6 @@
     long queueMillis = loadLimits.maxQueueMillis(now, call);
     return queueMillis > 0
         ? placement.withQueueTime(queueMillis)
-        : placement.withRejection(
-            Rejection.OVERLOADED, "no endpoint has a free slot, allowed=" + choice.eligibleCount());
+        : placement.withRejection(Rejection.OVERLOADED, LoadLimits.noRoom(choice, maxLoad));
   }
 }
