--- a/net/src/main/java/org/cornelchute/net/store/EpochTracker.java
+++ b/net/src/main/java/org/cornelchute/net/store/EpochTracker.java
@@ -45,8 +45,8 @@
   }
 
   /**
-   * Returns the lowest version that the store stated in the current epoch. A row of a higher
-   * version was written in this epoch.
+   * Returns the lowest version that the store stated in the current epoch, {@link Long#MAX_VALUE}
+   * if it stated none. A row of a higher version was written in this epoch.
    */
   public long baseline() {
     return baseline;
--- a/net/src/main/java/org/cornelchute/net/store/KnownRow.java
+++ b/net/src/main/java/org/cornelchute/net/store/KnownRow.java
@@ -18,6 +18,8 @@
   private StoredRow highest;
 
   private boolean known;
+
+  /** Epoch in which the state of the row was last known, if it is known. */
   private long epoch;
 
   /** Creates an instance that knows no row. */
--- a/net/src/main/java/org/cornelchute/net/store/RowWriter.java
+++ b/net/src/main/java/org/cornelchute/net/store/RowWriter.java
@@ -36,7 +36,10 @@
   private byte[] newest;
   private boolean writing;
 
-  /** Version of the row as last seen in the current epoch, 0 if it does not exist. */
+  /**
+   * Version of the row as last seen in the current epoch, 0 if it does not exist, {@link #UNREAD}
+   * if it has not been read in this epoch.
+   */
   private long storedVersion;
 
   /**
--- a/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
+++ b/net/src/main/java/org/cornelchute/net/wire/WireConnection.java
@@ -27,8 +27,8 @@
  * or after the end of a response, close the connection, as does a response that is complete before
  * its request was written.
  *
- * <p>A head that is not valid HTTP, or whose status is none, fails the exchange as a lost response;
- * see {@link CheckedResponseDecoder}.
+ * <p>A head that is not valid HTTP, or whose status is invalid, fails the exchange as a lost
+ * response; see {@link CheckedResponseDecoder}.
  *
  * <p>A response without a length whose connection closes right after its head fails the exchange:
  * nothing tells it from one whose server stopped there, and an empty body can be stated.
--- a/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/Endpoint.java
@@ -25,7 +25,10 @@
 
   final SlidingWindowCounter recentDispatches =
       new SlidingWindowCounter(EndpointLimits.MAX_WINDOW_MILLIS);
+
+  /** Load per slot that is added when endpoints are compared; fixed for this entry. */
   final double preferencePenalty;
+
   EndpointSpec spec;
   long version;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -352,7 +352,7 @@
     List<Endpoint> healthy = new ArrayList<>();
     List<Endpoint> inBackoff = new ArrayList<>();
     for (Endpoint endpoint : byService.getOrDefault(requirements.service().name(), List.of())) {
-      if (isEligible(now, endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
+      if (isSelectable(now, endpoint, requirements)) {
         (now < endpoint.avoidUntil ? inBackoff : healthy).add(endpoint);
       }
     }
@@ -364,7 +364,7 @@
   int eligibleCount(long now, Requirements requirements) {
     int count = 0;
     for (Endpoint endpoint : byService.getOrDefault(requirements.service().name(), List.of())) {
-      if (isEligible(now, endpoint, requirements) && !endpoint.isSwitchingVersion(now)) {
+      if (isSelectable(now, endpoint, requirements)) {
         count++;
       }
     }
@@ -404,12 +404,7 @@
   List<CandidateExplanation> explain(long now, Requirements requirements) {
     List<Endpoint> listed = byService.getOrDefault(requirements.service().name(), List.of());
     boolean skipsBackoff =
-        listed.stream()
-            .anyMatch(
-                e ->
-                    isEligible(now, e, requirements)
-                        && !e.isSwitchingVersion(now)
-                        && now >= e.avoidUntil);
+        listed.stream().anyMatch(e -> isSelectable(now, e, requirements) && now >= e.avoidUntil);
     PrefixSaving saving = scores.savingOf(requirements);
     List<CandidateExplanation> explanations = new ArrayList<>(listed.size());
     for (Endpoint endpoint : listed) {
@@ -458,7 +453,7 @@
         : Exclusion.FULL;
   }
 
-  /** Returns why {@link #isEligible} holds for no new call at an endpoint. */
+  /** Returns why an endpoint is not eligible for a new call. */
   private Exclusion ineligibilityOf(long now, Endpoint endpoint, Requirements requirements) {
     if (isExpired(now, endpoint)) {
       return Exclusion.NOT_LISTED;
@@ -514,6 +509,11 @@
     return earliest == NEVER ? Optional.empty() : Optional.of(earliest);
   }
 
+  /** Returns whether an endpoint is eligible and its engine is not about to load other weights. */
+  private boolean isSelectable(long now, Endpoint endpoint, Requirements requirements) {
+    return isEligible(now, endpoint, requirements) && !endpoint.isSwitchingVersion(now);
+  }
+
   private boolean isEligible(long now, Endpoint endpoint, Requirements requirements) {
     return isEligible(now, endpoint, requirements, now);
   }
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
@@ -21,12 +21,13 @@
   private static final double CROSS_DOMAIN_PENALTY = 4.0;
 
   /**
-   * Load in calls that is added to an endpoint at most, drawn for each pair of entry and endpoint.
+   * Maximum load in calls that is added to an endpoint, by a hash of this entry and the endpoint.
    * Entries that see the same load would otherwise all choose the same endpoint until they learn of
    * each other's calls.
    */
   private static final double MAX_PREFERENCE_PENALTY = 2.0;
 
+  /** Bits of a hash code that a double holds exactly. */
   private static final int HASH_BITS = 53;
 
   private final String self;
@@ -54,8 +55,8 @@
   }
 
   private double preferencePenalty(EndpointSpec spec) {
-    long drawn = RendezvousHash.weight(self, spec.id()) >>> (Long.SIZE - HASH_BITS);
-    return MAX_PREFERENCE_PENALTY * drawn / (1L << HASH_BITS) / Math.max(1, spec.slots());
+    long hash = RendezvousHash.weight(self, spec.id()) >>> (Long.SIZE - HASH_BITS);
+    return MAX_PREFERENCE_PENALTY * hash / (1L << HASH_BITS) / Math.max(1, spec.slots());
   }
 
   /** Forgets all endpoints that are in neither collection. */
@@ -111,8 +112,8 @@
   /**
    * Returns the score of an endpoint in load per slot, the lowest is the best: what the call adds
    * to the work of the endpoint and waits for, less the share of its own work that it saves. At
-   * normal speed and with nothing saved, it is the load alone with the penalties of another domain
-   * and of the draw for this entry.
+   * normal speed and with nothing saved, it is the load per slot with the penalties of another
+   * domain and of the preference of this entry.
    *
    * @param load calls that run or are queued at the endpoint
    */
--- a/policy/src/main/java/org/cornelchute/policy/load/DecayingMean.java
+++ b/policy/src/main/java/org/cornelchute/policy/load/DecayingMean.java
@@ -13,7 +13,11 @@
   private double weight;
   private long updatedAt = Long.MIN_VALUE / 4;
 
-  /** Adds a sample, which counts less if it is not of now. */
+  /**
+   * Adds a sample.
+   *
+   * @param ageMillis age of the sample, which reduces its weight; not negative
+   */
   void add(long now, double value, long ageMillis) {
     double earlier = Math.min(MAX_WEIGHT, weightAt(now));
     double added = Math.exp(-ageMillis / DECAY_MILLIS);
@@ -27,7 +31,7 @@
     return mean;
   }
 
-  /** Returns the weight of all samples; a sample of now has a weight of 1. */
+  /** Returns the weight of all samples; a sample of age 0 has a weight of 1. */
   double weightAt(long now) {
     return weight * Math.exp(-Math.max(0, now - updatedAt) / DECAY_MILLIS);
   }
--- a/policy/src/main/java/org/cornelchute/policy/util/RendezvousHash.java
+++ b/policy/src/main/java/org/cornelchute/policy/util/RendezvousHash.java
@@ -40,7 +40,10 @@
     return mix(hash);
   }
 
-  /** Returns a number of which each bit depends on all bits of another one; one to one. */
+  /**
+   * Spreads differences in any bit of a number over all bits, by the finalizer of SplitMix64.
+   * Different numbers give different results.
+   */
   public static long mix(long number) {
     long mixed = (number ^ (number >>> 30)) * 0xbf58476d1ce4e5b9L;
     mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
