Rename HeldPrompts to PrefixCaches and share the creation of placements

The class maps incarnations to PrefixCache; it holds no prompts. Names of gauges are unchanged. Both placements without an outcome of the explainer now use ServicePlacement.of.

--- a/entry/src/main/java/org/cornelchute/entry/direct/EndpointGauges.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/EndpointGauges.java
@@ -16,7 +16,7 @@
         "endpoints.slow",
         (Gauge<Integer>) () -> decider.endpointSpeeds().slowCount(clockMillis.getAsLong()));
     metrics.register(
-        "endpoints.caching", (Gauge<Integer>) () -> decider.heldPrompts().engineCount());
-    metrics.register("prompts.held", (Gauge<Integer>) () -> decider.heldPrompts().prefixCount());
+        "endpoints.caching", (Gauge<Integer>) () -> decider.prefixCaches().engineCount());
+    metrics.register("prompts.held", (Gauge<Integer>) () -> decider.prefixCaches().prefixCount());
   }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/CallDecider.java
@@ -15,7 +15,7 @@
 import org.cornelchute.policy.forward.EndpointPool.Choice;
 import org.cornelchute.policy.forward.OtherEntries.Availability;
 import org.cornelchute.policy.load.EndpointSpeeds;
-import org.cornelchute.policy.load.HeldPrompts;
+import org.cornelchute.policy.load.PrefixCaches;
 
 /**
  * Decides on the calls of one entry and gives each call exactly one final response.
@@ -193,8 +193,8 @@
   }
 
   /** Returns the prompt prefixes that engines probably hold. */
-  public HeldPrompts heldPrompts() {
-    return endpointPool.scores().heldPrompts();
+  public PrefixCaches prefixCaches() {
+    return endpointPool.scores().prefixCaches();
   }
 
   /** Returns the open calls of this entry per endpoint, to be reported to the other entries. */
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
@@ -6,7 +6,7 @@
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.load.EndpointLoad;
 import org.cornelchute.policy.load.EndpointSpeeds;
-import org.cornelchute.policy.load.HeldPrompts;
+import org.cornelchute.policy.load.PrefixCaches;
 import org.cornelchute.policy.load.PrefixSaving;
 import org.cornelchute.policy.load.PromptPrefix;
 import org.cornelchute.policy.util.RendezvousHash;
@@ -33,7 +33,7 @@
   private final String self;
   private final String domain;
   private final EndpointSpeeds speeds = new EndpointSpeeds();
-  private final HeldPrompts heldPrompts = new HeldPrompts();
+  private final PrefixCaches prefixCaches = new PrefixCaches();
 
   /** Creates scores for an entry in a failure domain. */
   EndpointScores(String self, String domain) {
@@ -45,8 +45,8 @@
     return speeds;
   }
 
-  HeldPrompts heldPrompts() {
-    return heldPrompts;
+  PrefixCaches prefixCaches() {
+    return prefixCaches;
   }
 
   /** Returns the state of an incarnation that is listed for the first time. */
@@ -65,15 +65,15 @@
     listed.forEach(e -> incarnations.add(e.incarnation()));
     removed.forEach(e -> incarnations.add(e.incarnation()));
     speeds.retain(incarnations);
-    heldPrompts.retain(incarnations);
+    prefixCaches.retain(incarnations);
   }
 
   /** Records whether the engine of an endpoint caches prompt prefixes. */
   void setCachesPrefixes(Endpoint endpoint, boolean cachesPrefixes) {
     if (cachesPrefixes) {
-      endpoint.prefixCache = heldPrompts.of(endpoint.incarnation());
+      endpoint.prefixCache = prefixCaches.of(endpoint.incarnation());
     } else if (endpoint.prefixCache != null) {
-      heldPrompts.drop(endpoint.incarnation());
+      prefixCaches.drop(endpoint.incarnation());
       endpoint.prefixCache = null;
     }
   }
@@ -98,7 +98,7 @@
 
   /** Returns what a call may save; nothing is computed if no engine caches prefixes. */
   PrefixSaving savingOf(Requirements requirements) {
-    if (heldPrompts.engineCount() == 0 || requirements.service().engine().isEmpty()) {
+    if (prefixCaches.engineCount() == 0 || requirements.service().engine().isEmpty()) {
       return PrefixSaving.NONE;
     }
     CallSpec call = requirements.call();
--- a/policy/src/main/java/org/cornelchute/policy/forward/PlacementExplainer.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/PlacementExplainer.java
@@ -69,8 +69,7 @@
 
   private static ServicePlacement explainUnknownService(RouteSpec route, WeightedService picked) {
     Refusal refusal = CallAdmission.refuseUnknownService().getLeft();
-    return new ServicePlacement(
-            picked.service(), route.shareOf(picked), 0, 0, List.of(), "", 0, "", "")
+    return ServicePlacement.of(picked.service(), route.shareOf(picked), 0, 0, List.of())
         .withRejection(refusal.rejection(), refusal.reason());
   }
 
@@ -79,16 +78,12 @@
     double maxLoad = loadLimits.ofNewCall(now, call);
     long minVersion = selector.requiredVersion(now, call);
     ServicePlacement placement =
-        new ServicePlacement(
+        ServicePlacement.of(
             picked.service(),
             call.route.shareOf(picked),
             maxLoad,
             minVersion,
-            endpointPool.explain(now, selector.requirements(now, call, maxLoad, minVersion)),
-            "",
-            0,
-            "",
-            "");
+            endpointPool.explain(now, selector.requirements(now, call, maxLoad, minVersion)));
     if (crashEvidence.wouldBlock(now, call.spec.sharedParts())) {
       return placement.withRejection(
           Rejection.BLOCKED_PROMPT, "parts=" + CallLog.formatParts(call));
--- a/policy/src/main/java/org/cornelchute/policy/forward/ServicePlacement.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/ServicePlacement.java
@@ -27,6 +27,17 @@
     String rejection,
     String reason) {
 
+  /** Returns a placement without an outcome. */
+  static ServicePlacement of(
+      String service,
+      double share,
+      double maxLoadPerSlot,
+      long minVersion,
+      List<CandidateExplanation> candidates) {
+    return new ServicePlacement(
+        service, share, maxLoadPerSlot, minVersion, candidates, "", 0, "", "");
+  }
+
   /** Returns this placement with the endpoint that the call is sent to. */
   ServicePlacement withChoice(String endpoint) {
     return withOutcome(endpoint, 0, "", "");
--- a/policy/src/main/java/org/cornelchute/policy/load/HeldPrompts.java
+++ b/policy/src/main/java/org/cornelchute/policy/load/PrefixCaches.java
@@ -8,7 +8,7 @@
  * Prompt prefixes that the engines probably have in their caches, by the hash code of the engine's
  * incarnation. Holds only engines that are known to cache prefixes.
  */
-public final class HeldPrompts {
+public final class PrefixCaches {
 
   private final Map<Integer, PrefixCache> caches = new HashMap<>();
 
--- a/policy/src/test/java/org/cornelchute/policy/forward/EndpointScoreTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/forward/EndpointScoreTest.java
@@ -130,7 +130,7 @@
     serveAtFirstEngine(PARTS, TOKENS);
     // 42 of 106 ms are saved, which is the load of 6.3 of 16 slots.
     assertThat(callsToFirstEngine()).isEqualTo(7);
-    assertThat(fixture.decider.heldPrompts().engineCount()).isEqualTo(1);
+    assertThat(fixture.decider.prefixCaches().engineCount()).isEqualTo(1);
   }
 
   // Failure: an engine that caches nothing, or whose memory is not known, gets calls for nothing.
@@ -144,7 +144,7 @@
     }
     serveAtFirstEngine(PARTS, hasTokens ? TOKENS : List.of());
     assertThat(callsToFirstEngine()).isLessThanOrEqualTo(1);
-    assertThat(fixture.decider.heldPrompts().prefixCount()).isZero();
+    assertThat(fixture.decider.prefixCaches().prefixCount()).isZero();
   }
 
   // Failure: an engine keeps getting calls for prefixes that it lost with its process.
@@ -156,9 +156,9 @@
     serveAtFirstEngine(PARTS, TOKENS);
     list(engine(1, 2, 1), engine(2, 1, 1));
     assertThat(callsToFirstEngine()).isLessThanOrEqualTo(1);
-    assertThat(fixture.decider.heldPrompts().engineCount()).isZero();
+    assertThat(fixture.decider.prefixCaches().engineCount()).isZero();
     announceCache();
-    assertThat(fixture.decider.heldPrompts().engineCount())
+    assertThat(fixture.decider.prefixCaches().engineCount())
         .as("a row of the incarnation before")
         .isZero();
   }
--- a/policy/src/test/java/org/cornelchute/policy/load/PrefixCacheTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/load/PrefixCacheTest.java
@@ -105,7 +105,7 @@
   // Failure: state of engines that have ended stays for good.
   @Test
   void dropsEnginesThatEnded() {
-    HeldPrompts prompts = new HeldPrompts();
+    PrefixCaches prompts = new PrefixCaches();
     prompts.of(1).record(now, VERSION, PROMPT, MEMORY_TOKENS);
     prompts.of(2).record(now, VERSION, PROMPT, MEMORY_TOKENS);
     assertThat(prompts.prefixCount()).isEqualTo(4);
