--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
@@ -6,7 +6,7 @@
 import org.cornelchute.policy.forward.EndpointPool.Requirements;
 import org.cornelchute.policy.load.EndpointLoad;
 import org.cornelchute.policy.load.EndpointSpeeds;
-import org.cornelchute.policy.load.HeldPrompts;
+import org.cornelchute.policy.load.PrefixCaches;
 import org.cornelchute.policy.load.PrefixSaving;
 import org.cornelchute.policy.load.PromptPrefix;
 import org.cornelchute.policy.util.RendezvousHash;
@@ -21,18 +21,19 @@
   private static final double CROSS_DOMAIN_PENALTY = 4.0;
 
   /**
-   * Load in calls that is added to an endpoint at most, drawn for each pair of entry and endpoint.
+   * Maximum load in calls that is added to an endpoint, by a hash of this entry and the endpoint.
    * Entries that see the same load would otherwise all choose the same endpoint until they learn of
    * each other's calls.
    */
   private static final double MAX_PREFERENCE_PENALTY = 2.0;
 
+  /** Bits of a hash code that a double holds exactly. */
   private static final int HASH_BITS = 53;
 
   private final String self;
   private final String domain;
   private final EndpointSpeeds speeds = new EndpointSpeeds();
-  private final HeldPrompts heldPrompts = new HeldPrompts();
+  private final PrefixCaches prefixCaches = new PrefixCaches();
 
   /** Creates scores for an entry in a failure domain. */
   EndpointScores(String self, String domain) {
@@ -44,8 +45,8 @@
     return speeds;
   }
 
-  HeldPrompts heldPrompts() {
-    return heldPrompts;
+  PrefixCaches prefixCaches() {
+    return prefixCaches;
   }
 
   /** Returns the state of an incarnation that is listed for the first time. */
@@ -54,8 +55,8 @@
   }
 
   private double preferencePenalty(EndpointSpec spec) {
-    long drawn = RendezvousHash.weight(self, spec.id()) >>> (Long.SIZE - HASH_BITS);
-    return MAX_PREFERENCE_PENALTY * drawn / (1L << HASH_BITS) / Math.max(1, spec.slots());
+    long hash = RendezvousHash.weight(self, spec.id()) >>> (Long.SIZE - HASH_BITS);
+    return MAX_PREFERENCE_PENALTY * hash / (1L << HASH_BITS) / Math.max(1, spec.slots());
   }
 
   /** Forgets all endpoints that are in neither collection. */
@@ -64,15 +65,15 @@
     listed.forEach(e -> incarnations.add(e.incarnation()));
     removed.forEach(e -> incarnations.add(e.incarnation()));
     speeds.retain(incarnations);
-    heldPrompts.retain(incarnations);
+    prefixCaches.retain(incarnations);
   }
 
   /** Records whether the engine of an endpoint caches prompt prefixes. */
   void setCachesPrefixes(Endpoint endpoint, boolean cachesPrefixes) {
     if (cachesPrefixes) {
-      endpoint.prefixCache = heldPrompts.of(endpoint.incarnation());
+      endpoint.prefixCache = prefixCaches.of(endpoint.incarnation());
     } else if (endpoint.prefixCache != null) {
-      heldPrompts.drop(endpoint.incarnation());
+      prefixCaches.drop(endpoint.incarnation());
       endpoint.prefixCache = null;
     }
   }
@@ -97,7 +98,7 @@
 
   /** Returns what a call may save; nothing is computed if no engine caches prefixes. */
   PrefixSaving savingOf(Requirements requirements) {
-    if (heldPrompts.engineCount() == 0 || requirements.service().engine().isEmpty()) {
+    if (prefixCaches.engineCount() == 0 || requirements.service().engine().isEmpty()) {
       return PrefixSaving.NONE;
     }
     CallSpec call = requirements.call();
@@ -111,8 +112,8 @@
   /**
    * Returns the score of an endpoint in load per slot, the lowest is the best: what the call adds
    * to the work of the endpoint and waits for, less the share of its own work that it saves. At
-   * normal speed and with nothing saved, it is the load alone with the penalties of another domain
-   * and of the draw for this entry.
+   * normal speed and with nothing saved, it is the load per slot with the penalties of another
+   * domain and of the preference of this entry.
    *
    * @param load calls that run or are queued at the endpoint
    */
