Keep the choice of endpoints where no room is reserved

The read-through found that the preference penalty applied to all services, that ranks of earlier configurations shift request priorities for ever, that large or negative priorities cross into other ranks, and that GET /where drops the tokens of prompt parts.

--- a/entry/src/main/java/org/cornelchute/entry/direct/PlacementQueryParser.java
+++ b/entry/src/main/java/org/cornelchute/entry/direct/PlacementQueryParser.java
@@ -79,7 +79,8 @@
             deadline.isEmpty() ? Integer.MAX_VALUE : Long.parseLong(deadline),
             counted ? Long.parseLong(counts.group(1)) : 0,
             counted ? Long.parseLong(counts.group(2)) : 0,
-            SharedPartsParser.parse(parts)));
+            SharedPartsParser.parse(parts),
+            SharedPartsParser.parseTokens(parts)));
   }
 
   private static String value(Map<String, List<String>> parameters, String name) {
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointPool.java
@@ -385,7 +385,7 @@
         continue;
       }
       double load = endpoint.estimateLoad(now, entries.foundCount());
-      double score = scores.score(now, endpoint, load, saving);
+      double score = scores.score(now, endpoint, load, saving, requirements.spread());
       if (load < requirements.maxLoadPerSlot() * endpoint.spec.slots() && score < lowestScore) {
         lowestScore = score;
         best = endpoint;
@@ -418,7 +418,7 @@
               load,
               endpoint.speed.slowdown(now),
               saving.millis(now, endpoint.prefixCache, endpoint.version),
-              scores.score(now, endpoint, load, saving),
+              scores.score(now, endpoint, load, saving, requirements.spread()),
               exclusionOf(now, endpoint, requirements, load, skipsBackoff)));
     }
     explanations.sort(
@@ -565,6 +565,7 @@
    * @param triedEndpoints endpoints that the call was sent to before
    * @param respondingSince time since which an endpoint with calls of this entry must have sent
    *     data; 0 for any endpoint
+   * @param spread whether entries that see the same load choose different endpoints
    * @param call the call
    */
   record Requirements(
@@ -576,6 +577,7 @@
       double maxLoadPerSlot,
       Set<String> triedEndpoints,
       long respondingSince,
+      boolean spread,
       CallSpec call) {
 
     /** Returns these requirements without endpoints that have been silent since a time. */
@@ -589,6 +591,7 @@
           maxLoadPerSlot,
           triedEndpoints,
           time,
+          spread,
           call);
     }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
@@ -116,13 +116,14 @@
    * domain and of the preference of this entry.
    *
    * @param load calls that run or are queued at the endpoint
+   * @param spread whether the preference of this entry counts
    */
-  double score(long now, Endpoint endpoint, double load, PrefixSaving saving) {
+  double score(long now, Endpoint endpoint, double load, PrefixSaving saving, boolean spread) {
     double slowdown = endpoint.speed.slowdown(now);
     double work = load * slowdown + (slowdown - 1);
     return work / endpoint.spec.slots()
         + domainPenalty(endpoint)
-        + endpoint.preferencePenalty
+        + (spread ? endpoint.preferencePenalty : 0)
         - saving.share(now, endpoint.prefixCache, endpoint.version);
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointSelector.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointSelector.java
@@ -53,6 +53,7 @@
         maxLoad,
         call.triedEndpoints,
         0,
+        loadLimits.reservesRoom(call.service),
         call.spec);
   }
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
@@ -69,6 +69,11 @@
     return config.findService(service).flatMap(ServiceSpec::engine).isPresent();
   }
 
+  /** Returns whether room is reserved for urgent calls at the endpoints of a service. */
+  boolean reservesRoom(ServiceSpec service) {
+    return reservationByService.containsKey(service.name());
+  }
+
   /** Records the arrival of a call, accepted or not. */
   void recordArrival(long now, Call call) {
     TrunkReservation reservation = reservationByService.get(call.service.name());
@@ -123,6 +128,10 @@
   }
 
   private static int rankOf(Call call) {
-    return WORKSPACE_RANK_FACTOR * call.priority() + call.route.priority();
+    return WORKSPACE_RANK_FACTOR * bounded(call.priority()) + bounded(call.route.priority());
+  }
+
+  private static int bounded(int priority) {
+    return Math.max(0, Math.min(WORKSPACE_RANK_FACTOR - 1, priority));
   }
 }
--- a/policy/src/main/java/org/cornelchute/policy/forward/PlacementQuery.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/PlacementQuery.java
@@ -14,6 +14,7 @@
  * @param maxOutputTokens maximum number of tokens to generate, 0 if not specified
  * @param sharedParts ids of the parts of the prompt that other calls may share, in prompt order,
  *     never null
+ * @param sharedTokens tokens of each of these parts, empty if not specified; never null
  */
 public record PlacementQuery(
     String host,
@@ -22,11 +23,43 @@
     long deadlineMillis,
     long promptTokens,
     long maxOutputTokens,
-    List<Long> sharedParts) {
+    List<Long> sharedParts,
+    List<Integer> sharedTokens) {
+
+  /** Creates a query without the tokens of the shared parts. */
+  public PlacementQuery(
+      String host,
+      String path,
+      String workspace,
+      long deadlineMillis,
+      long promptTokens,
+      long maxOutputTokens,
+      List<Long> sharedParts) {
+    this(
+        host,
+        path,
+        workspace,
+        deadlineMillis,
+        promptTokens,
+        maxOutputTokens,
+        sharedParts,
+        List.of());
+  }
 
   /** Returns the call, which has no number and no key. */
   CallSpec toCallSpec() {
     return new CallSpec(
-        0, "", host, path, "", deadlineMillis, promptTokens, maxOutputTokens, 0, -1, sharedParts);
+        0,
+        "",
+        host,
+        path,
+        "",
+        deadlineMillis,
+        promptTokens,
+        maxOutputTokens,
+        0,
+        -1,
+        sharedParts,
+        sharedTokens);
   }
 }
--- a/policy/src/main/java/org/cornelchute/policy/load/TrunkReservation.java
+++ b/policy/src/main/java/org/cornelchute/policy/load/TrunkReservation.java
@@ -25,6 +25,9 @@
   /** Time constant of the exponential average of arrivals. */
   static final double AVERAGING_MILLIS = 30_000;
 
+  /** Decayed arrivals below which a rank counts as gone: none came for minutes. */
+  static final double MIN_ARRIVALS = 0.01;
+
   /** Highest value of a request priority. */
   static final int MAX_PRIORITY = 9;
 
@@ -36,6 +39,7 @@
   public void recordArrival(long now, int rank) {
     double remaining = Math.exp(-Math.max(0, now - updatedAt) / AVERAGING_MILLIS);
     arrivalsByRank.replaceAll((r, arrivals) -> arrivals * remaining);
+    arrivalsByRank.values().removeIf(arrivals -> arrivals < MIN_ARRIVALS);
     totalArrivals = totalArrivals * remaining + 1;
     arrivalsByRank.merge(rank, 1.0, Double::sum);
     updatedAt = now;
--- a/policy/src/test/java/org/cornelchute/policy/load/TrunkReservationTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/load/TrunkReservationTest.java
@@ -69,6 +69,16 @@
     assertThat(reservation.priorityOf(1_002)).isEqualTo(2);
   }
 
+  /** Failure: ranks of an earlier configuration shift the priorities of those in use for ever. */
+  @Test
+  void forgetsRanksThatNoLongerArrive() {
+    arrive(0, 1);
+    arrive(1, 1);
+    now += 10 * (long) TrunkReservation.AVERAGING_MILLIS;
+    arrive(1, 1);
+    assertThat(reservation.priorityOf(1)).isZero();
+  }
+
   /** Failure: more ranks than priorities, which engines would not read. */
   @Test
   void capsPriorities() {
