--- a/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
+++ b/core/src/main/java/org/cornelchute/core/message/ControlMessage.java
@@ -93,8 +93,8 @@
   record EndpointLimitsReport(List<EndpointLimit> limits) implements ControlMessage {}
 
   /**
-   * Tells other entries how fast endpoints work, by the responses to the sender alone; contains
-   * only speeds that are not normal or have changed.
+   * Reports to other entries how fast endpoints work, by the responses to the sender alone;
+   * contains only speeds that are not normal or have changed.
    */
   record EndpointSpeedsReport(List<EndpointSpeed> speeds) implements ControlMessage {
 
--- a/entry/src/test/java/org/cornelchute/entry/direct/InvalidStatusTest.java
+++ b/entry/src/test/java/org/cornelchute/entry/direct/InvalidStatusTest.java
@@ -168,7 +168,7 @@
     }
   }
 
-  /** Guards against interim responses that are taken for final ones or for invalid ones. */
+  /** Guards against interim responses that are mistaken for final ones or for invalid ones. */
   @ParameterizedTest
   @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints", "199 X"})
   void skipsInterimResponses(String status) throws Exception {
--- a/net/src/main/java/org/cornelchute/net/store/KnownRow.java
+++ b/net/src/main/java/org/cornelchute/net/store/KnownRow.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 
 /**
- * What a process knows of one row of another writer, to tell a restored copy of the row from one
- * that was written again after the restore; must be used on the event loop only.
+ * What a process knows of one row of another writer, to distinguish a restored copy of the row from
+ * one that was written again after the restore; must be used on the event loop only.
  *
  * <p>A copy contains only states of earlier epochs. A row whose version is above the baseline of
  * the epoch, or above every version known of this row, is none of them, and neither is another
--- a/net/src/main/java/org/cornelchute/net/store/TableWatch.java
+++ b/net/src/main/java/org/cornelchute/net/store/TableWatch.java
@@ -220,10 +220,10 @@
   }
 
   /**
-   * Makes the next request read the whole table if a short poll got no complete response. The store
-   * sends each change since the known version, which may be more than arrives within the timeout:
-   * many versions of a large row, read by many processes that a link to the store comes back to at
-   * the same time. The table holds the newest ones only.
+   * Makes the next request read the whole table if a short poll got no complete response. The
+   * changes since the known version may be more than arrives within the timeout if a large row was
+   * changed often and many processes reach the store again at the same time. The table holds only
+   * the newest version of each row.
    */
   private void readTableAfterLostPoll(long pollMillis, Either<Failure, RowsResponse> response) {
     if (pollMillis == MIN_POLL_MILLIS
--- a/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
+++ b/net/src/test/java/org/cornelchute/net/engine/EngineClientTest.java
@@ -115,7 +115,7 @@
     }
   }
 
-  /** Failure: the state of an engine was believed from a response that is none. */
+  /** Failure: the state of an engine was accepted from a response with an invalid status. */
   @ParameterizedTest
   @ValueSource(strings = {"000 X", "600 X", "999 X", "+200 OK"})
   void believesNoStateOfInvalidResponses(String status) throws Exception {
@@ -126,7 +126,7 @@
     }
   }
 
-  /** Guards against interim responses that are taken for final ones. */
+  /** Guards against interim responses that are mistaken for final ones. */
   @ParameterizedTest
   @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
   void skipsInterimResponses(String status) throws Exception {
--- a/net/src/test/java/org/cornelchute/net/store/EpochTrackerTest.java
+++ b/net/src/test/java/org/cornelchute/net/store/EpochTrackerTest.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Failures: a late response of an earlier epoch is taken for the state of the store, a jump of the
- * epoch is missed, and a restored row is taken for one that was written since.
+ * Failures: a late response of an earlier epoch is mistaken for the state of the store, a jump of
+ * the epoch is missed, and a restored row is mistaken for one that was written since.
  */
 class EpochTrackerTest {
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/EndpointScores.java
@@ -22,8 +22,8 @@
 
   /**
    * Maximum load in calls that is added to an endpoint, by a hash of this entry and the endpoint.
-   * Entries that see the same load would otherwise all choose the same endpoint until they learn of
-   * each other's calls.
+   * Entries that see the same load would otherwise all choose the same endpoint until the reports
+   * of each other's calls arrive.
    */
   private static final double MAX_PREFERENCE_PENALTY = 2.0;
 
--- a/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
+++ b/policy/src/main/java/org/cornelchute/policy/forward/LoadLimits.java
@@ -121,7 +121,7 @@
         maxLoadPerSlot);
   }
 
-  /** Returns the priority that the endpoint is told, 0 for the most urgent calls. */
+  /** Returns the priority that is sent to the endpoint, 0 for the most urgent calls. */
   int requestPriority(Call call) {
     TrunkReservation reservation = reservationByService.get(call.service.name());
     return reservation == null ? call.priority() : reservation.priorityOf(rankOf(call));
--- a/policy/src/main/java/org/cornelchute/policy/load/EndpointSpeeds.java
+++ b/policy/src/main/java/org/cornelchute/policy/load/EndpointSpeeds.java
@@ -13,8 +13,8 @@
 /**
  * Speeds of the listed endpoints, by the hash code of their incarnation.
  *
- * <p>The entries tell each other which speeds the responses to themselves state, and pass on
- * nothing. Reports are not acknowledged: if they are lost, the estimates return to normal.
+ * <p>Each entry reports the speeds that the responses to itself state, and forwards no reports of
+ * others. Reports are not acknowledged: if they are lost, the estimates return to normal.
  */
 public final class EndpointSpeeds {
 
--- a/policy/src/main/java/org/cornelchute/policy/load/SpeedEstimate.java
+++ b/policy/src/main/java/org/cornelchute/policy/load/SpeedEstimate.java
@@ -83,7 +83,7 @@
     return now - respondedAt;
   }
 
-  /** Returns whether the other entries should be told of the responses to this entry. */
+  /** Returns whether the responses to this entry should be reported to the other entries. */
   boolean isReportable(long now) {
     boolean changed = differ(own.mean(), lastSent);
     boolean repeated =
@@ -97,7 +97,7 @@
     return (changed || repeated || disputed) && now - respondedAt < MAX_AGE_MILLIS;
   }
 
-  /** Records that the other entries are told of the responses to this entry. */
+  /** Records that the responses to this entry are reported to the other entries. */
   void recordSent(long now) {
     lastSent = own.mean();
     lastSentAt = now;
--- a/policy/src/test/java/org/cornelchute/policy/load/PrefixCacheTest.java
+++ b/policy/src/test/java/org/cornelchute/policy/load/PrefixCacheTest.java
@@ -115,7 +115,7 @@
     assertThat(prompts.prefixCount()).isZero();
   }
 
-  // Failure: tokens that belong to other parts, or are missing, are taken for a saving.
+  // Failure: tokens that belong to other parts, or are missing, are counted as a saving.
   @Test
   void knowsNoPrefixWithoutTokens() {
     assertThat(PromptPrefix.of(List.of(1L, 2L), List.of(800))).isEqualTo(PromptPrefix.NONE);
