--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -21,8 +21,6 @@
 final class Engine {
 
   static final String MODEL = "model-1";
-  private static final int EVENTS = 8;
-  private static final long STEP_MILLIS = 15;
   private static final long DOWN_MILLIS = 2_000;
 
   /** What a replica tells the test. */
@@ -36,21 +34,34 @@
     void onCrash(Engine engine, Server.Request request);
 
     /** Returns whether a request crashes a replica that begins to answer it. */
-    boolean crashes(Server.Request request);
+    boolean crashes(Engine engine, Server.Request request);
   }
 
   final String id;
   private final String service;
   private final int slots;
+  private final int events;
+  private final long stepMillis;
   private final Store store;
   private final Observer observer;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private int port;
   private volatile ServerSocket listening;
   private volatile long born = System.currentTimeMillis();
+  private volatile long coldUntil;
   private int running;
 
-  Engine(String id, String service, int slots, Store store, Observer observer) throws IOException {
+  Engine(
+      String id,
+      String service,
+      int slots,
+      int events,
+      long stepMillis,
+      Store store,
+      Observer observer)
+      throws IOException {
+    this.events = events;
+    this.stepMillis = stepMillis;
     this.id = id;
     this.service = service;
     this.slots = slots;
@@ -71,11 +82,20 @@
     thread.start();
   }
 
-  private void register() {
+  /** Makes the replica cold for some time; it says so in the store once the store answers. */
+  void turnCold(long millis) {
+    coldUntil = System.currentTimeMillis() + millis;
+  }
+
+  boolean isCold() {
+    return System.currentTimeMillis() < coldUntil;
+  }
+
+  void register() {
     ObjectNode row = new ObjectMapper().createObjectNode();
     row.put("service", service).put("address", "127.0.0.1:" + port).put("zone", "quito-norte");
     row.put("version", "v1").put("slots", slots).put("state", "ready");
-    row.put("coldRemainingMs", 0).put("stage", "prefill_decode");
+    row.put("coldRemainingMs", Math.max(0, coldUntil - System.currentTimeMillis())).put("stage", "prefill_decode");
     ObjectNode model = row.putArray("models").addObject();
     model.put("name", MODEL).put("version", 1).putArray("adapters");
     row.putObject("layers").put("source", 0).put("target", 16).put("version", 1);
@@ -118,6 +138,17 @@
   }
 
   private void answer(Server.Request request, OutputStream out) throws Exception {
+    if (request.path().equals("/health")) {
+      long cold = Math.max(0, coldUntil - System.currentTimeMillis());
+      write(
+          out,
+          "HTTP/1.1 200 OK\r\nCornelchute-Instance-Id: "
+              + id
+              + "\r\nCornelchute-Cold-Start-Ms: "
+              + cold
+              + "\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
     String requestId = request.header("Cornelchute-Request-Id");
     String head = "Cornelchute-Request-Id: " + requestId + "\r\n";
     if (!request.header("Cornelchute-Expected-Instance").equals(id)) {
@@ -138,7 +169,7 @@
 
   private void stream(Server.Request request, String requestId, String head, OutputStream out)
       throws Exception {
-    Thread.sleep(2 * STEP_MILLIS);
+    Thread.sleep(2 * stepMillis);
     observer.onBegin(this, request);
     write(
         out,
@@ -149,15 +180,15 @@
             + "\r\nCornelchute-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n");
     String last = request.header("Last-Event-Id");
-    for (int i = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; i <= EVENTS; i++) {
+    for (int i = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; i <= events; i++) {
       String event = "id: " + i + "\ndata: " + requestId + "-" + i + "\n\n";
       write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-      if (observer.crashes(request)) {
+      if (observer.crashes(this, request)) {
         Thread.sleep(5);
         crash(request);
         return;
       }
-      Thread.sleep(STEP_MILLIS);
+      Thread.sleep(stepMillis);
     }
     write(out, "0\r\n\r\n");
   }
--- a/review/standin-2/LongPrompt.java
+++ b/review/standin-2/LongPrompt.java
@@ -41,7 +41,7 @@
     Server storeServer = new Server(store);
     store.put("op", "config", Engine.config(1, "engines"));
     for (int i = 0; i < 6; i++) {
-      new Engine("i-" + i, "engines", 16, store, this);
+      new Engine("i-" + i, "engines", 16, 8, 15, store, this);
     }
     int[] ports = Daemon.freePorts(4);
     String settings = Daemon.entrySettings("edge-1", ports, storeServer.address(), true);
@@ -131,7 +131,7 @@
   }
 
   @Override
-  public boolean crashes(Server.Request request) {
+  public boolean crashes(Engine engine, Server.Request request) {
     return trouble && isHarmful(request);
   }
 
--- a/review/standin-2/Server.java
+++ b/review/standin-2/Server.java
@@ -44,7 +44,7 @@
     }
   }
 
-  /** A response; a null body closes the connection without a response. */
+  /** A response; with a null body, the connection stays open and delivers nothing. */
   record Response(int status, Map<String, String> headers, byte[] body) {
     static Response of(int status, String body) {
       return new Response(
@@ -102,6 +102,8 @@
         }
         Response response = handler.handle(request);
         if (response.body == null) {
+          // Nothing more is sent; the connection stays open until the peer closes it.
+          in.transferTo(OutputStream.nullOutputStream());
           return;
         }
         out.write(encode(response));
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -19,6 +19,9 @@
   private final Map<String, Row> rows = new TreeMap<>();
   private long version;
 
+  /** Whether the store reads requests and answers none. */
+  private volatile boolean silent;
+
   private record Row(String table, String key, byte[] value, long version, boolean deleted) {}
 
   /** Writes a row as the operator or a replica does, and returns when it is acknowledged. */
@@ -26,6 +29,11 @@
     write(table, key, value.toString().getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Begins or ends an outage in which the store answers nothing; requests of that time are lost. */
+  void setSilent(boolean value) {
+    silent = value;
+  }
+
   synchronized void remove(String table, String key) {
     version++;
     rows.put(table + "/" + key, new Row(table, key, null, version, true));
@@ -40,6 +48,15 @@
 
   @Override
   public Server.Response handle(Server.Request request) throws Exception {
+    if (silent) {
+      return new Server.Response(0, Map.of(), null);
+    }
+    Server.Response response = serve(request);
+    // A connection on which a response is lost delivers nothing further.
+    return silent ? new Server.Response(0, Map.of(), null) : response;
+  }
+
+  private Server.Response serve(Server.Request request) throws Exception {
     if (request.path().equals("/api/rows-get")) {
       return read(request);
     }
