--- a/review/standin-2/Daemon.java
+++ b/review/standin-2/Daemon.java
@@ -91,4 +91,16 @@
         + " \"coldOverrun\": 1.5, \"coldAllowance\": 5, \"stopSeconds\": 8,"
         + " \"firstStart\": " + firstStart + "}";
   }
+
+  /** Returns the settings of an agent, in the format of its template. */
+  static String agentSettings(
+      String name, int peerPort, int operatorPort, String store, String engine) {
+    return "{\"name\": \"" + name + "\", \"domain\": \"quito-norte\","
+        + " \"regions\": {\"quito-norte\":\"sierra\",\"guayaquil-sur\":\"costa\","
+        + "\"cuenca-centro\":\"austro\"},"
+        + " \"peers\": \"127.0.0.1:" + peerPort + "\","
+        + " \"operators\": \"127.0.0.1:" + operatorPort + "\","
+        + " \"store\": \"" + store + "\", \"engine\": \"" + engine + "\","
+        + " \"versionMillis\": 8000, \"linkMbps\": 5.11}";
+  }
 }
