Let the scripts of the second review tell a failure of their own from a broken rule

A test program that fails by itself ends with status 1, which run.sh took for a broken rule; now it gives 2, also where the classes are missing (tried), and the programs' processes end with the test.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,6 +9,8 @@
 cd "$home"
 timeout -k 5 110 java -cp "target/review-2:target/daemon/*" LongPrompt "$home" "$folder" \
   "$here/record.txt"
-code=$?
-[ "$code" -le 2 ] || code=2
-exit "$code"
+case $? in
+  10) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standin-2/BigBodies.java
+++ b/review/standin-2/BigBodies.java
@@ -35,7 +35,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    System.exit(new BigBodies(!"0".equals(System.getenv("TROUBLE"))).run(args));
+    Verdict.exit(() -> new BigBodies(!"0".equals(System.getenv("TROUBLE"))).run(args));
   }
 
   private int run(String[] args) throws Exception {
--- a/review/standin-2/ColdAway.java
+++ b/review/standin-2/ColdAway.java
@@ -38,7 +38,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    System.exit(new ColdAway(!"0".equals(System.getenv("TROUBLE"))).run(args));
+    Verdict.exit(() -> new ColdAway(!"0".equals(System.getenv("TROUBLE"))).run(args));
   }
 
   private int run(String[] args) throws Exception {
--- a/review/standin-2/Daemon.java
+++ b/review/standin-2/Daemon.java
@@ -32,7 +32,9 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), name + ".out")));
-    return new Daemon(builder.start());
+    Process process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    return new Daemon(process);
   }
 
   private static List<String> command(Path repository, String role) throws IOException {
--- a/review/standin-2/FrozenOrder.java
+++ b/review/standin-2/FrozenOrder.java
@@ -30,7 +30,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    System.exit(new FrozenOrder(!"0".equals(System.getenv("TROUBLE"))).run(args));
+    Verdict.exit(() -> new FrozenOrder(!"0".equals(System.getenv("TROUBLE"))).run(args));
   }
 
   private int run(String[] args) throws Exception {
--- a/review/standin-2/LongPrompt.java
+++ b/review/standin-2/LongPrompt.java
@@ -31,8 +31,8 @@
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    String parts = System.getenv().getOrDefault("PARTS", "40");
-    System.exit(new LongPrompt(trouble, Integer.parseInt(parts)).run(args));
+    int parts = Integer.parseInt(System.getenv().getOrDefault("PARTS", "40"));
+    Verdict.exit(() -> new LongPrompt(trouble, parts).run(args));
   }
 
   private int run(String[] args) throws Exception {
--- a/review/standin-2/NewSession.java
+++ b/review/standin-2/NewSession.java
@@ -35,7 +35,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    System.exit(new NewSession(!"0".equals(System.getenv("TROUBLE"))).run(args));
+    Verdict.exit(() -> new NewSession(!"0".equals(System.getenv("TROUBLE"))).run(args));
   }
 
   private int run(String[] args) throws Exception {
