--- a/review/standin-2/ColdAway.java
+++ b/review/standin-2/ColdAway.java
@@ -92,6 +92,7 @@
 
   private void call(String address, String id) {
     sentAt.put(id, now());
+    log("sent " + id);
     String outcome;
     try (Client client = new Client(address)) {
       Map<String, String> headers =
--- a/review/standin-2/LongPrompt.java
+++ b/review/standin-2/LongPrompt.java
@@ -87,6 +87,7 @@
   private void call(String address, String id, String prefix) {
     boolean sound = id.startsWith("sound");
     sentAt.put(id, now());
+    log("sent " + id);
     soundSent.addAndGet(sound ? 1 : 0);
     String outcome;
     try (Client client = new Client(address)) {
--- a/review/standin-2/NewSession.java
+++ b/review/standin-2/NewSession.java
@@ -84,6 +84,7 @@
 
   private void call(String address, String id, String prefix) {
     sentAt.put(id, now());
+    log("sent " + id);
     String outcome;
     try (Client client = new Client(address)) {
       Map<String, String> headers =
